Add the design, the workspace and the interfaces of all modules

Cause: the repository was empty; the hard decisions (where a submission is recorded, who may use a slot, retries, configuration, membership) have to stand before code. Conclusion: the modules can be implemented independently against the headers.

--- /dev/null
+++ b/cmake/RattanroadModule.cmake
@@ -0,0 +1,22 @@
+# Adds the library of one module from all its sources.
+#   rattanroad_add_module(<name> [DEPENDS <targets>...] [DEFINES <definitions>...])
+function(rattanroad_add_module name)
+  cmake_parse_arguments(MODULE "" "" "DEPENDS;DEFINES" ${ARGN})
+  file(GLOB_RECURSE sources CONFIGURE_DEPENDS ${name}/*.cpp ${name}/*.cc)
+  if(sources)
+    add_library(${name} STATIC ${sources})
+    set(scope PUBLIC)
+    target_compile_options(${name} PRIVATE -Wall -Wextra -Wno-unused-parameter)
+  else()
+    add_library(${name} INTERFACE)
+    set(scope INTERFACE)
+  endif()
+  add_library(rattanroad::${name} ALIAS ${name})
+  target_compile_features(${name} ${scope} cxx_std_17)
+  target_include_directories(${name} ${scope}
+    $<BUILD_INTERFACE:${CMAKE_SOURCE_DIR}/modules>
+    $<INSTALL_INTERFACE:${CMAKE_INSTALL_INCLUDEDIR}>)
+  target_link_libraries(${name} ${scope} ${MODULE_DEPENDS})
+  target_compile_definitions(${name} ${scope} ${MODULE_DEFINES})
+  set_property(GLOBAL APPEND PROPERTY RATTANROAD_MODULES ${name})
+endfunction()
--- /dev/null
+++ b/modules/rattanroad_admission/admission/AdmissionControl.h
@@ -0,0 +1,56 @@
+#pragma once
+
+#include "rattanroad_core/failure/Failure.h"
+#include "rattanroad_core/time/Clock.h"
+#include "rattanroad_inventory/inventory/Inventory.h"
+#include "rattanroad_protocol/rattanroad_protocol.h"
+
+#include <map>
+#include <optional>
+
+namespace rattanroad {
+
+/** Decides whether a job may enter this host's queue.
+
+    Every refusal happens before anything is journaled or started, so it is always "not run".
+*/
+class AdmissionControl {
+public:
+    struct Settings {
+        std::size_t maximumTasksPerJob { 260 };
+        ByteCount maximumJobSize { 8U << 20U };
+        /** Tasks waiting on this host over all teams. */
+        std::size_t maximumQueuedTasks { 20000 };
+        /** Share of the queue that one team may fill, 0 to 1. */
+        double maximumTeamShare { 0.5 };
+        std::chrono::milliseconds maximumDeadline { std::chrono::minutes(10) };
+    };
+
+    /** What the engine knows when the job arrives. */
+    struct Situation {
+        bool isDraining { false };
+        /** Shortest expected wait for a slot, per kind of work in the job. */
+        std::map<WorkKind, Duration> expectedWait;
+    };
+
+    explicit AdmissionControl(Settings settings);
+
+    /** Returns why the job is refused, or nothing when it may enter. The checks are ordered from the caller's own
+       faults to the state of the system: size, team, deadline, eligible targets, draining, queue, expected wait.
+    */
+    std::optional<Failure> refuse(
+        const protocol::JobDescription& job, const Inventory& inventory, const Situation& situation) const;
+
+    /** Keep the number of waiting tasks per team up to date. */
+    void tasksQueued(const TeamId& team, std::size_t count);
+    void tasksLeftQueue(const TeamId& team, std::size_t count);
+
+    std::size_t queuedTasks() const { return m_queuedTasks; }
+
+private:
+    Settings m_settings;
+    std::size_t m_queuedTasks { 0 };
+    std::map<TeamId, std::size_t> m_queuedByTeam;
+};
+
+}
--- /dev/null
+++ b/modules/rattanroad_core/time/VirtualClock.h
@@ -0,0 +1,34 @@
+#pragma once
+
+#include "rattanroad_core/time/Clock.h"
+
+#include <cassert>
+
+namespace rattanroad {
+
+/** A clock that moves only when told to; for tests, simulations and replay. */
+class VirtualClock final : public Clock {
+public:
+    TimePoint now() const override { return m_now; }
+    std::chrono::system_clock::time_point wallNow() const override
+    {
+        return std::chrono::system_clock::time_point(
+            std::chrono::duration_cast<std::chrono::system_clock::duration>(m_now.time_since_epoch()));
+    }
+
+    /** Moves the clock to @p time, which must not lie in the past: the clock is monotonic. */
+    void advanceTo(TimePoint time)
+    {
+        assert(time >= m_now);
+        m_now = time;
+    }
+
+    /** Moves the clock forward by @p duration. */
+    void advance(Duration duration) { advanceTo(m_now + duration); }
+
+private:
+    // Starts away from zero so that subtracting a timeout never underflows into "never".
+    TimePoint m_now { std::chrono::hours(1) };
+};
+
+}
--- /dev/null
+++ b/modules/rattanroad_inventory/rattanroad_inventory.h
@@ -0,0 +1,9 @@
+/** rattanroad_inventory: failure domains, workers, targets, teams and rules; import, checks and differences.
+
+    Dependencies: rattanroad_core; nlohmann-json.
+    Read inventory/Inventory.h first.
+*/
+#pragma once
+
+#include "rattanroad_inventory/inventory/Inventory.h"
+#include "rattanroad_inventory/inventory/InventoryTypes.h"
