Add the event loop, the HTTP server and client and the target stand-in

Cause: the engine needs one loop that serves callers and targets and tells precisely whether a request can have left. Change: EventLoop wraps the h2o loop with timers, deferred calls, descriptors and signals. HttpServer answers asynchronously and reports disconnects through a nested epoll set, since h2o stops reading during a request. HttpClient keeps connections per address and ends each exchange as never opened, sent without an answer or answered. TargetStandin hosts many targets in one process.

--- /dev/null
+++ b/modules/rattanroad_network/http/HttpServer.h
@@ -0,0 +1,74 @@
+#pragma once
+
+#include "rattanroad_core/failure/Result.h"
+#include "rattanroad_core/identifiers/Units.h"
+#include "rattanroad_network/http/HttpTypes.h"
+
+#include <functional>
+#include <memory>
+
+namespace rattanroad {
+
+class EventLoop;
+
+/** The answer to one request of an HttpServer. Copies refer to the same answer. An answer may be given at any later
+    time, also after the caller has disconnected; it is then dropped.
+*/
+class HttpResponder {
+public:
+    class State;
+    explicit HttpResponder(std::shared_ptr<State> state);
+
+    /** Sends the whole answer. @pre nothing was sent before */
+    void send(HttpResponse response);
+    /** Starts an answer of unknown length, to be continued with sendChunk(). @pre nothing was sent before */
+    void startStream(int status, const std::string& contentType);
+    /** Continues a streamed answer; @p isLast ends it. */
+    void sendChunk(std::string chunk, bool isLast);
+    /** Closes the connection without an answer. @pre nothing was sent before */
+    void abort();
+
+    /** Returns whether the caller can still receive the answer. */
+    bool isOpen() const;
+    /** Calls @p callback once when the caller disconnects before the answer was complete. */
+    void setDisconnectCallback(std::function<void()> callback);
+
+private:
+    std::shared_ptr<State> m_state;
+};
+
+/** HTTP/1.1 server on an EventLoop. Each request is handed to the handler with its whole body and is answered exactly
+    once, at any time.
+
+    The server must live until the end of its loop's last run, as connections may stay open until then.
+*/
+class HttpServer {
+public:
+    struct Settings {
+        /** A larger body is answered with 413 before the handler is called. */
+        ByteCount maximumBodySize { 8U << 20U };
+        /** Idle connections of callers are closed after this time. */
+        std::chrono::milliseconds idleTimeout { std::chrono::seconds(60) };
+        /** Body of the 413 answer. */
+        HttpResponse tooLargeResponse;
+    };
+    using Handler = std::function<void(HttpRequest&&, HttpResponder)>;
+
+    HttpServer(EventLoop& loop, Settings settings, Handler handler);
+    ~HttpServer();
+    HttpServer(const HttpServer&) = delete;
+    HttpServer& operator=(const HttpServer&) = delete;
+
+    /** Listens on "<IPv4 number>:<port>" and returns the port; port 0 takes any free one. May be called repeatedly.
+        Fails with FailureCode::Internal when the address cannot be bound.
+    */
+    Result<int> listen(const std::string& address);
+    /** Stops accepting connections on @p port; open connections stay. */
+    void closeListener(int port);
+
+private:
+    class Impl;
+    std::unique_ptr<Impl> m_impl;
+};
+
+}
