Pass responders by const reference

Cause: the lint reports copies of the responder handle. Change: HttpResponder is a handle whose methods are const; handlers take it by const reference. Conclusion: none beyond the lint.

--- a/modules/rattanroad_network/http/HttpServer.cpp
+++ b/modules/rattanroad_network/http/HttpServer.cpp
@@ -149,20 +149,20 @@
 {
 }
 
-void HttpResponder::send(HttpResponse response) { m_state->send(response); }
+void HttpResponder::send(const HttpResponse& response) const { m_state->send(response); }
 
-void HttpResponder::startStream(int status, const std::string& contentType)
+void HttpResponder::startStream(int status, const std::string& contentType) const
 {
     m_state->startStream(status, contentType);
 }
 
-void HttpResponder::sendChunk(std::string chunk, bool isLast) { m_state->sendChunk(chunk, isLast); }
+void HttpResponder::sendChunk(const std::string& chunk, bool isLast) const { m_state->sendChunk(chunk, isLast); }
 
-void HttpResponder::abort() { m_state->abort(); }
+void HttpResponder::abort() const { m_state->abort(); }
 
 bool HttpResponder::isOpen() const { return m_state->isOpen(); }
 
-void HttpResponder::setDisconnectCallback(std::function<void()> callback)
+void HttpResponder::setDisconnectCallback(std::function<void()> callback) const
 {
     m_state->setDisconnectCallback(std::move(callback));
 }
--- a/modules/rattanroad_network/http/HttpServer.h
+++ b/modules/rattanroad_network/http/HttpServer.h
@@ -20,18 +20,18 @@
     explicit HttpResponder(std::shared_ptr<State> state);
 
     /** Sends the whole answer. @pre nothing was sent before */
-    void send(HttpResponse response);
+    void send(const HttpResponse& response) const;
     /** Starts an answer of unknown length, to be continued with sendChunk(). @pre nothing was sent before */
-    void startStream(int status, const std::string& contentType);
+    void startStream(int status, const std::string& contentType) const;
     /** Continues a streamed answer; @p isLast ends it. */
-    void sendChunk(std::string chunk, bool isLast);
+    void sendChunk(const std::string& chunk, bool isLast) const;
     /** Closes the connection without an answer. @pre nothing was sent before */
-    void abort();
+    void abort() const;
 
     /** Returns whether the caller can still receive the answer. */
     bool isOpen() const;
     /** Calls @p callback once when the caller disconnects before the answer was complete. */
-    void setDisconnectCallback(std::function<void()> callback);
+    void setDisconnectCallback(std::function<void()> callback) const;
 
 private:
     std::shared_ptr<State> m_state;
@@ -52,7 +52,7 @@
         /** Body of the 413 answer. */
         HttpResponse tooLargeResponse;
     };
-    using Handler = std::function<void(HttpRequest&&, HttpResponder)>;
+    using Handler = std::function<void(HttpRequest&&, const HttpResponder&)>;
 
     HttpServer(EventLoop& loop, Settings settings, Handler handler);
     ~HttpServer();
--- a/tests/network/HttpTests.cpp
+++ b/tests/network/HttpTests.cpp
@@ -20,7 +20,7 @@
     EventLoop loop { clock };
     HttpServer::Handler handler;
     HttpServer server { loop, { ByteCount(1000), std::chrono::seconds(60), { 413, "text/plain", {}, "too large" } },
-        [this](HttpRequest&& request, HttpResponder responder) { handler(std::move(request), std::move(responder)); } };
+        [this](HttpRequest&& request, const HttpResponder& responder) { handler(std::move(request), responder); } };
     HttpClient client { loop, {} };
     int port { *server.listen("127.0.0.1:0") };
 
@@ -51,7 +51,7 @@
 // Guards against lost or altered parts of a request and an answer, on new and on kept-alive connections.
 TEST_CASE_METHOD(HttpFixture, "a request and its answer arrive whole", "[http]")
 {
-    handler = [](HttpRequest&& request, HttpResponder responder) {
+    handler = [](HttpRequest&& request, const HttpResponder& responder) {
         const std::string text = request.method + request.path + "?" + request.query + *request.header("x-one");
         responder.send({ 201, "text/plain", {}, text + request.body });
     };
@@ -74,7 +74,7 @@
 // Guards against a second start of a task whose target died after it got the request.
 TEST_CASE_METHOD(HttpFixture, "a connection closed after the request is sent without an answer", "[http]")
 {
-    handler = [](HttpRequest&&, HttpResponder responder) { responder.abort(); };
+    handler = [](HttpRequest&&, const HttpResponder& responder) { responder.abort(); };
     CHECK(exchange({ "POST", "/run", {}, "x", 2s }, address()).ending == HttpEnding::SentNoAnswer);
 }
 
@@ -82,7 +82,7 @@
 TEST_CASE_METHOD(HttpFixture, "a kept-alive connection that closes is sent without an answer", "[http]")
 {
     int requests = 0;
-    handler = [&](HttpRequest&&, HttpResponder responder) {
+    handler = [&](HttpRequest&&, const HttpResponder& responder) {
         if (++requests == 1)
             responder.send({});
         else
@@ -97,7 +97,7 @@
 TEST_CASE_METHOD(HttpFixture, "time limit and cancellation end an exchange once", "[http]")
 {
     std::vector<HttpResponder> open;
-    handler = [&](HttpRequest&&, HttpResponder responder) { open.push_back(responder); };
+    handler = [&](HttpRequest&&, const HttpResponder& responder) { open.push_back(responder); };
     const HttpResult late = exchange({ "POST", "/run", {}, "x", 50ms }, address());
     CHECK(late.ending == HttpEnding::SentNoAnswer);
     CHECK(late.isTimedOut);
@@ -119,7 +119,7 @@
 TEST_CASE_METHOD(HttpFixture, "a body over the limit never reaches the handler", "[http]")
 {
     bool wasHandled = false;
-    handler = [&](HttpRequest&&, HttpResponder responder) {
+    handler = [&](HttpRequest&&, const HttpResponder& responder) {
         wasHandled = true;
         responder.send({});
     };
@@ -134,7 +134,7 @@
 {
     std::optional<HttpResponder> open;
     int disconnects = 0;
-    handler = [&](HttpRequest&&, HttpResponder responder) {
+    handler = [&](HttpRequest&&, const HttpResponder& responder) {
         responder.setDisconnectCallback([&] { ++disconnects; });
         open = responder;
     };
@@ -154,7 +154,7 @@
 TEST_CASE_METHOD(HttpFixture, "a streamed answer arrives piece by piece", "[http]")
 {
     std::optional<HttpResponder> open;
-    handler = [&](HttpRequest&&, HttpResponder responder) {
+    handler = [&](HttpRequest&&, const HttpResponder& responder) {
         responder.startStream(200, "application/json");
         responder.sendChunk("one", false);
         open = responder;
--- a/tests/standins/TargetStandin.cpp
+++ b/tests/standins/TargetStandin.cpp
@@ -27,7 +27,7 @@
     : m_loop(loop)
     , m_random(random)
     , m_server(loop, {},
-          [this](HttpRequest&& request, HttpResponder responder) { handle(std::move(request), std::move(responder)); })
+          [this](HttpRequest&& request, const HttpResponder& responder) { handle(std::move(request), responder); })
 {
     if (!historyFile.empty())
         m_history.open(historyFile, std::ios::app);
@@ -70,7 +70,7 @@
     m_loop.addTimer(historyFlushInterval, [this] { flushHistory(); });
 }
 
-void TargetStandin::handle(HttpRequest&& request, HttpResponder responder)
+void TargetStandin::handle(HttpRequest&& request, const HttpResponder& responder)
 {
     Target& target = m_targets[request.localPort];
     if (request.path == "/standin/counts") {
@@ -83,10 +83,10 @@
         changeSettings(request.localPort, target, request, responder);
         return;
     }
-    runTask(target, std::move(request), std::move(responder));
+    runTask(target, std::move(request), responder);
 }
 
-void TargetStandin::changeSettings(int port, Target& target, const HttpRequest& request, HttpResponder& responder)
+void TargetStandin::changeSettings(int port, Target& target, const HttpRequest& request, const HttpResponder& responder)
 {
     const auto json = nlohmann::json::parse(request.body, nullptr, false);
     if (!json.is_object()) {
@@ -105,7 +105,7 @@
     responder.send(plain(200, "ok"));
 }
 
-void TargetStandin::runTask(Target& target, HttpRequest&& request, HttpResponder responder)
+void TargetStandin::runTask(Target& target, HttpRequest&& request, const HttpResponder& responder)
 {
     if (target.counts.running >= target.behaviour.slots) {
         ++target.counts.rejected;
@@ -145,7 +145,7 @@
 }
 
 void TargetStandin::finishTask(
-    Target& target, const HttpRequest& request, const std::string& result, HttpResponder& responder)
+    Target& target, const HttpRequest& request, const std::string& result, const HttpResponder& responder)
 {
     --target.counts.running;
     const bool isFailure = m_random.uniform() < target.behaviour.failShare;
--- a/tests/standins/TargetStandin.h
+++ b/tests/standins/TargetStandin.h
@@ -61,10 +61,11 @@
         Counts counts;
     };
 
-    void handle(HttpRequest&& request, HttpResponder responder);
-    void changeSettings(int port, Target& target, const HttpRequest& request, HttpResponder& responder);
-    void runTask(Target& target, HttpRequest&& request, HttpResponder responder);
-    void finishTask(Target& target, const HttpRequest& request, const std::string& result, HttpResponder& responder);
+    void handle(HttpRequest&& request, const HttpResponder& responder);
+    void changeSettings(int port, Target& target, const HttpRequest& request, const HttpResponder& responder);
+    void runTask(Target& target, HttpRequest&& request, const HttpResponder& responder);
+    void finishTask(
+        Target& target, const HttpRequest& request, const std::string& result, const HttpResponder& responder);
     void record(const char* event, int port, const HttpRequest& request);
 
     EventLoop& m_loop;
