Add the engine of an entry host

Cause: the decision modules need one place that composes them into the path of a request: accept, admit, route, start, answer. Change: EntryHost with JobRunner (jobs owned here), SubmissionRouter (who decides about a request), Forwarder (requests decided elsewhere), AnswerCache, KeeperAssignment, TraceContext.

--- a/modules/rattanroad_dispatch/engine/EntryHost.h
+++ b/modules/rattanroad_dispatch/engine/EntryHost.h
@@ -2,6 +2,7 @@
 
 #include "rattanroad_admission/rattanroad_admission.h"
 #include "rattanroad_configuration/rattanroad_configuration.h"
+#include "rattanroad_dispatch/engine/JobRunner.h"
 #include "rattanroad_dispatch/job/JobTypes.h"
 #include "rattanroad_ledger/rattanroad_ledger.h"
 #include "rattanroad_membership/rattanroad_membership.h"
@@ -25,6 +26,14 @@
     std::function<void(const ViewChange&)> changeView;
     /** A new configuration revision is in force on this host. May be empty. */
     std::function<void(const ConfigurationValue&)> configurationInstalled;
+    /** A hop of a sampled trace has ended. May be empty. */
+    std::function<void(const SpanRecord&)> recordSpan;
+    /** A peer sent a configuration message (pull or push); answered outside of the engine. May be empty. */
+    std::function<void(const Member& from, const protocol::Envelope&)> configurationMessage;
+    /** A heartbeat showed @p revision at @p from. May be empty. */
+    std::function<void(const HostId& from, Revision revision)> revisionSeen;
+    /** The set of live members changed. May be empty. */
+    std::function<void()> membersChanged;
 };
 
 struct EntryHostSettings {
@@ -36,6 +45,11 @@
     RetryPolicy::Settings retry;
     /** Wait for the answer of another host beyond the job's deadline before the outcome counts as unknown. */
     Duration forwardGrace { std::chrono::milliseconds(500) };
+    /** Longest wait for the answer to a query or a cancellation. */
+    Duration queryTimeout { std::chrono::seconds(5) };
+    /** Memory for answers of finished submissions. */
+    ByteCount answerCacheSize { 64U << 20U };
+    JobRunner::Settings runner;
 };
 
 /** One entry host without its sockets: accepts, admits, routes, starts and answers jobs.
@@ -70,7 +84,10 @@
     */
     void cancel(const SubmissionId& id, AnswerCallback answer);
 
+    /** Handles a message from another entry host. */
     void peerMessage(const protocol::Envelope& envelope);
+    /** Sends a message to a live entry host, with this host's name on it; dropped when the host is not alive. */
+    void sendToHost(const HostId& host, protocol::Envelope&& envelope);
     void taskResult(TaskResult result);
     void viewChangeResult(const ViewChangeResult& result);
 
@@ -91,6 +108,8 @@
 
     const ConfigurationHolder& configuration() const;
     const MemberTable& members() const;
+    /** Returns the targets that this host keeps now. */
+    const std::vector<TargetId>& keptTargets() const;
 
     struct Statistics {
         std::uint64_t jobsAccepted { 0 };
--- a/modules/rattanroad_dispatch/job/JobTypes.h
+++ b/modules/rattanroad_dispatch/job/JobTypes.h
@@ -32,8 +32,13 @@
     std::vector<std::string> results;
     /** Why the job failed; its run state holds for the whole job: NotRun only if no task ran. */
     Failure failure;
+    /** Hash of the job that the answer belongs to; 0 when it is not known. */
+    std::uint64_t jobFingerprint { 0 };
 };
 
+/** Returns a hash of team and tasks, so that a reused submission id with another job is noticed. Never 0. */
+std::uint64_t fingerprint(const protocol::JobDescription& job);
+
 using AnswerCallback = std::function<void(const JobAnswer&)>;
 
 /** Identifies one attempt at one task. */
