--- /dev/null
+++ b/modules/rattanroad_inventory/inventory/PlacementRules.h
@@ -0,0 +1,10 @@
+#pragma once
+
+#include "rattanroad_inventory/inventory/InventoryTypes.h"
+
+namespace rattanroad {
+
+/** Returns whether @p rule lets work of its kind run on @p target, whose worker has @p resources. */
+bool permits(const Rule& rule, const Target& target, const Resources& resources);
+
+}
