Implement the submission ledger

Cause: submissions must be idempotent although entry hosts have no disks, so their records live in memory on the owner and its backups. Change: the ledger behind SubmissionLedger.h.

--- a/modules/rattanroad_ledger/ledger/SubmissionLedger.h
+++ b/modules/rattanroad_ledger/ledger/SubmissionLedger.h
@@ -86,7 +86,7 @@
    start once all other members of the view have acknowledged its record. As backup it stores the records of other
    owners, fences an owner that it takes over from, and hands the recovered submissions to the engine. Views change only
    through the store. Not thread safe: one loop calls everything.
-    @see docs/design.md, "Where the truth about a submission lives"
+    @see docs/design.md, "Where the authoritative state of a submission is kept"
 */
 class SubmissionLedger {
 public:
--- /dev/null
+++ b/modules/rattanroad_ledger/ledger/SubmissionTable.cpp
@@ -0,0 +1,175 @@
+#include "rattanroad_ledger/ledger/SubmissionTable.h"
+
+namespace rattanroad {
+
+void SubmissionTable::apply(protocol::JournalRecord&& record, TimePoint now)
+{
+    const SequenceNumber sequence(record.submission_sequence());
+    switch (record.record_case()) {
+    case protocol::JournalRecord::kAccept: {
+        const auto taskCount = static_cast<std::size_t>(record.accept().tasks_size());
+        accept(
+            sequence, taskCount, std::make_unique<protocol::JobDescription>(std::move(*record.mutable_accept())), now);
+        return;
+    }
+    case protocol::JournalRecord::kStart:
+        start(sequence, TaskIndex(record.start().task()), AttemptNumber(record.start().attempt()));
+        return;
+    case protocol::JournalRecord::kOutcome: {
+        auto& outcome = *record.mutable_outcome();
+        recordOutcome(sequence, TaskIndex(outcome.task()), AttemptNumber(outcome.attempt()), outcome.not_started(),
+            std::move(*outcome.mutable_outcome()));
+        return;
+    }
+    case protocol::JournalRecord::kSeal:
+        seal(sequence, std::make_unique<protocol::SealRecord>(std::move(*record.mutable_seal())), now);
+        return;
+    case protocol::JournalRecord::RECORD_NOT_SET:
+        return;
+    }
+}
+
+void SubmissionTable::accept(
+    SequenceNumber sequence, std::size_t taskCount, std::unique_ptr<protocol::JobDescription> job, TimePoint now)
+{
+    if (isExpired(sequence))
+        return;
+    const auto [entry, isNew] = m_submissions.try_emplace(sequence);
+    if (!isNew)
+        return;
+    entry->second.acceptedAt = now;
+    entry->second.tasks.resize(taskCount);
+    if (m_content == Content::Complete)
+        entry->second.job = std::move(job);
+    ++m_activeCount;
+}
+
+JournaledTask* SubmissionTable::activeTask(SequenceNumber sequence, TaskIndex task)
+{
+    const auto entry = m_submissions.find(sequence);
+    if (entry == m_submissions.end() || entry->second.isSealed || task.value() >= entry->second.tasks.size())
+        return nullptr;
+    return &entry->second.tasks[task.value()];
+}
+
+bool SubmissionTable::start(SequenceNumber sequence, TaskIndex task, AttemptNumber attempt)
+{
+    auto* state = activeTask(sequence, task);
+    if (!state || attempt <= state->attempts)
+        return false;
+    if (state->isFinal || state->state == RecoveredTask::State::StartedOutcomeUnknown)
+        return false;
+    state->attempts = attempt;
+    state->state = RecoveredTask::State::StartedOutcomeUnknown;
+    state->outcome.reset();
+    return true;
+}
+
+bool SubmissionTable::recordOutcome(SequenceNumber sequence, TaskIndex task, AttemptNumber attempt,
+    bool isProvablyNotStarted, protocol::TaskOutcome&& outcome)
+{
+    auto* state = activeTask(sequence, task);
+    if (!state || attempt != state->attempts || state->state != RecoveredTask::State::StartedOutcomeUnknown)
+        return false;
+    if (isProvablyNotStarted) {
+        state->state = RecoveredTask::State::NotStarted;
+        return true;
+    }
+    state->state = RecoveredTask::State::Ended;
+    state->isFinal = outcome.succeeded() || outcome.failure().run_state() == protocol::OUTCOME_UNKNOWN;
+    if (m_content == Content::Complete)
+        state->outcome = std::make_unique<protocol::TaskOutcome>(std::move(outcome));
+    return true;
+}
+
+bool SubmissionTable::seal(SequenceNumber sequence, std::unique_ptr<protocol::SealRecord> seal, TimePoint now)
+{
+    if (isExpired(sequence))
+        return false;
+    const auto [entry, isNew] = m_submissions.try_emplace(sequence);
+    auto& submission = entry->second;
+    if (submission.isSealed)
+        return false;
+    if (isNew)
+        submission.acceptedAt = now;
+    else
+        --m_activeCount;
+    submission.isSealed = true;
+    m_sealed.emplace_back(now, sequence);
+    if (m_content == Content::StatesOnly) {
+        // Nothing of a sealed submission starts, so its task states are not needed any more.
+        std::vector<JournaledTask>().swap(submission.tasks);
+        return true;
+    }
+    submission.seal = std::move(seal);
+    if (submission.job) {
+        for (auto& task : *submission.job->mutable_tasks())
+            std::string().swap(*task.mutable_payload());
+    }
+    return true;
+}
+
+const JournaledSubmission* SubmissionTable::find(SequenceNumber sequence) const
+{
+    const auto entry = m_submissions.find(sequence);
+    return entry == m_submissions.end() ? nullptr : &entry->second;
+}
+
+void SubmissionTable::setAcceptNumber(SequenceNumber sequence, std::uint64_t number)
+{
+    m_submissions.at(sequence).acceptNumber = number;
+}
+
+bool SubmissionTable::isExpired(SequenceNumber sequence) const { return sequence < m_lowWater && !find(sequence); }
+
+void SubmissionTable::raiseLowWater(SequenceNumber sequence) { m_lowWater = std::max(m_lowWater, sequence); }
+
+void SubmissionTable::expire(TimePoint sealedBefore)
+{
+    while (!m_sealed.empty() && m_sealed.front().first < sealedBefore) {
+        const auto sequence = m_sealed.front().second;
+        m_sealed.pop_front();
+        m_submissions.erase(sequence);
+        // Ids below this one were minted earlier, so those that were never used are past their retention as well.
+        raiseLowWater(SequenceNumber(sequence.value() + 1));
+    }
+}
+
+void SubmissionTable::clear()
+{
+    m_submissions.clear();
+    m_sealed.clear();
+    m_activeCount = 0;
+}
+
+std::vector<RecoveredSubmission> SubmissionTable::recover(const SegmentKey& segment, const std::vector<HostId>& backups)
+{
+    std::vector<RecoveredSubmission> recovered;
+    recovered.reserve(m_submissions.size());
+    for (auto& [sequence, submission] : m_submissions) {
+        RecoveredSubmission result;
+        result.id = { segment, backups, sequence };
+        result.isSealed = submission.isSealed;
+        result.acceptedAt = submission.acceptedAt;
+        if (submission.job)
+            result.job = std::move(*submission.job);
+        if (submission.seal)
+            result.seal = std::move(*submission.seal);
+        for (auto& task : submission.tasks) {
+            RecoveredTask state { task.state, task.attempts, {} };
+            if (task.outcome)
+                state.outcome = std::move(*task.outcome);
+            task.outcome.reset();
+            result.tasks.push_back(std::move(state));
+        }
+        submission.job.reset();
+        submission.seal.reset();
+        if (submission.isSealed)
+            std::vector<JournaledTask>().swap(submission.tasks);
+        recovered.push_back(std::move(result));
+    }
+    m_content = Content::StatesOnly;
+    return recovered;
+}
+
+}
