Add the home of callers' own idempotency keys

Cause: a client that brings a key instead of a minted id must be served without a second run, also after its home restarted or the list of entry hosts changed. Change: KeyHome binds keys to submission ids at the host ranked first among the configured hosts; it refuses keys while it may lack bindings.

--- a/modules/rattanroad_dispatch/engine/EntryHost.cpp
+++ b/modules/rattanroad_dispatch/engine/EntryHost.cpp
@@ -16,6 +16,7 @@
     // Local messages can trigger further ones; a longer chain than this within one flush would be an endless loop.
     constexpr int maximumLocalRounds = 1000;
     constexpr Duration cacheExpiryInterval = std::chrono::seconds(1);
+    constexpr Duration keyHomeRetryInterval = std::chrono::seconds(2);
 
     protocol::ForwardedAnswer messageFromAnswer(std::uint64_t request, const JobAnswer& answer)
     {
@@ -43,6 +44,7 @@
     void offerConfiguration(ConfigurationValue value) { m_configuration.offer(std::move(value)); }
     void beginDrain();
     bool isDrained() const { return m_isReleased; }
+    void keyHomeRegistered(bool hadPredecessor);
     void flush();
     void tick();
     TimePoint nextWakeup() const;
@@ -65,6 +67,7 @@
     AdmissionControl m_admission;
     RetryPolicy m_retry;
     AnswerCache m_answers;
+    KeyHome m_keyHome;
     JobRunner m_runner;
     Forwarder m_forwarder;
     SubmissionRouter m_router;
@@ -79,6 +82,9 @@
     JobRunner::Hooks runnerHooks();
     std::shared_ptr<const Inventory> inventory() const;
 
+    void decide(SubmissionRouter::Request request);
+    void decideByKey(SubmissionRouter::Request request);
+    void registerKeyHome();
     void deliver(const protocol::Envelope& envelope);
     void forwardedSubmission(const protocol::Envelope& envelope);
     void forwardedRequest(
@@ -97,6 +103,7 @@
     // Requests of other hosts in progress here, so that a repeated one does not add a second waiter.
     std::set<std::pair<HostId, std::uint64_t>> m_forwardedHere;
     TimePoint m_nextExpiry;
+    bool m_isKeyHomeRegistered { false };
     bool m_areOffersStale { true };
     std::uint64_t m_messagesSent { 0 };
 };
@@ -107,6 +114,7 @@
     , m_random(random)
     , m_hooks(std::move(hooks))
     , m_configuration([this](const ConfigurationValue& value) {
+        m_keyHome.configurationInstalled(*value.inventory);
         assignKeepers();
         if (m_hooks.configurationInstalled)
             m_hooks.configurationInstalled(value);
@@ -119,17 +127,36 @@
     , m_admission(m_settings.admission)
     , m_retry(m_settings.retry, random)
     , m_answers(clock, m_settings.ledger.retention, m_settings.answerCacheSize)
+    , m_keyHome(m_settings.keyHome, clock)
     , m_runner(
           m_settings.runner, { clock, random, m_timers, m_ledger, m_borrower, m_admission, m_retry }, runnerHooks())
     , m_forwarder(clock,
           { [this](const HostId& host, protocol::Envelope&& envelope) { sendToHost(host, std::move(envelope)); },
-              [this](Forwarder::Request&& request) { m_router.route(std::move(request)); } })
+              [this](Forwarder::Request&& request) {
+                  ++request.hops;
+                  decide(std::move(request));
+              } })
     , m_router({ clock, m_ledger, m_runner, m_answers, m_forwarder, m_borrower, m_admission },
           { [this] { return inventory(); }, [this] { return m_isDraining; },
               [this](const HostId& host) { return m_members.find(host) != nullptr; } })
     , m_nextExpiry(clock.now() + cacheExpiryInterval)
 {
     membersChanged();
+    registerKeyHome();
+}
+
+void EntryHost::Impl::keyHomeRegistered(bool hadPredecessor)
+{
+    m_isKeyHomeRegistered = true;
+    m_keyHome.registered(hadPredecessor);
+}
+
+void EntryHost::Impl::registerKeyHome()
+{
+    if (m_isKeyHomeRegistered || !m_hooks.registerKeyHome)
+        return;
+    m_timers.schedule(m_clock.now(), [this] { m_hooks.registerKeyHome(); });
+    m_timers.schedule(m_clock.now() + keyHomeRetryInterval, [this] { registerKeyHome(); });
 }
 
 std::shared_ptr<const Inventory> EntryHost::Impl::inventory() const
@@ -312,27 +339,31 @@
     const auto& message = envelope.forwarded_submission();
     const auto number = message.request();
     const auto key = std::make_pair(from, number);
-    const auto id = SubmissionId::parse(message.submission_id());
     JobAnswer answer;
-    if (!id) {
-        answer.failure = id.lastReason();
-        return answerPeer(from, number, answer);
+    SubmissionRouter::Request request;
+    const bool isByKey = message.submission_id().empty() && !message.job().idempotency_key().empty();
+    if (!isByKey) {
+        const auto id = SubmissionId::parse(message.submission_id());
+        if (!id) {
+            answer.failure = id.lastReason();
+            return answerPeer(from, number, answer);
+        }
+        request.job.submissionId = *id;
     }
     if (!m_forwardedHere.insert(key).second) {
-        answer.submissionId = *id;
+        answer.submissionId = request.job.submissionId;
         answer.isInProgress = true;
         return answerPeer(from, number, answer);
     }
-    SubmissionRouter::Request request;
     request.kind = message.asynchronous() ? Forwarder::Kind::AsynchronousSubmission : Forwarder::Kind::Submission;
-    request.job = { *id, message.job() };
+    request.job.job = message.job();
     request.hops = message.hops();
     request.deadline = m_clock.now() + std::chrono::milliseconds(message.job().deadline_left_ms());
     request.answer = [this, from, number, key](const JobAnswer& result) {
         m_forwardedHere.erase(key);
         answerPeer(from, number, result);
     };
-    m_router.route(std::move(request));
+    decide(std::move(request));
 }
 
 void EntryHost::Impl::forwardedRequest(
@@ -509,6 +540,7 @@
     m_timers.runDue(now);
     if (now >= m_nextExpiry) {
         m_answers.expire();
+        m_keyHome.expire();
         m_nextExpiry = now + cacheExpiryInterval;
     }
     flush();
@@ -583,6 +615,8 @@
 
 void EntryHost::viewChangeResult(const ViewChangeResult& result) { m_impl->m_ledger.viewChangeResult(result); }
 
+void EntryHost::keyHomeRegistered(bool hadPredecessor) { m_impl->keyHomeRegistered(hadPredecessor); }
+
 void EntryHost::offerConfiguration(ConfigurationValue value) { m_impl->offerConfiguration(std::move(value)); }
 
 void EntryHost::setLeavingTargets(const std::set<TargetId>& leaving) { m_impl->m_keeper.setLeavingTargets(leaving); }
--- a/modules/rattanroad_dispatch/engine/EntryHost.h
+++ b/modules/rattanroad_dispatch/engine/EntryHost.h
@@ -3,6 +3,7 @@
 #include "rattanroad_admission/rattanroad_admission.h"
 #include "rattanroad_configuration/rattanroad_configuration.h"
 #include "rattanroad_dispatch/engine/JobRunner.h"
+#include "rattanroad_dispatch/engine/KeyHome.h"
 #include "rattanroad_dispatch/job/JobTypes.h"
 #include "rattanroad_ledger/rattanroad_ledger.h"
 #include "rattanroad_membership/rattanroad_membership.h"
@@ -24,6 +25,10 @@
     std::function<void(const TaskKey&)> cancelTask;
     /** Writes a view change to the store; EntryHost::viewChangeResult() must follow. */
     std::function<void(const ViewChange&)> changeView;
+    /** Registers this incarnation as key home in the store; EntryHost::keyHomeRegistered() follows when the store has
+        answered. May be empty: keys are then refused for the retention time after the start.
+    */
+    std::function<void()> registerKeyHome;
     /** A new configuration revision is in force on this host. May be empty. */
     std::function<void(const ConfigurationValue&)> configurationInstalled;
     /** A hop of a sampled trace has ended. May be empty. */
@@ -47,6 +52,7 @@
     Duration forwardGrace { std::chrono::milliseconds(500) };
     /** Longest wait for the answer to a query or a cancellation. */
     Duration queryTimeout { std::chrono::seconds(5) };
+    KeyHome::Settings keyHome;
     /** Memory for answers of finished submissions. */
     ByteCount answerCacheSize { 64U << 20U };
     JobRunner::Settings runner;
@@ -90,6 +96,8 @@
     void sendToHost(const HostId& host, protocol::Envelope&& envelope);
     void taskResult(TaskResult result);
     void viewChangeResult(const ViewChangeResult& result);
+    /** The store holds this incarnation as key home; see KeyHome::registered(). */
+    void keyHomeRegistered(bool hadPredecessor);
 
     /** Offers a configuration that came from the store; older revisions are ignored. */
     void offerConfiguration(ConfigurationValue value);
