--- a/modules/rattanroad_network/store/StoreClient.cpp
+++ b/modules/rattanroad_network/store/StoreClient.cpp
@@ -6,7 +6,7 @@
 
 using nlohmann::json;
 
-namespace rattanroad {
+namespace rattanroad::platform {
 
 namespace {
     /** A watch waits for changes; the connection is renewed after this time. */
--- a/modules/rattanroad_network/store/StoreClient.h
+++ b/modules/rattanroad_network/store/StoreClient.h
@@ -9,7 +9,7 @@
 #include <string>
 #include <vector>
 
-namespace rattanroad {
+namespace rattanroad::platform {
 
 /** Revision of the store: grows with each write of any key. */
 using StoreRevision = StrongType<std::uint64_t, struct StoreRevisionTag>;
--- a/modules/rattanroad_network/store/StoreMessages.cpp
+++ b/modules/rattanroad_network/store/StoreMessages.cpp
@@ -6,7 +6,7 @@
 
 using nlohmann::json;
 
-namespace rattanroad::storemessages {
+namespace rattanroad::platform::storemessages {
 
 std::string prefixEnd(std::string prefix)
 {
--- a/modules/rattanroad_network/store/StoreMessages.h
+++ b/modules/rattanroad_network/store/StoreMessages.h
@@ -5,7 +5,7 @@
 #include <nlohmann/json.hpp>
 
 /** JSON forms of the store's messages: keys and values in base64, 64-bit numbers as strings. */
-namespace rattanroad::storemessages {
+namespace rattanroad::platform::storemessages {
 
 /** Returns the end of the key range that holds exactly the keys with @p prefix. */
 std::string prefixEnd(std::string prefix);
--- a/tests/network/StoreTests.cpp
+++ b/tests/network/StoreTests.cpp
@@ -7,6 +7,7 @@
 #include <catch2/catch.hpp>
 
 using namespace rattanroad;
+using namespace rattanroad::platform;
 using namespace std::chrono_literals;
 
 namespace {
--- a/tests/standins/StoreStandin.cpp
+++ b/tests/standins/StoreStandin.cpp
@@ -8,6 +8,10 @@
 
 namespace rattanroad::standins {
 
+using platform::StoreEntry;
+using platform::StoreRevision;
+namespace storemessages = platform::storemessages;
+
 namespace {
     HttpResponse jsonResponse(int status, const json& body) { return { status, "application/json", {}, body.dump() }; }
 }
--- a/tests/standins/StoreStandin.h
+++ b/tests/standins/StoreStandin.h
@@ -41,7 +41,7 @@
 
 private:
     struct Stored {
-        StoreEntry entry;
+        platform::StoreEntry entry;
         std::uint64_t version { 0 };
         std::uint64_t lease { 0 };
     };
