--- /dev/null
+++ b/modules/rattanroad_routing/slots/KeeperDirectory.cpp
@@ -0,0 +1,210 @@
+#include "rattanroad_routing/slots/KeeperDirectory.h"
+
+#include <algorithm>
+#include <optional>
+
+namespace rattanroad {
+
+namespace {
+
+    // Keepers of another region are asked only when no nearer one runs the kind, that is, when a rule sends it there.
+    constexpr int anotherRegion = 3;
+    constexpr Duration unknownRun = std::chrono::milliseconds(200);
+    constexpr int runWeight = 16;
+
+    Duration fromMilliseconds(std::uint32_t value) { return std::chrono::milliseconds(value); }
+
+}
+
+KeeperDirectory::KeeperDirectory(const Clock& clock, RandomSource& random)
+    : m_clock(clock)
+    , m_random(random)
+{
+}
+
+void KeeperDirectory::set(const std::vector<SlotBorrower::KeeperOffer>& keepers)
+{
+    std::map<HostId, Keeper> next;
+    for (const auto& offer : keepers) {
+        const auto known = m_keepers.find(offer.host);
+        Keeper keeper = known != m_keepers.end() ? std::move(known->second) : Keeper {};
+        const bool isNewer = known == m_keepers.end() || offer.advertisedAt > keeper.advertisedAt;
+        keeper.host = offer.host;
+        keeper.distance = offer.distance;
+        if (isNewer) {
+            keeper.advertisedAt = offer.advertisedAt;
+            keeper.heardAt = std::max(keeper.heardAt, offer.advertisedAt);
+            keeper.offers.clear();
+            for (const auto& slots : offer.freeSlots) {
+                auto& entry = keeper.offers[WorkKind(slots.kind())];
+                entry.free = slots.free();
+                entry.total = slots.total();
+                entry.wait = fromMilliseconds(slots.expected_wait_ms());
+            }
+        }
+        next.emplace(offer.host, std::move(keeper));
+    }
+    m_keepers = std::move(next);
+}
+
+std::vector<KeeperDirectory::Candidate> KeeperDirectory::candidates(
+    const WorkKind& kind, const std::set<HostId>& refusedBy)
+{
+    std::vector<Candidate> all;
+    for (auto& [host, keeper] : m_keepers) {
+        if (!refusedBy.count(host))
+            all.push_back({ &keeper, nullptr, 0 });
+    }
+    const auto keepIfAny = [&](auto predicate) {
+        const auto end = std::stable_partition(all.begin(), all.end(), predicate);
+        if (end != all.begin())
+            all.erase(end, all.end());
+    };
+    keepIfAny([&](const Candidate& each) {
+        const auto offer = each.keeper->offers.find(kind);
+        return offer != each.keeper->offers.end() && offer->second.total > 0;
+    });
+    keepIfAny([](const Candidate& each) { return each.keeper->distance < anotherRegion; });
+    keepIfAny([&](const Candidate& each) { return each.keeper->suspectUntil <= m_clock.now(); });
+    for (auto& each : all)
+        each.offer = &each.keeper->offers[kind];
+    return all;
+}
+
+std::vector<KeeperDirectory::Share> KeeperDirectory::divide(
+    const WorkKind& kind, std::uint32_t count, const std::set<HostId>& refusedBy)
+{
+    auto candidates = this->candidates(kind, refusedBy);
+    if (candidates.empty())
+        return {};
+    takeQueued(candidates, kind, takeFree(candidates, count));
+    std::vector<Share> shares;
+    for (const auto& each : candidates) {
+        if (each.share == 0)
+            continue;
+        each.offer->askedSince += each.share;
+        shares.push_back({ each.keeper->host, each.share });
+    }
+    return shares;
+}
+
+std::uint32_t KeeperDirectory::takeFree(std::vector<Candidate>& candidates, std::uint32_t count)
+{
+    // A random order weighted by free slots: hosts that hold the same advertisements do not all ask the same keeper.
+    std::vector<std::pair<double, Candidate*>> order;
+    for (auto& each : candidates) {
+        const auto free = each.offer->estimatedFree();
+        if (free > 0)
+            order.emplace_back(each.keeper->distance
+                    - m_random.uniform() * static_cast<double>(free) / static_cast<double>(free + count),
+                &each);
+    }
+    std::sort(order.begin(), order.end(), [](const auto& left, const auto& right) { return left.first < right.first; });
+    for (auto& [rank, each] : order) {
+        each->share = static_cast<std::uint32_t>(std::min<std::int64_t>(count, each->offer->estimatedFree()));
+        count -= each->share;
+    }
+    return count;
+}
+
+void KeeperDirectory::takeQueued(std::vector<Candidate>& candidates, const WorkKind& kind, std::uint32_t count) const
+{
+    // Steps of a sixteenth bound the work for large jobs; the waits are estimates anyway.
+    const std::uint32_t step = std::max<std::uint32_t>(1, count / 16);
+    while (count > 0) {
+        const auto wait = [&](const Candidate& each) { return waitFor(*each.offer, kind, each.share); };
+        const auto best = std::min_element(
+            candidates.begin(), candidates.end(), [&](const Candidate& left, const Candidate& right) {
+                return std::make_pair(wait(left), left.keeper->distance)
+                    < std::make_pair(wait(right), right.keeper->distance);
+            });
+        const auto taken = std::min(step, count);
+        best->share += taken;
+        count -= taken;
+    }
+}
+
+Duration KeeperDirectory::waitFor(const Offer& offer, const WorkKind& kind, std::int64_t extra) const
+{
+    const std::int64_t ahead = std::max<std::int64_t>(0, offer.askedSince + extra - offer.free);
+    return offer.wait + meanRun(kind) * ahead / std::max<std::int64_t>(1, offer.total);
+}
+
+std::uint32_t KeeperDirectory::freeElsewhere(
+    const WorkKind& kind, const HostId& current, const std::set<HostId>& refusedBy) const
+{
+    std::int64_t free = 0;
+    for (const auto& [host, keeper] : m_keepers) {
+        const auto offer = keeper.offers.find(kind);
+        if (host == current || refusedBy.count(host) || keeper.distance >= anotherRegion || offer == keeper.offers.end()
+            || keeper.suspectUntil > m_clock.now())
+            continue;
+        free += offer->second.estimatedFree();
+    }
+    return static_cast<std::uint32_t>(free);
+}
+
+void KeeperDirectory::correct(const HostId& keeper, const WorkKind& kind, std::int64_t count)
+{
+    const auto found = m_keepers.find(keeper);
+    if (found == m_keepers.end())
+        return;
+    const auto offer = found->second.offers.find(kind);
+    if (offer != found->second.offers.end())
+        offer->second.askedSince += count;
+}
+
+void KeeperDirectory::suspect(const HostId& keeper, TimePoint until)
+{
+    const auto found = m_keepers.find(keeper);
+    if (found != m_keepers.end())
+        found->second.suspectUntil = until;
+}
+
+void KeeperDirectory::heardFrom(const HostId& keeper)
+{
+    const auto found = m_keepers.find(keeper);
+    if (found == m_keepers.end())
+        return;
+    found->second.heardAt = m_clock.now();
+    found->second.suspectUntil = {};
+}
+
+bool KeeperDirectory::isFresh(const HostId& keeper, Duration age) const
+{
+    const auto found = m_keepers.find(keeper);
+    return found != m_keepers.end() && m_clock.now() - found->second.heardAt <= age;
+}
+
+void KeeperDirectory::recordRun(const WorkKind& kind, Duration ran)
+{
+    const auto [entry, isNew] = m_meanRun.try_emplace(kind, ran);
+    if (!isNew)
+        entry->second += (ran - entry->second) / runWeight;
+}
+
+Duration KeeperDirectory::meanRun(const WorkKind& kind) const
+{
+    const auto found = m_meanRun.find(kind);
+    return found == m_meanRun.end() ? unknownRun : found->second;
+}
+
+Duration KeeperDirectory::expectedWait(const WorkKind& kind) const
+{
+    // Another region counts only when no nearer keeper runs the kind, as in candidates().
+    std::optional<Duration> near;
+    std::optional<Duration> far;
+    for (const auto& [host, keeper] : m_keepers) {
+        const auto offer = keeper.offers.find(kind);
+        if (offer == keeper.offers.end() || offer->second.total == 0)
+            continue;
+        const bool isFree = offer->second.estimatedFree() > 0;
+        const auto wait = isFree ? Duration(0) : waitFor(offer->second, kind, 1);
+        auto& shortest = keeper.distance < anotherRegion ? near : far;
+        shortest = std::min(shortest.value_or(wait), wait);
+    }
+    // Without any advertisement nothing is known, which is no reason to refuse work.
+    return near.value_or(far.value_or(Duration(0)));
+}
+
+}
