--- a/modules/rattanroad_membership/membership/MemberTable.cpp
+++ b/modules/rattanroad_membership/membership/MemberTable.cpp
@@ -11,10 +11,14 @@
 
 namespace {
 
-    // Entries forwarded inside the failure domain per inner heartbeat; four heartbeats a second carry twice the news
-    // that arrives at the planned 28 hosts.
+    // Entries forwarded inside the failure domain per inner heartbeat. Four heartbeats a second then describe the 24
+    // hosts outside that a domain of the planned size has.
     constexpr size_t innerDigestSize = 6;
 
+    // Outer members are asked directly from this share of the timeout on. The rest of it leaves time for two questions,
+    // so that a few lost messages don't declare a live host dead.
+    constexpr int probeAgeEighths = 5;
+
     std::uint32_t ageInMilliseconds(Duration age)
     {
         return static_cast<std::uint32_t>(std::chrono::duration_cast<std::chrono::milliseconds>(age).count());
@@ -46,12 +50,13 @@
     void sendInner();
     void sendOuter();
     void contactSilentHosts();
+    void probeOldMembers();
     /** Asks the host at @p address to make itself known; the empty digest asks for an answer. */
     void contact(const std::string& address);
     void answer(const Member& member);
     void send(const std::string& address, const Digest& digest);
     Digest innerDigest();
-    Digest outerDigest(const HostId& receiver) const;
+    Digest outerDigest(const HostId& receiver);
     Digest describe(std::vector<const MemberRecord*> chosen, size_t limit) const;
     bool isAddressOfLiveMember(const std::string& address) const;
     void reportChange();
@@ -61,6 +66,7 @@
     // more than one message per interval.
     SendLimit m_contactLimit;
     SendLimit m_answerLimit;
+    SendLimit m_probeLimit;
     std::uint64_t m_sequence { 0 };
     TimePoint m_lastTick;
     bool m_isAnswered { false };
@@ -77,6 +83,7 @@
     , m_rotation(random)
     , m_contactLimit(settings.outerInterval)
     , m_answerLimit(settings.outerInterval)
+    , m_probeLimit(settings.outerInterval / 2)
     , m_lastTick(clock.now())
 {
     assert(hooks.send);
@@ -150,6 +157,7 @@
         contactSilentHosts();
         nextOuter = now + settings.outerInterval;
     }
+    probeOldMembers();
     if (died)
         reportChange();
 }
@@ -190,6 +198,19 @@
         contact(addresses[random.below(addresses.size())]);
 }
 
+void MemberTable::Impl::probeOldMembers()
+{
+    const auto now = clock.now();
+    for (const auto& [host, record] : records.all()) {
+        const auto& member = record.member;
+        const bool isOld = now - member.lastHeard >= settings.outerTimeout * probeAgeEighths / 8;
+        // One answer describes its whole failure domain.
+        if (record.isAlive && !records.isInside(member) && isOld
+            && m_probeLimit.admits(member.failureDomain.value(), now))
+            contact(member.address);
+    }
+}
+
 bool MemberTable::Impl::isAddressOfLiveMember(const std::string& address) const
 {
     return std::any_of(records.all().begin(), records.all().end(),
@@ -237,11 +258,12 @@
 {
     std::vector<const MemberRecord*> fresh;
     for (auto& [host, record] : records.all()) {
-        const bool isNews = record.member.lastHeard - record.sharedInside >= settings.outerInterval;
+        // Smaller steps would cost more bytes than they shorten the ages.
+        const bool isNews = record.member.lastHeard - record.sharedInside >= settings.outerInterval * 3 / 4;
         if (record.isAlive && !records.isInside(record.member) && isNews)
             fresh.push_back(&record);
     }
-    const auto digest = describe(std::move(fresh), innerDigestSize);
+    auto digest = describe(std::move(fresh), innerDigestSize);
     for (const auto& state : digest) {
         auto& record = records.all().at(HostId(state.host()));
         record.sharedInside = record.member.lastHeard;
@@ -249,14 +271,25 @@
     return digest;
 }
 
-MemberTable::Impl::Digest MemberTable::Impl::outerDigest(const HostId& receiver) const
+MemberTable::Impl::Digest MemberTable::Impl::outerDigest(const HostId& receiver)
 {
-    std::vector<const MemberRecord*> known;
+    // The own domain first, since the receiver may have no fresher source for it; then a random choice of what was
+    // heard lately. Always relaying the newest would repeat the two domains that were heard last.
+    std::vector<const MemberRecord*> inside;
+    std::vector<const MemberRecord*> outside;
     for (const auto& [host, record] : records.all()) {
-        if (record.isAlive && host != receiver)
-            known.push_back(&record);
+        if (!record.isAlive || host == receiver)
+            continue;
+        const bool isInside = records.isInside(record.member);
+        if (isInside || clock.now() - record.member.lastHeard < settings.outerTimeout / 2)
+            (isInside ? inside : outside).push_back(&record);
+    }
+    while (inside.size() < settings.digestSize && !outside.empty()) {
+        const auto position = outside.begin() + static_cast<std::ptrdiff_t>(random.below(outside.size()));
+        inside.push_back(*position);
+        outside.erase(position);
     }
-    return describe(std::move(known), settings.digestSize);
+    return describe(std::move(inside), settings.digestSize);
 }
 
 MemberTable::Impl::Digest MemberTable::Impl::describe(std::vector<const MemberRecord*> chosen, size_t limit) const
--- a/modules/rattanroad_membership/membership/OuterRotation.cpp
+++ b/modules/rattanroad_membership/membership/OuterRotation.cpp
@@ -22,6 +22,7 @@
         ++available;
     }
     std::vector<HostId> order;
+    order.reserve(domains.size());
     for (const auto& [domain, members] : domains)
         order.emplace_back(domain.value());
     order = rendezvousOrder(std::to_string(m_salt), order);
