--- a/tests/membership/MemberTableTests.cpp
+++ b/tests/membership/MemberTableTests.cpp
@@ -209,6 +209,7 @@
 TEST_CASE("rendezvous order moves only the share of the host that left")
 {
     std::vector<HostId> hosts;
+    hosts.reserve(6);
     for (int index = 0; index < 6; ++index)
         hosts.emplace_back("host-" + std::to_string(index));
     const auto fewer = std::vector<HostId>(hosts.begin(), hosts.end() - 1);
