--- a/tests/history/checker/HistoryEvent.h
+++ b/tests/history/checker/HistoryEvent.h
@@ -23,7 +23,7 @@
         ShutdownRequested, ///< An operator asked the host process for a graceful shutdown.
         ProcessStarted,
         ProcessEnded, ///< The host process exited or was killed.
-        HostUnreachable, ///< The driver froze the host or cut it off from where configurations come from.
+        HostUnreachable, ///< The driver froze the host or cut it off from where configurations come from; may nest.
         HostReachable,
     };
 
--- a/tests/history/checker/OperationsChecker.cpp
+++ b/tests/history/checker/OperationsChecker.cpp
@@ -59,13 +59,14 @@
         m_processes[event.host].shutdownAt = event.timeUs;
         return;
     case Kind::ProcessStarted:
-    case Kind::HostReachable:
         return setReachable(m_processes[event.host], event.timeUs, true);
     case Kind::ProcessEnded:
         m_processes[event.host].isGracefullyEnded = event.isSuccess;
         return setReachable(m_processes[event.host], event.timeUs, false);
     case Kind::HostUnreachable:
-        return setReachable(m_processes[event.host], event.timeUs, false);
+        return addObstacle(m_processes[event.host], event.timeUs, 1);
+    case Kind::HostReachable:
+        return addObstacle(m_processes[event.host], event.timeUs, -1);
     case Kind::ConnectionLost:
     case Kind::Ended:
         return;
@@ -82,6 +83,12 @@
             + std::to_string((event.timeUs - found->second) / 1000) + " ms after it was told to leave");
 }
 
+void OperationsChecker::addObstacle(Process& process, std::int64_t time, int change)
+{
+    process.obstacles += change;
+    setReachable(process, time, process.obstacles <= 0);
+}
+
 void OperationsChecker::setReachable(Process& process, std::int64_t time, bool isReachable)
 {
     std::vector<Interval>& intervals = process.reachable;
--- a/tests/history/checker/OperationsChecker.h
+++ b/tests/history/checker/OperationsChecker.h
@@ -25,6 +25,8 @@
         bool isGracefullyEnded { false };
         /** When the process could learn of configurations; the last one may be open. */
         std::vector<Interval> reachable;
+        /** Reasons why it cannot, for example frozen and cut off at the same time. */
+        int obstacles { 0 };
         std::vector<const HistoryEvent*> revisions;
     };
     struct Request {
@@ -34,6 +36,7 @@
 
     void collect(const HistoryEvent& event);
     void collectStart(const HistoryEvent& event);
+    static void addObstacle(Process& process, std::int64_t time, int change);
     static void setReachable(Process& process, std::int64_t time, bool isReachable);
     void checkShutdown(const Request& request);
     void checkRevisions(const std::string& name, const Process& process);
