--- a/modules/rattanroad_dispatch/engine/EntryHost.cpp
+++ b/modules/rattanroad_dispatch/engine/EntryHost.cpp
@@ -243,12 +243,52 @@
     request.deadline = m_clock.now() + std::chrono::milliseconds(job.job.deadline_left_ms()) + m_settings.forwardGrace;
     request.answer = std::move(answer);
     request.job = std::move(job);
-    if (!request.job.submissionId) {
-        if (m_isDraining)
-            return SubmissionRouter::answerFailure(
-                request, { FailureCode::Draining, RunState::NotRun, "this host is shutting down" });
-        request.job.submissionId = m_ledger.mintIds(1).front();
+    decide(std::move(request));
+}
+
+void EntryHost::Impl::decide(SubmissionRouter::Request request)
+{
+    if (request.job.submissionId)
+        return m_router.route(std::move(request));
+    if (!request.job.job.idempotency_key().empty())
+        return decideByKey(std::move(request));
+    if (m_isDraining)
+        return SubmissionRouter::answerFailure(
+            request, { FailureCode::Draining, RunState::NotRun, "this host is shutting down" });
+    request.job.submissionId = m_ledger.mintIds(1).front();
+    m_router.route(std::move(request));
+}
+
+void EntryHost::Impl::decideByKey(SubmissionRouter::Request request)
+{
+    const auto fail = [&request](FailureCode code, const std::string& detail) {
+        // Once the request has left this host, its home may have run it.
+        const auto runState = request.hops == 0 ? RunState::NotRun : RunState::OutcomeUnknown;
+        SubmissionRouter::answerFailure(request, { code, runState, detail });
+    };
+    const auto current = inventory();
+    if (!current)
+        return fail(FailureCode::ConfigurationMissing, "this host has no configuration yet");
+    const KeyHome::Key key { TeamId(request.job.job.team()), request.job.job.idempotency_key() };
+    const auto home = KeyHome::homeOf(key, *current);
+    if (!home)
+        return fail(FailureCode::NotDecidedHere, "the configuration lists no entry host that could decide about a key");
+    if (*home != m_settings.membership.self.host) {
+        if (request.hops > 0 || !m_members.find(*home))
+            return fail(FailureCode::NotDecidedHere,
+                "host " + home->value() + " decides about the key and cannot be reached from here");
+        return m_forwarder.forward(*home, std::move(request));
+    }
+    if (const auto known = m_keyHome.find(key)) {
+        request.job.submissionId = *known;
+        return m_router.route(std::move(request));
     }
+    if (const auto refusal = m_keyHome.refusal(key))
+        return fail(refusal->code, refusal->detail);
+    if (m_isDraining)
+        return fail(FailureCode::Draining, "this host is shutting down");
+    request.job.submissionId = m_ledger.mintIds(1).front();
+    m_keyHome.bind(key, *request.job.submissionId);
     m_router.route(std::move(request));
 }
 
--- a/modules/rattanroad_dispatch/rattanroad_dispatch.h
+++ b/modules/rattanroad_dispatch/rattanroad_dispatch.h
@@ -6,3 +6,4 @@
 #pragma once
 
 #include "rattanroad_dispatch/engine/EntryHost.h"
+#include "rattanroad_dispatch/engine/TimerQueue.h"
--- a/tests/dispatch/SmallFleet.h
+++ b/tests/dispatch/SmallFleet.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "rattanroad_core/rattanroad_core.h"
 #include "rattanroad_dispatch/rattanroad_dispatch.h"
 
 #include <map>
