--- a/apps/rattanroadd/api/JobRequestParser.cpp
+++ b/apps/rattanroadd/api/JobRequestParser.cpp
@@ -1,5 +1,6 @@
 #include "api/JobRequestParser.h"
 
+#include <algorithm>
 #include <nlohmann/json.hpp>
 
 #include <limits>
--- /dev/null
+++ b/apps/rattanroadd/daemon/ConfigurationService.cpp
@@ -0,0 +1,122 @@
+#include "daemon/ConfigurationService.h"
+
+#include <algorithm>
+
+namespace rattanroad::daemon {
+
+namespace {
+    ConfigurationDistributor::Settings distributorSettings(const Member& self)
+    {
+        ConfigurationDistributor::Settings settings;
+        settings.self = self.host;
+        settings.incarnation = self.incarnation;
+        return settings;
+    }
+}
+
+ConfigurationService::ConfigurationService(
+    const Member& self, Clock& clock, RandomSource& random, platform::StoreClient& store, Hooks hooks)
+    : m_self(self)
+    , m_clock(clock)
+    , m_random(random)
+    , m_client(store)
+    , m_store(store)
+    , m_hooks(std::move(hooks))
+    , m_holder([this](const ConfigurationValue& value) { m_hooks.installed(value); })
+    , m_distributor(m_holder, distributorSettings(self), clock, random, distributorHooks())
+{
+}
+
+ConfigurationDistributor::Hooks ConfigurationService::distributorHooks()
+{
+    ConfigurationDistributor::Hooks hooks;
+    hooks.store.get = [this](const StoreGet& request) {
+        m_store.get(request, [this](const StoreGetAnswer& answer) { m_distributor.getAnswer(answer); });
+    };
+    hooks.store.startWatch = [this](const StoreWatch& request) {
+        m_store.startWatch(request, [this](const StoreWatchEvent& event) { m_distributor.watchEvent(event); });
+    };
+    hooks.store.stopWatch = [this](StoreWatchId watch) { m_store.stopWatch(watch); };
+    hooks.sendToPeer = m_hooks.sendToPeer;
+    return hooks;
+}
+
+void ConfigurationService::apply(ConfigurationChange change, Applied applied)
+{
+    // The operation is kept alive by its requests, whose answers may come after its end.
+    const auto slot = std::make_shared<std::weak_ptr<ApplyOperation>>();
+    ApplyOperation::Hooks hooks;
+    hooks.get = [this, slot](const StoreGet& request) {
+        m_store.get(request, [operation = slot->lock()](const StoreGetAnswer& answer) {
+            if (operation)
+                operation->getAnswer(answer);
+        });
+    };
+    hooks.putIf = [this, slot](const StorePutIf& request) {
+        m_store.putIf(request, [operation = slot->lock()](const StorePutIfAnswer& answer) {
+            if (operation)
+                operation->putIfAnswer(answer);
+        });
+    };
+    hooks.finished = [this, applied = std::move(applied)](const ApplyOperation::Outcome& outcome) {
+        if (outcome && outcome->value)
+            m_holder.offer(*outcome->value);
+        applied(outcome);
+    };
+    const auto operation = std::make_shared<ApplyOperation>(
+        std::move(change), ApplyOperation::Settings(), m_clock, m_random, std::move(hooks));
+    *slot = operation;
+    m_operations.push_back(operation);
+    operation->start();
+}
+
+void ConfigurationService::readHistory(HistoryRead read)
+{
+    m_client.getPrefix(
+        ConfigurationKeys::historyPrefix(), [read = std::move(read)](const platform::StoreReadResult& result) {
+            if (result.outcome != platform::StoreOutcome::Done) {
+                read(Failure { FailureCode::StoreUnavailable, RunState::NotRun, result.detail });
+                return;
+            }
+            std::string array = "[";
+            for (const platform::StoreEntry& entry : result.entries)
+                array += (array.size() > 1 ? "," : "") + entry.value;
+            read(array + "]");
+        });
+}
+
+void ConfigurationService::setMembers(const std::vector<Member>& live)
+{
+    std::vector<HostId> inside { m_self.host };
+    std::vector<HostId> outside;
+    for (const Member& member : live)
+        (member.failureDomain == m_self.failureDomain ? inside : outside).push_back(member.host);
+    m_distributor.setMembers(rendezvousOrder(ConfigurationDistributor::rankingKey(), std::move(inside)), outside);
+}
+
+void ConfigurationService::heartbeatRevision(const HostId& host, Revision revision)
+{
+    m_distributor.heartbeatRevision(host, revision);
+}
+
+void ConfigurationService::peerMessage(const protocol::Envelope& envelope) { m_distributor.peerMessage(envelope); }
+
+void ConfigurationService::tick()
+{
+    m_distributor.tick();
+    for (const auto& operation : m_operations)
+        operation->tick();
+    m_operations.remove_if([](const auto& operation) { return operation->isFinished(); });
+}
+
+TimePoint ConfigurationService::nextWakeup() const
+{
+    TimePoint wakeup = m_distributor.nextWakeup();
+    for (const auto& operation : m_operations)
+        wakeup = std::min(wakeup, operation->nextWakeup());
+    return wakeup;
+}
+
+ConfigurationDistributor::Statistics ConfigurationService::statistics() const { return m_distributor.statistics(); }
+
+}
--- a/modules/rattanroad_network/http/HttpServer.cpp
+++ b/modules/rattanroad_network/http/HttpServer.cpp
@@ -36,6 +36,7 @@
         if (!m_request)
             return;
         fillHead(response.status, response.contentType, response.headers);
+        m_request->res.content_length = response.body.size();
         h2o_send_inline(m_request, response.body.data(), response.body.size());
     }
 
@@ -231,6 +232,8 @@
         m_listeners.erase(found);
     }
 
+    std::size_t openRequests() const { return m_requests.size(); }
+
 private:
     struct NativeHandler {
         h2o_handler_t super;
@@ -365,4 +368,6 @@
 
 void HttpServer::closeListener(int port) { m_impl->closeListener(port); }
 
+std::size_t HttpServer::openRequests() const { return m_impl->openRequests(); }
+
 }
--- a/modules/rattanroad_network/http/HttpServer.h
+++ b/modules/rattanroad_network/http/HttpServer.h
@@ -65,6 +65,8 @@
     Result<int> listen(const std::string& address);
     /** Stops accepting connections on @p port; open connections stay. */
     void closeListener(int port);
+    /** Returns the number of requests whose answer is not complete. */
+    std::size_t openRequests() const;
 
 private:
     class Impl;
--- a/modules/rattanroad_network/store/StoreClient.h
+++ b/modules/rattanroad_network/store/StoreClient.h
@@ -12,11 +12,11 @@
 namespace rattanroad::platform {
 
 /** Revision of the store: grows with each write of any key. */
-using StoreRevision = StrongType<std::uint64_t, struct StoreRevisionTag>;
+using StoreRevision = StrongType<std::uint64_t, struct PlatformStoreRevisionTag>;
 /** Lease in the store; 0 means none. */
-using StoreLease = StrongType<std::uint64_t, struct StoreLeaseTag>;
+using StoreLease = StrongType<std::uint64_t, struct PlatformStoreLeaseTag>;
 /** Names a watch of a StoreClient. */
-using WatchId = StrongType<std::uint64_t, struct WatchIdTag>;
+using WatchId = StrongType<std::uint64_t, struct PlatformWatchIdTag>;
 
 /** One key of the store with its value. */
 struct StoreEntry {
