--- a/modules/rattanroad_ledger/ledger/BackupStream.cpp
+++ b/modules/rattanroad_ledger/ledger/BackupStream.cpp
@@ -114,7 +114,6 @@
         *append.add_records() = record;
         ++m_sent;
     }
-    m_highestSent = std::max(m_highestSent, m_sent);
     m_effects.send(m_host, std::move(envelope));
     sent(now);
 }
--- a/modules/rattanroad_ledger/ledger/BackupStream.h
+++ b/modules/rattanroad_ledger/ledger/BackupStream.h
@@ -31,8 +31,6 @@
     /** Addresses a new process of a backup that has accepted nothing so far. @pre !isAccepted() */
     void retarget(Incarnation incarnation);
     void openReply(Incarnation from, bool isAccepted, TimePoint now);
-    /** Number of the newest record that may have reached the backup. */
-    std::uint64_t highestSent() const { return m_highestSent; }
     /** Takes a position within the current epoch; older positions change nothing. */
     void acknowledge(std::uint64_t position, TimePoint now);
     void setRefused() { m_isRefused = true; }
@@ -64,7 +62,6 @@
     std::uint64_t m_epochBase { 0 };
     std::uint64_t m_acknowledged { 0 };
     std::uint64_t m_sent { 0 };
-    std::uint64_t m_highestSent { 0 };
     std::optional<TimePoint> m_lastSend;
     std::optional<TimePoint> m_waitingSince;
 };
--- a/modules/rattanroad_ledger/ledger/OwnedSegment.cpp
+++ b/modules/rattanroad_ledger/ledger/OwnedSegment.cpp
@@ -88,7 +88,7 @@
     m_table.accept(sequence, static_cast<std::size_t>(job.tasks_size()), nullptr, m_context.clock.now());
     protocol::JournalRecord record;
     *record.mutable_accept() = std::move(job);
-    m_table.setAcceptNumber(sequence, append(sequence, std::move(record)));
+    append(sequence, std::move(record));
 }
 
 void OwnedSegment::requestStart(SequenceNumber sequence, TaskIndex task, AttemptNumber attempt, const TargetId& target,
@@ -131,17 +131,14 @@
 void OwnedSegment::seal(SequenceNumber sequence, bool isComplete, std::optional<Failure>&& failure,
     SubmissionLedger::SealCallback&& callback)
 {
-    const auto* submission = m_table.find(sequence);
-    const auto acceptNumber = submission ? submission->acceptNumber : 0;
-    const bool isLocal = !submission || isUnsent(*submission);
+    // Until a submission is accepted nothing of it can have started, so the owner decides alone.
+    const bool isDecidedAlone = !m_table.find(sequence);
     if (m_state != State::Owning || !m_table.seal(sequence, nullptr, m_context.clock.now())) {
         if (callback)
             callback(false);
         return;
     }
     m_context.statistics.startsRefused += m_pending.refuseStarts(sequence);
-    if (isLocal && acceptNumber)
-        eraseUnsent(sequence, acceptNumber);
     protocol::JournalRecord record;
     record.mutable_seal()->set_complete(isComplete);
     if (failure)
@@ -149,29 +146,12 @@
     const auto number = append(sequence, std::move(record));
     if (!callback)
         return;
-    if (isLocal || committed() >= number)
+    if (isDecidedAlone || committed() >= number)
         callback(true);
     else
         m_pending.addSeal(number, sequence, std::move(callback));
 }
 
-bool OwnedSegment::isUnsent(const JournaledSubmission& submission) const
-{
-    if (!m_log.contains(submission.acceptNumber))
-        return false;
-    return std::all_of(m_streams.begin(), m_streams.end(),
-        [&submission](const BackupStream& stream) { return stream.highestSent() < submission.acceptNumber; });
-}
-
-void OwnedSegment::eraseUnsent(SequenceNumber sequence, std::uint64_t firstRecord)
-{
-    for (auto number = firstRecord; number <= m_log.last(); ++number) {
-        auto& record = m_log.at(number);
-        if (record.submission_sequence() == sequence.value())
-            record.clear_record();
-    }
-}
-
 BackupStream* OwnedSegment::stream(const HostId& host, Incarnation incarnation)
 {
     for (auto& stream : m_streams) {
@@ -286,7 +266,9 @@
 
 void OwnedSegment::checkBackups(bool isCurrent)
 {
-    if (m_state != State::Owning || m_viewChange.isActive())
+    // A release goes out only when everything is acknowledged; from then on the view must stay as it is.
+    const bool isReleaseWaiting = m_state == State::Releasing && committed() < m_log.last();
+    if ((m_state != State::Owning && !isReleaseWaiting) || m_viewChange.isActive())
         return;
     bool isEveryBackupKept = true;
     for (auto& stream : m_streams)
@@ -337,7 +319,8 @@
         stream.flush(header, m_log, now);
     // With more backups than one, a takeover without the store could happen on each of them. A view change whose result
     // is unknown could still change the owner of the view that is being handed over.
-    const bool canRelease = m_streams.size() == 1 && m_streams.front().isAccepted() && !m_viewChange.isActive();
+    const bool canRelease = m_streams.size() == 1 && m_streams.front().isAccepted() && isUsable(m_streams.front())
+        && !m_viewChange.isActive();
     if (m_state == State::Releasing && canRelease && committed() == m_log.last())
         m_streams.front().flushRelease(header, now);
 }
--- a/modules/rattanroad_ledger/ledger/OwnedSegment.h
+++ b/modules/rattanroad_ledger/ledger/OwnedSegment.h
@@ -76,8 +76,6 @@
     std::uint64_t append(SequenceNumber sequence, protocol::JournalRecord&& record);
     std::uint64_t committed() const;
     void commit();
-    bool isUnsent(const JournaledSubmission& submission) const;
-    void eraseUnsent(SequenceNumber sequence, std::uint64_t firstRecord);
     void installView(const SegmentView& view);
     void supersede(const SegmentView& view);
 
--- a/modules/rattanroad_ledger/ledger/RecordLog.h
+++ b/modules/rattanroad_ledger/ledger/RecordLog.h
@@ -17,8 +17,6 @@
     /** Returns the number of the newest record; 0 when there was none. */
     std::uint64_t last() const { return m_dropped + m_records.size(); }
     const protocol::JournalRecord& at(std::uint64_t number) const;
-    protocol::JournalRecord& at(std::uint64_t number);
-    bool contains(std::uint64_t number) const { return number > m_dropped && number <= last(); }
     /** Forgets the records up to @p number. */
     void dropUpTo(std::uint64_t number);
 
--- a/modules/rattanroad_ledger/ledger/SubmissionLedger.h
+++ b/modules/rattanroad_ledger/ledger/SubmissionLedger.h
@@ -148,8 +148,8 @@
     /** Records how an attempt ended; replicated without waiting. */
     void recordOutcome(const SubmissionId& id, TaskIndex task, AttemptNumber attempt, bool isProvablyNotStarted,
         protocol::TaskOutcome outcome);
-    /** Records the end of a submission. @p callback may be empty. A submission of which no record was journaled yet is
-        sealed locally and the callback is called at once.
+    /** Records the end of a submission. @p callback may be empty. A submission that was not accepted is sealed without
+        waiting for the backups, and the callback is called at once.
     */
     void seal(const SubmissionId& id, bool isComplete, std::optional<Failure> failure, SealCallback callback);
 
--- a/modules/rattanroad_ledger/ledger/SubmissionTable.cpp
+++ b/modules/rattanroad_ledger/ledger/SubmissionTable.cpp
@@ -115,11 +115,6 @@
     return entry == m_submissions.end() ? nullptr : &entry->second;
 }
 
-void SubmissionTable::setAcceptNumber(SequenceNumber sequence, std::uint64_t number)
-{
-    m_submissions.at(sequence).acceptNumber = number;
-}
-
 bool SubmissionTable::isExpired(SequenceNumber sequence) const { return sequence < m_lowWater && !find(sequence); }
 
 void SubmissionTable::raiseLowWater(SequenceNumber sequence) { m_lowWater = std::max(m_lowWater, sequence); }
--- a/modules/rattanroad_ledger/ledger/SubmissionTable.h
+++ b/modules/rattanroad_ledger/ledger/SubmissionTable.h
@@ -26,8 +26,6 @@
     bool isSealed { false };
     std::unique_ptr<protocol::SealRecord> seal;
     TimePoint acceptedAt;
-    /** Owner only: number of the accept record in the RecordLog. */
-    std::uint64_t acceptNumber { 0 };
 };
 
 /** The submissions of one segment, on the owner or on a backup.
@@ -49,7 +47,7 @@
     }
 
     /** Applies a record from the owner. Records of sealed or unknown submissions are ignored, except a seal, which
-        also ends a submission whose other records were never sent.
+        also ends a submission that was refused before it was accepted.
     */
     void apply(protocol::JournalRecord&& record, TimePoint now);
 
@@ -66,8 +64,6 @@
 
     /** Returns the submission or null. */
     const JournaledSubmission* find(SequenceNumber sequence) const;
-    /** Remembers where the accept record of a submission is in the log. @pre find(sequence) */
-    void setAcceptNumber(SequenceNumber sequence, std::uint64_t number);
     /** Returns whether @p sequence is unknown here because it is past its retention. */
     bool isExpired(SequenceNumber sequence) const;
     SequenceNumber lowWater() const { return m_lowWater; }
