Test slots with hosts, message loss and failing targets

Cause: a borrower may reuse a slot only while its lease is certain, and nothing showed that lost, duplicated and reordered messages or a change of keeper leave the limits of the targets intact. Change: keepers confirm renewals, and a slot is reused only with half a lease of confirmed validity left.

--- a/modules/rattanroad_routing/slots/HeldSlots.h
+++ b/modules/rattanroad_routing/slots/HeldSlots.h
@@ -17,7 +17,10 @@
     HostId keeper;
     SlotPurpose purpose;
     TimePoint renewedAt;
+    /** Until then the keeper certainly holds the slot for this host. */
     TimePoint validUntil;
+    /** When the first renewal was sent that the keeper has not confirmed. */
+    std::optional<TimePoint> unconfirmedSince;
     bool isReusable { false };
 };
 
--- a/modules/rattanroad_routing/slots/KeeperDirectory.cpp
+++ b/modules/rattanroad_routing/slots/KeeperDirectory.cpp
@@ -22,10 +22,10 @@
 {
 }
 
-void KeeperDirectory::set(const std::vector<SlotBorrower::KeeperOffer>& keepers)
+void KeeperDirectory::set(std::vector<SlotBorrower::KeeperOffer> keepers)
 {
     std::map<HostId, Keeper> next;
-    for (const auto& offer : keepers) {
+    for (auto& offer : keepers) {
         const auto known = m_keepers.find(offer.host);
         Keeper keeper = known != m_keepers.end() ? std::move(known->second) : Keeper {};
         const bool isNewer = known == m_keepers.end() || offer.advertisedAt > keeper.advertisedAt;
@@ -33,7 +33,6 @@
         keeper.distance = offer.distance;
         if (isNewer) {
             keeper.advertisedAt = offer.advertisedAt;
-            keeper.heardAt = std::max(keeper.heardAt, offer.advertisedAt);
             keeper.offers.clear();
             for (const auto& slots : offer.freeSlots) {
                 auto& entry = keeper.offers[WorkKind(slots.kind())];
@@ -42,7 +41,7 @@
                 entry.wait = fromMilliseconds(slots.expected_wait_ms());
             }
         }
-        next.emplace(offer.host, std::move(keeper));
+        next.emplace(std::move(offer.host), std::move(keeper));
     }
     m_keepers = std::move(next);
 }
@@ -164,16 +163,8 @@
 void KeeperDirectory::heardFrom(const HostId& keeper)
 {
     const auto found = m_keepers.find(keeper);
-    if (found == m_keepers.end())
-        return;
-    found->second.heardAt = m_clock.now();
-    found->second.suspectUntil = {};
-}
-
-bool KeeperDirectory::isFresh(const HostId& keeper, Duration age) const
-{
-    const auto found = m_keepers.find(keeper);
-    return found != m_keepers.end() && m_clock.now() - found->second.heardAt <= age;
+    if (found != m_keepers.end())
+        found->second.suspectUntil = {};
 }
 
 void KeeperDirectory::recordRun(const WorkKind& kind, Duration ran)
--- a/modules/rattanroad_routing/slots/KeeperDirectory.h
+++ b/modules/rattanroad_routing/slots/KeeperDirectory.h
@@ -25,7 +25,7 @@
     KeeperDirectory(const Clock& clock, RandomSource& random);
 
     /** Replaces the list of live keepers. */
-    void set(const std::vector<SlotBorrower::KeeperOffer>& keepers);
+    void set(std::vector<SlotBorrower::KeeperOffer> keepers);
     bool contains(const HostId& keeper) const { return m_keepers.count(keeper) > 0; }
     bool isEmpty() const { return m_keepers.empty(); }
 
@@ -42,8 +42,6 @@
     /** Passes over a keeper that did not answer until it is heard again or @p until. */
     void suspect(const HostId& keeper, TimePoint until);
     void heardFrom(const HostId& keeper);
-    /** Returns whether the keeper gave a sign of life within @p age. */
-    bool isFresh(const HostId& keeper, Duration age) const;
 
     void recordRun(const WorkKind& kind, Duration ran);
     /** Returns the shortest expected wait over the keepers for one more task. */
@@ -62,7 +60,6 @@
         HostId host;
         int distance { 0 };
         TimePoint advertisedAt;
-        TimePoint heardAt;
         TimePoint suspectUntil;
         std::map<WorkKind, Offer> offers;
     };
--- a/modules/rattanroad_routing/slots/SlotBorrower.cpp
+++ b/modules/rattanroad_routing/slots/SlotBorrower.cpp
@@ -29,7 +29,7 @@
     {
     }
 
-    void setKeepers(const std::vector<KeeperOffer>& keepers);
+    void setKeepers(std::vector<KeeperOffer> keepers);
     DemandId demand(const WorkDemand& demand) { return m_placer.demands().add(demand).id; }
     void setCount(DemandId id, std::uint32_t count) { m_placer.setCount(id, count); }
     void release(
@@ -49,7 +49,7 @@
 
     void handleGrant(const HostId& from, const protocol::SlotGrant& grant);
     void handleReportRequest(const HostId& from, const protocol::SlotReport& request);
-    void setReusable(const HostId& from, const protocol::SlotGrant& grant);
+    void confirm(const HostId& from, const protocol::SlotGrant& grant);
     bool isReportedToAnother(const TargetId& target, const HostId& keeper) const;
     void useOrReturn(HeldSlot held, DemandId askedBy);
     bool bind(OpenDemand& demand, const HeldSlot& held);
@@ -72,9 +72,9 @@
     std::uint64_t m_slotsReturnedUnused { 0 };
 };
 
-void SlotBorrower::Impl::setKeepers(const std::vector<KeeperOffer>& keepers)
+void SlotBorrower::Impl::setKeepers(std::vector<KeeperOffer> keepers)
 {
-    m_directory.set(keepers);
+    m_directory.set(std::move(keepers));
     m_placer.keepersChanged();
 }
 
@@ -102,7 +102,9 @@
 
 bool SlotBorrower::Impl::reuse(const HeldSlot& held)
 {
-    if (!held.isReusable || m_clock.now() >= held.validUntil || !m_directory.isFresh(held.keeper, m_lease))
+    // Half a lease of certain validity is left, so that a task under 1 s ends in time even if all renewals are lost.
+    const bool isValid = m_clock.now() + m_lease / 2 <= held.validUntil;
+    if (!held.isReusable || !isValid || !m_directory.contains(held.keeper))
         return false;
     auto* const next = m_placer.demands().nextFor(held.purpose, held.slot.target);
     return next && bind(*next, held);
@@ -147,7 +149,7 @@
 void SlotBorrower::Impl::handleGrant(const HostId& from, const protocol::SlotGrant& grant)
 {
     if (grant.demand() == 0) {
-        setReusable(from, grant);
+        confirm(from, grant);
         return;
     }
     if (grant.lease_ms() > 0)
@@ -174,11 +176,18 @@
         useOrReturn(std::move(held), demandId);
 }
 
-void SlotBorrower::Impl::setReusable(const HostId& from, const protocol::SlotGrant& grant)
+void SlotBorrower::Impl::confirm(const HostId& from, const protocol::SlotGrant& grant)
 {
     for (const auto& lent : grant.slots()) {
-        if (auto* const held = m_held.findAtKeeper(from, LeaseId(lent.lease())))
-            held->isReusable = grant.reusable();
+        auto* const held = m_held.findAtKeeper(from, LeaseId(lent.lease()));
+        if (!held)
+            continue;
+        held->isReusable = grant.reusable();
+        // With two renewals under way the earlier one counts, whichever of them this message confirms.
+        if (grant.lease_ms() > 0 && held->unconfirmedSince) {
+            held->validUntil = *held->unconfirmedSince + m_lease;
+            held->unconfirmedSince.reset();
+        }
     }
 }
 
@@ -242,7 +251,7 @@
             if (!held)
                 continue;
             held->renewedAt = m_clock.now();
-            held->validUntil = held->renewedAt + m_lease;
+            held->unconfirmedSince = held->unconfirmedSince.value_or(held->renewedAt);
         }
         protocol::Envelope envelope;
         envelope.set_version(protocol::protocolVersion);
@@ -295,7 +304,7 @@
 
 SlotBorrower::~SlotBorrower() = default;
 
-void SlotBorrower::setKeepers(std::vector<KeeperOffer> keepers) { m_impl->setKeepers(keepers); }
+void SlotBorrower::setKeepers(std::vector<KeeperOffer> keepers) { m_impl->setKeepers(std::move(keepers)); }
 
 DemandId SlotBorrower::demand(const WorkDemand& demand) { return m_impl->demand(demand); }
 
--- a/modules/rattanroad_routing/slots/SlotKeeper.cpp
+++ b/modules/rattanroad_routing/slots/SlotKeeper.cpp
@@ -183,16 +183,18 @@
 
 void SlotKeeper::Impl::handleReturn(const HostId& from, const protocol::SlotReturn& message)
 {
-    protocol::SlotGrant revocation;
+    // Renewals are confirmed, as the borrower may reuse a slot only while it is certain of the lease. The answer also
+    // repeats a revocation that was lost.
+    std::map<bool, protocol::SlotGrant> confirmations;
     for (const auto& slot : message.slots()) {
-        const auto* const lease = m_leases.returned(from, slot);
-        // The borrower reuses a slot whose earlier revocation it did not receive.
-        const bool isReused = lease && slot.use() != protocol::ReturnedSlot::UNUSED;
-        if (isReused && !lease->isReusable)
-            revocation.add_slots()->set_lease(lease->id.value());
+        if (const auto* const lease = m_leases.returned(from, slot))
+            confirmations[lease->isReusable].add_slots()->set_lease(lease->id.value());
+    }
+    for (auto& [isReusable, confirmation] : confirmations) {
+        confirmation.set_reusable(isReusable);
+        confirmation.set_lease_ms(milliseconds(m_settings.lease));
+        send(from, std::move(confirmation));
     }
-    if (!revocation.slots().empty())
-        send(from, std::move(revocation));
 }
 
 void SlotKeeper::Impl::handleReport(const HostId& from, const protocol::SlotReport& message)
--- a/tests/routing/SlotKeeperTests.cpp
+++ b/tests/routing/SlotKeeperTests.cpp
@@ -1,4 +1,4 @@
-#include "support/Fleet.h"
+#include "routing/support/Fleet.h"
 
 #include <catch2/catch.hpp>
 
--- /dev/null
+++ b/tests/routing/support/Cluster.h
@@ -0,0 +1,242 @@
+#pragma once
+
+#include "routing/support/Fleet.h"
+
+#include <algorithm>
+
+namespace rattanroad::test {
+
+/** Hosts with a keeper and a borrower each, and targets that run tasks, on a virtual clock in steps of 1 ms. */
+class Cluster {
+public:
+    struct Host {
+        HostId id;
+        std::unique_ptr<SlotKeeper> keeper;
+        std::unique_ptr<SlotBorrower> borrower;
+        std::vector<TargetId> kept;
+        bool isAlive { true };
+    };
+    /** What a task on a target does. */
+    struct Behaviour {
+        double slowness { 1 };
+        double failureShare { 0 };
+        std::chrono::milliseconds failureTime { 1 };
+    };
+    struct Network {
+        int minimumDelayMs { 1 };
+        int maximumDelayMs { 1 };
+        double lossShare { 0 };
+        double duplicateShare { 0 };
+    };
+
+    Cluster(int hostCount, std::shared_ptr<const Inventory> document, std::uint64_t seed, double wasteWeight = 0.5)
+        : random(seed)
+        , inventory(std::move(document))
+    {
+        for (int index = 0; index < hostCount; ++index) {
+            auto& host = *hosts.emplace_back(std::make_unique<Host>());
+            host.id = HostId("h" + std::to_string(index));
+            const auto send = [this, &host](const HostId& to, protocol::Envelope&& envelope) {
+                post(host.id, to, std::move(envelope));
+            };
+            SlotKeeper::Settings keeperSettings;
+            keeperSettings.wasteWeight = wasteWeight;
+            host.keeper = std::make_unique<SlotKeeper>(keeperSettings, clock, random, SlotKeeper::Hooks { send });
+            SlotBorrower::Settings settings;
+            settings.self = host.id;
+            settings.wasteWeight = wasteWeight;
+            const auto bind = [this, &host](DemandId id, const BorrowedSlot& slot) { return start(host, id, slot); };
+            const auto refuse = [this](DemandId, const Failure& reason) { refusals.push_back(reason); };
+            host.borrower
+                = std::make_unique<SlotBorrower>(settings, clock, random, SlotBorrower::Hooks { send, bind, refuse });
+        }
+    }
+
+    /** Gives target i to live host i modulo the number of live hosts, plus @p shift. */
+    void assignTargets(std::size_t shift = 0)
+    {
+        std::vector<HostId> live;
+        for (const auto& host : hosts) {
+            if (host->isAlive)
+                live.push_back(host->id);
+        }
+        std::map<HostId, std::vector<TargetId>> kept;
+        const auto& targets = inventory->parts().targets;
+        for (std::size_t index = 0; index < targets.size(); ++index)
+            kept[live[(index + shift) % live.size()]].push_back(targets[index].id);
+        // Earlier keepers let go first: two keepers at a time are the membership's fault, not the keepers'.
+        for (const auto& host : hosts) {
+            auto remaining = host->kept;
+            remaining.erase(std::remove_if(remaining.begin(), remaining.end(),
+                                [&](const TargetId& id) {
+                                    const auto& next = kept[host->id];
+                                    return std::find(next.begin(), next.end(), id) == next.end();
+                                }),
+                remaining.end());
+            host->keeper->setKeptTargets(inventory, remaining, live);
+        }
+        for (const auto& host : hosts) {
+            host->kept = kept[host->id];
+            if (host->isAlive)
+                host->keeper->setKeptTargets(inventory, host->kept, live);
+        }
+    }
+
+    DemandId submit(std::size_t host, std::uint32_t count, std::chrono::milliseconds run)
+    {
+        WorkDemand demand;
+        demand.kind = quote;
+        demand.team = TeamId("buyers");
+        demand.count = count;
+        demand.arrivedAt = clock.now();
+        demand.declared = run;
+        const auto id = hosts[host]->borrower->demand(demand);
+        jobs[{ hosts[host]->id, id }] = { count, run, clock.now() };
+        return id;
+    }
+
+    void run(std::chrono::milliseconds time, const std::function<void()>& eachStep = {})
+    {
+        for (std::int64_t step = 0; step < time.count(); ++step) {
+            if (eachStep)
+                eachStep();
+            if (step % 250 == 0)
+                advertise();
+            while (!events.empty() && events.begin()->first <= clock.now()) {
+                const auto event = std::move(events.begin()->second);
+                events.erase(events.begin());
+                event();
+            }
+            for (const auto& host : hosts) {
+                if (!host->isAlive)
+                    continue;
+                host->keeper->tick();
+                host->borrower->tick();
+                host->keeper->flush();
+                host->borrower->flush();
+            }
+            clock.advance(std::chrono::milliseconds(1));
+        }
+    }
+
+    void kill(std::size_t index)
+    {
+        hosts[index]->isAlive = false;
+        for (auto& [target, count] : running)
+            count -= std::exchange(runningOf[{ hosts[index]->id, target }], 0);
+        for (const auto& host : hosts) {
+            if (host->isAlive)
+                host->keeper->hostDied(hosts[index]->id);
+        }
+        advertise();
+        assignTargets();
+    }
+
+    std::uint32_t slotsInUse() const
+    {
+        std::uint32_t sum = 0;
+        for (const auto& host : hosts) {
+            for (const auto& status : host->keeper->status())
+                sum += host->isAlive ? status.used.value() : 0;
+        }
+        return sum;
+    }
+
+    VirtualClock clock;
+    PcgRandomSource random;
+    std::shared_ptr<const Inventory> inventory;
+    std::vector<std::unique_ptr<Host>> hosts;
+    Network network;
+    std::map<TargetId, Behaviour> behaviours;
+    std::vector<Failure> refusals;
+    std::uint64_t started { 0 };
+    std::uint64_t succeeded { 0 };
+    std::uint64_t failed { 0 };
+    std::uint64_t messages { 0 };
+    Duration waited { 0 };
+    std::map<TargetId, int> running;
+    std::map<TargetId, int> mostRunning;
+    std::map<TargetId, int> startedAt;
+
+private:
+    struct Job {
+        std::uint32_t unstarted { 0 };
+        std::chrono::milliseconds run;
+        TimePoint arrivedAt;
+    };
+
+    void post(const HostId& from, const HostId& to, protocol::Envelope&& envelope)
+    {
+        messages += from == to ? 0 : 1;
+        if (from != to && random.uniform() < network.lossShare)
+            return;
+        const int copies = from != to && random.uniform() < network.duplicateShare ? 2 : 1;
+        for (int copy = 0; copy < copies; ++copy) {
+            const auto spread = static_cast<std::uint64_t>(network.maximumDelayMs - network.minimumDelayMs + 1);
+            const auto delay = from == to ? 0 : network.minimumDelayMs + static_cast<int>(random.below(spread));
+            events.emplace(clock.now() + std::chrono::milliseconds(delay),
+                [this, from, to, envelope] { deliver(from, to, envelope); });
+        }
+    }
+
+    void deliver(const HostId& from, const HostId& to, const protocol::Envelope& envelope)
+    {
+        for (const auto& host : hosts) {
+            if (host->id != to || !host->isAlive)
+                continue;
+            host->keeper->peerMessage(from, envelope);
+            host->borrower->peerMessage(from, envelope);
+        }
+    }
+
+    bool start(Host& host, DemandId id, const BorrowedSlot& slot)
+    {
+        const auto found = jobs.find({ host.id, id });
+        if (found == jobs.end() || found->second.unstarted == 0)
+            return false;
+        auto& job = found->second;
+        --job.unstarted;
+        ++started;
+        ++startedAt[slot.target];
+        waited += clock.now() - job.arrivedAt;
+        mostRunning[slot.target] = std::max(mostRunning[slot.target], ++running[slot.target]);
+        ++runningOf[{ host.id, slot.target }];
+        const auto& behaviour = behaviours[slot.target];
+        const bool isFailing = random.uniform() < behaviour.failureShare;
+        const auto ran = isFailing ? Duration(behaviour.failureTime)
+                                   : std::chrono::duration_cast<Duration>(job.run * behaviour.slowness);
+        events.emplace(clock.now() + ran, [=, &host, run = job.run] { finish(host, slot, isFailing, ran, run); });
+        return true;
+    }
+
+    void finish(Host& host, const BorrowedSlot& slot, bool isFailing, Duration ran, std::chrono::milliseconds run)
+    {
+        if (!host.isAlive)
+            return;
+        --running[slot.target];
+        --runningOf[{ host.id, slot.target }];
+        (isFailing ? failed : succeeded) += 1;
+        host.borrower->release(slot, isFailing ? SlotUse::Failed : SlotUse::Succeeded, quote, ran, run);
+    }
+
+    void advertise()
+    {
+        std::vector<SlotBorrower::KeeperOffer> offers;
+        for (const auto& host : hosts) {
+            if (host->isAlive)
+                offers.push_back({ host->id, 1, host->keeper->freeSlots(), clock.now() });
+        }
+        for (const auto& host : hosts) {
+            auto own = offers;
+            for (auto& offer : own)
+                offer.distance = offer.host == host->id ? 0 : 1;
+            host->borrower->setKeepers(std::move(own));
+        }
+    }
+
+    std::map<std::pair<HostId, DemandId>, Job> jobs;
+    std::multimap<TimePoint, std::function<void()>> events;
+    std::map<std::pair<HostId, TargetId>, int> runningOf;
+};
+
+}
