State the keeper's load in grants and move queued asks

Change: SlotGrant.offer carries the load of the keeper at the time of the grant; queued asks move to keepers with free slots. The keeper is split into offers and reservations.

--- a/modules/rattanroad_routing/slots/DemandPlacer.cpp
+++ b/modules/rattanroad_routing/slots/DemandPlacer.cpp
@@ -12,6 +12,8 @@
     constexpr int timeoutsSuspected = 10;
     // Refusals of all keepers are believed at the second time, as keepers change targets when hosts come and go.
     constexpr std::uint32_t refusedRoundsBelieved = 2;
+    // Waiting asks move to keepers with free slots no more often than this.
+    constexpr Duration movePeriod = std::chrono::milliseconds(10);
     // A demand whose slots are all bound may be raised again. No job lives longer than this.
     constexpr Duration idleMemory = std::chrono::minutes(10);
 
@@ -65,6 +67,15 @@
         ask.keeper, m_demands.find(ask.demand)->work.kind, -static_cast<std::int64_t>(ask.outstanding()));
     if (m_directory.contains(ask.keeper))
         m_withdrawals.emplace_back(ask.keeper, ask.number);
+    endAsk(ask);
+}
+
+void DemandPlacer::endAsk(Ask& ask)
+{
+    if (!ask.isAnswered)
+        m_directory.addInFlight(
+            ask.keeper, m_demands.find(ask.demand)->work.kind, -static_cast<std::int64_t>(ask.outstanding()));
+    m_queued.erase(ask.number);
     m_demands.eraseAsk(ask);
 }
 
@@ -75,27 +86,31 @@
     // The fleet-wide reason says more than that of a keeper that merely has no such target.
     if (demand.refusal.code != FailureCode::NoEligibleTarget)
         demand.refusal = reason;
-    m_directory.correct(ask.keeper, demand.work.kind, -static_cast<std::int64_t>(ask.outstanding()));
-    m_demands.eraseAsk(ask);
+    endAsk(ask);
 }
 
 void DemandPlacer::answered(Ask& ask, std::uint32_t slots)
 {
+    auto& demand = *m_demands.find(ask.demand);
+    if (!ask.isAnswered)
+        m_directory.addInFlight(ask.keeper, demand.work.kind, -static_cast<std::int64_t>(ask.outstanding()));
     ask.isAnswered = true;
     ask.received += slots;
     if (slots > 0)
-        m_demands.find(ask.demand)->refusedRounds = 0;
-    if (ask.outstanding() == 0)
-        m_demands.eraseAsk(ask);
-    else
-        m_demands.setDue(ask, m_clock.now() + m_settings.demandTimeout * timeoutsUntilRefresh);
+        demand.refusedRounds = 0;
+    if (ask.outstanding() == 0) {
+        endAsk(ask);
+        return;
+    }
+    m_queued.insert(ask.number);
+    m_demands.setDue(ask, m_clock.now() + m_settings.demandTimeout * timeoutsUntilRefresh);
 }
 
 void DemandPlacer::keepersChanged()
 {
     const auto lost = m_demands.asksWhere([&](const Ask& ask) { return !m_directory.contains(ask.keeper); });
     for (const auto number : lost)
-        m_demands.eraseAsk(*m_demands.findAsk(number));
+        endAsk(*m_demands.findAsk(number));
     for (const auto id : m_unplaced)
         m_demands.setChanged(id);
 }
@@ -107,6 +122,7 @@
         if (auto* const demand = m_demands.find(id))
             adjust(*demand);
     }
+    moveQueued();
     sendWithdrawals();
 }
 
@@ -134,6 +150,7 @@
     for (const auto& share : shares) {
         auto& ask = m_demands.addAsk(demand, share.keeper, share.count);
         m_demands.setDue(ask, m_clock.now() + m_settings.demandTimeout);
+        m_directory.addInFlight(share.keeper, demand.work.kind, share.count);
     }
     sendAsks(demand);
 }
@@ -146,19 +163,46 @@
     // The newest asks have the least chance to be granted soon.
     for (auto number = numbers.rbegin(); number != numbers.rend() && surplus > 0; ++number) {
         auto& ask = demand.asks.at(*number);
-        const auto cut = std::min(surplus, ask.outstanding());
-        surplus -= cut;
-        if (cut == ask.outstanding()) {
-            withdraw(ask);
-            continue;
-        }
-        m_directory.correct(ask.keeper, demand.work.kind, -static_cast<std::int64_t>(cut));
-        ask.count -= cut;
-        ask.isUnsent = true;
+        const auto count = std::min(surplus, ask.outstanding());
+        surplus -= count;
+        cut(demand, ask, count);
     }
     sendAsks(demand);
 }
 
+void DemandPlacer::cut(OpenDemand& demand, Ask& ask, std::uint32_t count)
+{
+    if (count >= ask.outstanding()) {
+        withdraw(ask);
+        return;
+    }
+    const auto change = -static_cast<std::int64_t>(count);
+    m_directory.correct(ask.keeper, demand.work.kind, change);
+    if (!ask.isAnswered)
+        m_directory.addInFlight(ask.keeper, demand.work.kind, change);
+    ask.count -= count;
+    ask.isUnsent = true;
+}
+
+void DemandPlacer::moveQueued()
+{
+    if (m_queued.empty() || m_clock.now() < m_nextMove)
+        return;
+    m_nextMove = m_clock.now() + movePeriod;
+    // A copy, as moving an ask ends it.
+    const std::vector<std::uint64_t> queued(m_queued.begin(), m_queued.end());
+    for (const auto number : queued) {
+        auto& ask = *m_demands.findAsk(number);
+        auto& demand = *m_demands.find(ask.demand);
+        const auto free = m_directory.freeElsewhere(demand.work.kind, ask.keeper, demand.refusedBy);
+        if (free == 0)
+            continue;
+        cut(demand, ask, std::min(free, ask.outstanding()));
+        adjust(demand);
+        sendAsks(demand);
+    }
+}
+
 void DemandPlacer::giveUpOrRetry(OpenDemand& demand)
 {
     m_unplaced.insert(demand.id);
--- a/modules/rattanroad_routing/slots/DemandPlacer.h
+++ b/modules/rattanroad_routing/slots/DemandPlacer.h
@@ -26,6 +26,8 @@
     void refused(Ask& ask, const Failure& reason);
     /** Notes an answer that brought @p slots new slots for the ask; the ask ends when it has all. */
     void answered(Ask& ask, std::uint32_t slots);
+    /** Ends an ask whose keeper need not be told. */
+    void endAsk(Ask& ask);
     /** Moves demands away from keepers that @p isLive does not accept, and looks again for those that were refused. */
     void keepersChanged();
 
@@ -43,6 +45,8 @@
     void giveUpOrRetry(OpenDemand& demand);
     void remove(OpenDemand& demand);
     void sendAsks(OpenDemand& demand);
+    void cut(OpenDemand& demand, Ask& ask, std::uint32_t count);
+    void moveQueued();
     void sendWithdrawals();
     void leaveOrRefresh(Ask& ask);
     void retryRefused();
@@ -57,6 +61,9 @@
     /** Demands that no keeper serves for now. */
     std::set<DemandId> m_unplaced;
     std::deque<std::pair<TimePoint, DemandId>> m_idle;
+    /** Asks that their keepers have answered and still owe slots. */
+    std::set<std::uint64_t> m_queued;
+    TimePoint m_nextMove;
     std::uint64_t m_sentCount { 0 };
 };
 
--- a/modules/rattanroad_routing/slots/KeeperDirectory.cpp
+++ b/modules/rattanroad_routing/slots/KeeperDirectory.cpp
@@ -33,19 +33,41 @@
         keeper.distance = offer.distance;
         if (isNewer) {
             keeper.advertisedAt = offer.advertisedAt;
-            keeper.offers.clear();
-            for (const auto& slots : offer.freeSlots) {
-                auto& entry = keeper.offers[WorkKind(slots.kind())];
-                entry.free = slots.free();
-                entry.total = slots.total();
-                entry.wait = fromMilliseconds(slots.expected_wait_ms());
-            }
+            // Kinds that are not advertised any more keep the count of what is in flight.
+            for (auto& [kind, entry] : keeper.offers)
+                apply(entry, {});
+            for (const auto& slots : offer.freeSlots)
+                apply(keeper.offers[WorkKind(slots.kind())], slots);
         }
         next.emplace(std::move(offer.host), std::move(keeper));
     }
     m_keepers = std::move(next);
 }
 
+void KeeperDirectory::apply(Offer& entry, const protocol::FreeSlots& slots)
+{
+    entry.free = slots.free();
+    entry.total = slots.total();
+    entry.wait = fromMilliseconds(slots.expected_wait_ms());
+    entry.askedSince = entry.inFlight;
+}
+
+void KeeperDirectory::update(const HostId& keeper, const protocol::FreeSlots& offer)
+{
+    const auto found = m_keepers.find(keeper);
+    if (found != m_keepers.end())
+        apply(found->second.offers[WorkKind(offer.kind())], offer);
+}
+
+void KeeperDirectory::addInFlight(const HostId& keeper, const WorkKind& kind, std::int64_t count)
+{
+    const auto found = m_keepers.find(keeper);
+    if (found == m_keepers.end())
+        return;
+    auto& entry = found->second.offers[kind];
+    entry.inFlight = std::max<std::int64_t>(0, entry.inFlight + count);
+}
+
 std::vector<KeeperDirectory::Candidate> KeeperDirectory::candidates(
     const WorkKind& kind, const std::set<HostId>& refusedBy)
 {
--- a/modules/rattanroad_routing/slots/KeeperDirectory.h
+++ b/modules/rattanroad_routing/slots/KeeperDirectory.h
@@ -37,6 +37,10 @@
     /** Returns the slots that are free at other keepers than @p current, for a demand that waits there. */
     std::uint32_t freeElsewhere(const WorkKind& kind, const HostId& current, const std::set<HostId>& refusedBy) const;
 
+    /** Takes the load that a keeper states in a message, which is newer than the last advertisement. */
+    void update(const HostId& keeper, const protocol::FreeSlots& offer);
+    /** Counts slots that were asked for and not answered yet; negative when they are answered or withdrawn. */
+    void addInFlight(const HostId& keeper, const WorkKind& kind, std::int64_t count);
     /** Corrects the advertisement until the next one: @p count slots asked for (positive) or given back. */
     void correct(const HostId& keeper, const WorkKind& kind, std::int64_t count);
     /** Passes over a keeper that did not answer until it is heard again or @p until. */
@@ -51,11 +55,15 @@
     struct Offer {
         std::int64_t free { 0 };
         std::int64_t total { 0 };
+        // Slots asked for, less those given back, that the statement of the keeper does not include.
         std::int64_t askedSince { 0 };
+        std::int64_t inFlight { 0 };
         Duration wait { 0 };
 
         std::int64_t estimatedFree() const { return std::clamp<std::int64_t>(free - askedSince, 0, total); }
     };
+    static void apply(Offer& entry, const protocol::FreeSlots& slots);
+
     struct Keeper {
         HostId host;
         int distance { 0 };
--- a/modules/rattanroad_routing/slots/SlotBorrower.cpp
+++ b/modules/rattanroad_routing/slots/SlotBorrower.cpp
@@ -168,6 +168,8 @@
     auto* const ask = m_placer.demands().findAsk(grant.demand());
     const bool isExpected = ask && ask->keeper == from;
     const auto demandId = isExpected ? ask->demand : DemandId();
+    if (grant.has_offer())
+        m_directory.update(from, grant.offer());
     if (isExpected && grant.refused())
         m_placer.refused(*ask, protocol::fromMessage(grant.reason()));
     else if (isExpected)
--- a/modules/rattanroad_routing/slots/SlotKeeper.cpp
+++ b/modules/rattanroad_routing/slots/SlotKeeper.cpp
@@ -4,6 +4,8 @@
 #include "rattanroad_routing/slots/DemandBook.h"
 #include "rattanroad_routing/slots/GrantMatcher.h"
 #include "rattanroad_routing/slots/LeaseManager.h"
+#include "rattanroad_routing/slots/SlotOffers.h"
+#include "rattanroad_routing/slots/SlotReservations.h"
 #include "rattanroad_routing/slots/TargetPool.h"
 #include "rattanroad_routing/speed/SpeedModel.h"
 
@@ -51,6 +53,9 @@
         , m_demands(clock, m_pool, m_quota, settings.lease)
         , m_leases(clock, random, settings.lease, m_pool, m_quota, m_speed)
         , m_matcher(clock, m_pool, m_speed)
+        , m_offers(m_pool, m_speed)
+        , m_reservations(clock, m_pool, m_leases, settings.lease,
+              [this](const HostId& host, protocol::SlotReport&& request) { sendRequest(host, std::move(request)); })
         , m_nextHousekeeping(clock.now())
     {
     }
@@ -63,7 +68,7 @@
     void flush();
     void tick();
     TimePoint nextWakeup() const;
-    std::vector<protocol::FreeSlots> freeSlots();
+    std::vector<protocol::FreeSlots> freeSlots() { return m_offers.all(); }
     std::vector<TargetStatus> status() const;
     Statistics statistics() const;
 
@@ -71,6 +76,7 @@
     /** Slots lent to one demand in this round, before they are sent. */
     struct PendingGrant {
         DemandKey key;
+        WorkKind kind;
         TeamAccount* team { nullptr };
         TimePoint jobArrivedAt;
         bool isTrial { false };
@@ -80,14 +86,11 @@
 
     void handleDemand(const DemandKey& key, const protocol::SlotDemand& message);
     void handleReturn(const HostId& from, const protocol::SlotReturn& message);
-    void handleReport(const HostId& from, const protocol::SlotReport& message);
     void refuseUnservable();
     void refuse(Demand& demand);
     bool canBeServed(const Demand& demand) const;
     Failure refusalReason(const Demand& demand) const;
-    void stopAwaiting(const HostId& host);
-    void endReservations();
-    void requestReports();
+    void sendRequest(const HostId& host, protocol::SlotReport&& request);
     void grant(Demand& demand, KeptTarget& target);
     void sendGrants();
     bool isReusable(const PendingGrant& pending);
@@ -105,6 +108,8 @@
     DemandBook m_demands;
     LeaseManager m_leases;
     GrantMatcher m_matcher;
+    SlotOffers m_offers;
+    SlotReservations m_reservations;
     std::vector<PendingGrant> m_pending;
     std::deque<std::pair<TimePoint, DemandKey>> m_unanswered;
     TimePoint m_nextHousekeeping;
@@ -127,18 +132,8 @@
     const std::set<HostId> live(liveHosts.begin(), liveHosts.end());
     const auto added = m_pool.install(std::move(inventory), kept);
     m_quota.configure(*m_pool.inventory(), m_pool.slots());
-    for (const auto& [id, target] : m_pool.targets()) {
-        auto& awaited = target->awaitedReports;
-        for (auto host = awaited.begin(); host != awaited.end();)
-            host = live.count(*host) ? std::next(host) : awaited.erase(host);
-    }
-    for (auto* const target : added) {
-        target->awaitedReports = live;
-        target->reservedUntil = m_clock.now() + m_settings.lease;
-    }
     m_pool.refreshAll();
-    if (!added.empty())
-        requestReports();
+    m_reservations.begin(added, live);
     refuseUnservable();
     m_needsRound = true;
 }
@@ -153,7 +148,7 @@
 void SlotKeeper::Impl::hostDied(const HostId& host)
 {
     m_demands.withdrawAll(host);
-    stopAwaiting(host);
+    m_reservations.hostDied(host);
     m_needsRound = true;
 }
 
@@ -165,7 +160,7 @@
     else if (envelope.has_slot_return())
         handleReturn(from, envelope.slot_return());
     else if (envelope.has_slot_report() && !envelope.slot_report().request())
-        handleReport(from, envelope.slot_report());
+        m_reservations.reported(from, envelope.slot_report());
 }
 
 void SlotKeeper::Impl::handleDemand(const DemandKey& key, const protocol::SlotDemand& message)
@@ -197,21 +192,6 @@
     }
 }
 
-void SlotKeeper::Impl::handleReport(const HostId& from, const protocol::SlotReport& message)
-{
-    // Held slots first: the entry with lease 0 that closes the report of a target makes its other slots available.
-    for (const auto& slot : message.slots()) {
-        auto* const target = m_pool.find(TargetId(slot.target()));
-        if (slot.lease() != 0 && target && target->awaitedReports.count(from))
-            m_leases.adopt(from, LeaseId(slot.lease()), *target);
-    }
-    for (const auto& slot : message.slots()) {
-        auto* const target = m_pool.find(TargetId(slot.target()));
-        if (slot.lease() == 0 && target && target->awaitedReports.erase(from))
-            m_pool.refresh(*target);
-    }
-}
-
 bool SlotKeeper::Impl::canBeServed(const Demand& demand) const
 {
     const auto& eligible = demand.workClass->eligible;
@@ -249,37 +229,6 @@
         refuse(*demand);
 }
 
-void SlotKeeper::Impl::stopAwaiting(const HostId& host)
-{
-    for (const auto& [id, target] : m_pool.targets()) {
-        if (target->awaitedReports.erase(host))
-            m_pool.refresh(*target);
-    }
-}
-
-void SlotKeeper::Impl::endReservations()
-{
-    for (const auto& [id, target] : m_pool.targets()) {
-        if (target->isReserved() && target->reservedUntil <= m_clock.now())
-            target->awaitedReports.clear();
-    }
-}
-
-void SlotKeeper::Impl::requestReports()
-{
-    std::map<HostId, protocol::SlotReport> requests;
-    for (const auto& [id, target] : m_pool.targets()) {
-        for (const auto& host : target->awaitedReports)
-            requests[host].add_slots()->set_target(id.value());
-    }
-    for (auto& [host, request] : requests) {
-        auto envelope = newEnvelope();
-        request.set_request(true);
-        *envelope.mutable_slot_report() = std::move(request);
-        m_hooks.send(host, std::move(envelope));
-    }
-}
-
 void SlotKeeper::Impl::flush()
 {
     if (m_needsRound || m_matcher.waitingUntil() <= m_clock.now()) {
@@ -300,7 +249,8 @@
     const bool isSameGrant = last && !(last->key < demand.key) && !(demand.key < last->key);
     // A trial slot is a grant of its own, since it must come back after one task.
     if (!isSameGrant || last->isTrial != lease.isTrial) {
-        m_pending.push_back({ demand.key, demand.team, demand.arrivedAt, lease.isTrial, {}, {} });
+        m_pending.push_back(
+            { demand.key, demand.workClass->kind, demand.team, demand.arrivedAt, lease.isTrial, {}, {} });
         m_pending.back().message.set_demand(demand.key.demand);
         m_pending.back().message.set_lease_ms(milliseconds(m_settings.lease));
     }
@@ -322,6 +272,7 @@
         for (const auto id : pending.leases)
             m_leases.setReusable(*m_leases.find(id), reusable);
         pending.message.set_reusable(reusable);
+        *pending.message.mutable_offer() = m_offers.offer(pending.kind);
         send(pending.key.host, std::move(pending.message));
     }
 }
@@ -376,10 +327,18 @@
         demand->isAnswered = true;
         protocol::SlotGrant answer;
         answer.set_demand(demand->key.demand);
+        *answer.mutable_offer() = m_offers.offer(demand->workClass->kind);
         send(demand->key.host, std::move(answer));
     }
 }
 
+void SlotKeeper::Impl::sendRequest(const HostId& host, protocol::SlotReport&& request)
+{
+    auto envelope = newEnvelope();
+    *envelope.mutable_slot_report() = std::move(request);
+    m_hooks.send(host, std::move(envelope));
+}
+
 void SlotKeeper::Impl::send(const HostId& host, protocol::SlotGrant grant)
 {
     auto envelope = newEnvelope();
@@ -396,8 +355,7 @@
         return;
     m_nextHousekeeping = now + housekeepingPeriod;
     m_demands.tick();
-    endReservations();
-    requestReports();
+    m_reservations.tick();
     m_pool.refreshAll();
 }
 
@@ -411,40 +369,6 @@
     return wakeup;
 }
 
-std::vector<protocol::FreeSlots> SlotKeeper::Impl::freeSlots()
-{
-    std::set<WorkKind> kinds;
-    for (const auto& [id, target] : m_pool.targets())
-        kinds.insert(target->contract.kinds.begin(), target->contract.kinds.end());
-    std::vector<protocol::FreeSlots> offers;
-    for (const auto& kind : kinds) {
-        auto& workClass = m_pool.workClass(kind, {});
-        m_pool.updateFast(workClass);
-        std::uint64_t free = 0;
-        std::uint64_t total = 0;
-        for (const auto* target : workClass.eligible) {
-            if (target->isLeaving() || target->isReserved() || target->health.isEjected())
-                continue;
-            total += target->limit.limit();
-            // Slots of a straggler are not advertised as free: work should rather go to another keeper.
-            if (m_pool.score(*target, workClass) >= 0.5 * workClass.fastScore)
-                free += target->free();
-        }
-        std::uint64_t waiting = 0;
-        for (const auto& [key, each] : m_pool.classes())
-            waiting += each->kind == kind ? each->queue.waitingSlots() : 0;
-        protocol::FreeSlots offer;
-        offer.set_kind(kind.value());
-        offer.set_free(static_cast<std::uint32_t>(free > waiting ? free - waiting : 0));
-        offer.set_total(static_cast<std::uint32_t>(total));
-        if (offer.free() == 0 && total > 0)
-            offer.set_expected_wait_ms(milliseconds(m_speed.meanRun(kind)
-                * static_cast<std::int64_t>(waiting - free + 1) / static_cast<std::int64_t>(total)));
-        offers.push_back(std::move(offer));
-    }
-    return offers;
-}
-
 std::vector<SlotKeeper::TargetStatus> SlotKeeper::Impl::status() const
 {
     std::vector<TargetStatus> all;
--- a/tests/routing/support/Cluster.h
+++ b/tests/routing/support/Cluster.h
@@ -91,7 +91,7 @@
         demand.arrivedAt = clock.now();
         demand.declared = run;
         const auto id = hosts[host]->borrower->demand(demand);
-        jobs[{ hosts[host]->id, id }] = { count, run, clock.now() };
+        m_jobs[{ hosts[host]->id, id }] = { count, run, clock.now() };
         return id;
     }
 
@@ -102,9 +102,9 @@
                 eachStep();
             if (step % 250 == 0)
                 advertise();
-            while (!events.empty() && events.begin()->first <= clock.now()) {
-                const auto event = std::move(events.begin()->second);
-                events.erase(events.begin());
+            while (!m_events.empty() && m_events.begin()->first <= clock.now()) {
+                const auto event = std::move(m_events.begin()->second);
+                m_events.erase(m_events.begin());
                 event();
             }
             for (const auto& host : hosts) {
@@ -123,7 +123,7 @@
     {
         hosts[index]->isAlive = false;
         for (auto& [target, count] : running)
-            count -= std::exchange(runningOf[{ hosts[index]->id, target }], 0);
+            count -= std::exchange(m_runningOf[{ hosts[index]->id, target }], 0);
         for (const auto& host : hosts) {
             if (host->isAlive)
                 host->keeper->hostDied(hosts[index]->id);
@@ -174,7 +174,7 @@
         for (int copy = 0; copy < copies; ++copy) {
             const auto spread = static_cast<std::uint64_t>(network.maximumDelayMs - network.minimumDelayMs + 1);
             const auto delay = from == to ? 0 : network.minimumDelayMs + static_cast<int>(random.below(spread));
-            events.emplace(clock.now() + std::chrono::milliseconds(delay),
+            m_events.emplace(clock.now() + std::chrono::milliseconds(delay),
                 [this, from, to, envelope] { deliver(from, to, envelope); });
         }
     }
@@ -191,8 +191,8 @@
 
     bool start(Host& host, DemandId id, const BorrowedSlot& slot)
     {
-        const auto found = jobs.find({ host.id, id });
-        if (found == jobs.end() || found->second.unstarted == 0)
+        const auto found = m_jobs.find({ host.id, id });
+        if (found == m_jobs.end() || found->second.unstarted == 0)
             return false;
         auto& job = found->second;
         --job.unstarted;
@@ -200,12 +200,12 @@
         ++startedAt[slot.target];
         waited += clock.now() - job.arrivedAt;
         mostRunning[slot.target] = std::max(mostRunning[slot.target], ++running[slot.target]);
-        ++runningOf[{ host.id, slot.target }];
+        ++m_runningOf[{ host.id, slot.target }];
         const auto& behaviour = behaviours[slot.target];
         const bool isFailing = random.uniform() < behaviour.failureShare;
         const auto ran = isFailing ? Duration(behaviour.failureTime)
                                    : std::chrono::duration_cast<Duration>(job.run * behaviour.slowness);
-        events.emplace(clock.now() + ran, [=, &host, run = job.run] { finish(host, slot, isFailing, ran, run); });
+        m_events.emplace(clock.now() + ran, [=, &host, run = job.run] { finish(host, slot, isFailing, ran, run); });
         return true;
     }
 
@@ -214,7 +214,7 @@
         if (!host.isAlive)
             return;
         --running[slot.target];
-        --runningOf[{ host.id, slot.target }];
+        --m_runningOf[{ host.id, slot.target }];
         (isFailing ? failed : succeeded) += 1;
         host.borrower->release(slot, isFailing ? SlotUse::Failed : SlotUse::Succeeded, quote, ran, run);
     }
@@ -234,9 +234,9 @@
         }
     }
 
-    std::map<std::pair<HostId, DemandId>, Job> jobs;
-    std::multimap<TimePoint, std::function<void()>> events;
-    std::map<std::pair<HostId, TargetId>, int> runningOf;
+    std::map<std::pair<HostId, DemandId>, Job> m_jobs;
+    std::multimap<TimePoint, std::function<void()>> m_events;
+    std::map<std::pair<HostId, TargetId>, int> m_runningOf;
 };
 
 }
