--- a/modules/rattanroad_routing/slots/KeeperDirectory.h
+++ b/modules/rattanroad_routing/slots/KeeperDirectory.h
@@ -25,7 +25,7 @@
     KeeperDirectory(const Clock& clock, RandomSource& random);
 
     /** Replaces the list of live keepers. */
-    void set(const std::vector<SlotBorrower::KeeperOffer>& keepers);
+    void set(std::vector<SlotBorrower::KeeperOffer> keepers);
     bool contains(const HostId& keeper) const { return m_keepers.count(keeper) > 0; }
     bool isEmpty() const { return m_keepers.empty(); }
 
@@ -37,13 +37,15 @@
     /** Returns the slots that are free at other keepers than @p current, for a demand that waits there. */
     std::uint32_t freeElsewhere(const WorkKind& kind, const HostId& current, const std::set<HostId>& refusedBy) const;
 
+    /** Takes the load that a keeper states in a message, which is newer than the last advertisement. */
+    void update(const HostId& keeper, const protocol::FreeSlots& offer);
+    /** Counts slots that were asked for and not answered yet; negative when they are answered or withdrawn. */
+    void addInFlight(const HostId& keeper, const WorkKind& kind, std::int64_t count);
     /** Corrects the advertisement until the next one: @p count slots asked for (positive) or given back. */
     void correct(const HostId& keeper, const WorkKind& kind, std::int64_t count);
     /** Passes over a keeper that did not answer until it is heard again or @p until. */
     void suspect(const HostId& keeper, TimePoint until);
     void heardFrom(const HostId& keeper);
-    /** Returns whether the keeper gave a sign of life within @p age. */
-    bool isFresh(const HostId& keeper, Duration age) const;
 
     void recordRun(const WorkKind& kind, Duration ran);
     /** Returns the shortest expected wait over the keepers for one more task. */
@@ -53,16 +55,19 @@
     struct Offer {
         std::int64_t free { 0 };
         std::int64_t total { 0 };
+        // Slots asked for, less those given back, that the statement of the keeper does not include.
         std::int64_t askedSince { 0 };
+        std::int64_t inFlight { 0 };
         Duration wait { 0 };
 
         std::int64_t estimatedFree() const { return std::clamp<std::int64_t>(free - askedSince, 0, total); }
     };
+    static void apply(Offer& entry, const protocol::FreeSlots& slots);
+
     struct Keeper {
         HostId host;
         int distance { 0 };
         TimePoint advertisedAt;
-        TimePoint heardAt;
         TimePoint suspectUntil;
         std::map<WorkKind, Offer> offers;
     };
