Add change application and configuration distribution

Cause: an accepted change must be in force everywhere within 7 s, exactly once, whatever the store or peers do. Change: ApplyOperation writes value and history by one compare-and-swap and resolves lost replies by the change id; ConfigurationDistributor composes StoreFollower (read, watch, backoff) and PeerPuller (one pull at a time); StoreTypes.h names the store's requests and answers. Conclusion: the classes are ready to be connected to the store's gateway through their hooks.

--- /dev/null
+++ b/tests/configuration/ConfigurationHolderTests.cpp
@@ -0,0 +1,31 @@
+#include "configuration/ConfigurationFleet.h"
+
+#include <catch2/catch.hpp>
+
+using namespace rattanroad;
+
+// Guards against a configuration that reverts.
+TEST_CASE("the holder installs higher revisions only")
+{
+    size_t installations = 0;
+    ConfigurationHolder holder([&](const ConfigurationValue&) { ++installations; });
+    CHECK(holder.revision() == Revision(0));
+    CHECK(holder.current() == nullptr);
+    CHECK(holder.offer(exampleValue(3)));
+    CHECK_FALSE(holder.offer(exampleValue(3, "other")));
+    CHECK_FALSE(holder.offer(exampleValue(2)));
+    CHECK(holder.revision() == Revision(3));
+    CHECK(holder.current()->changeId == ChangeId("c"));
+    CHECK(installations == 1);
+}
+
+// Guards against a value that loses a part in the store, and against rubbish in the store.
+TEST_CASE("a configuration value survives its JSON form")
+{
+    const auto value = exampleValue(7, "c-7");
+    const auto parsed = ConfigurationValue::parse(value.json());
+    REQUIRE(parsed);
+    CHECK(parsed->json() == value.json());
+    for (const char* text : { "", "null", "{}", "{\"revision\":0}", "{\"revision\":-1}", "[1]", "{\"revision\":1}" })
+        CHECK(ConfigurationValue::parse(text).lastReason().code == FailureCode::ConfigurationInvalid);
+}
--- /dev/null
+++ b/tests/configuration/DistributionTests.cpp
@@ -0,0 +1,141 @@
+#include "configuration/ConfigurationFleet.h"
+
+#include <catch2/catch.hpp>
+
+using namespace rattanroad;
+using namespace std::chrono_literals;
+
+// Guards against hosts that miss a change, and against a fleet whose watches all wait at the store.
+TEST_CASE("a change is in force on 28 hosts within 7 seconds with two watches a domain")
+{
+    ConfigurationFleet fleet(1);
+    fleet.members.network.latency = 100ms;
+    fleet.startAll(7, 4);
+    fleet.members.run(20s);
+    CHECK(fleet.store.watchCount() == 14);
+    fleet.write(exampleValue(1));
+    fleet.members.run(7s);
+    CHECK(fleet.installed(1) == 28);
+    fleet.write(exampleValue(2));
+    fleet.members.run(7s);
+    CHECK(fleet.installed(2) == 28);
+    CHECK_FALSE(fleet.hasReverted);
+}
+
+// Guards against a new host that waits for the store though its peers have the configuration.
+TEST_CASE("a new host starts from peers while the store is down")
+{
+    ConfigurationFleet fleet(2);
+    fleet.startAll(3, 2);
+    fleet.write(exampleValue(4));
+    fleet.members.run(10s);
+    CHECK(fleet.installed(4) == 6);
+    fleet.store.stop();
+    fleet.members.start("d0-h9", "d0");
+    fleet.startDistributor("d0-h9");
+    fleet.members.run(3s);
+    CHECK(fleet.installed(4) == 7);
+}
+
+// Guards against watchers that do not return after an outage, and against hosts that fall back to an older value.
+TEST_CASE("hosts follow the store again after an outage and ignore stale reads")
+{
+    ConfigurationFleet fleet(3);
+    fleet.startAll(3, 2);
+    fleet.write(exampleValue(1));
+    fleet.write(exampleValue(2));
+    fleet.members.run(10s);
+    CHECK(fleet.installed(2) == 6);
+    fleet.store.stop();
+    CHECK(fleet.store.watchCount() == 0);
+    fleet.members.run(60s);
+    fleet.store.isStale = true;
+    fleet.store.start();
+    fleet.members.run(7s);
+    CHECK(fleet.installed(2) == 6);
+    fleet.store.isStale = false;
+    fleet.write(exampleValue(3));
+    fleet.members.run(7s);
+    CHECK(fleet.installed(3) == 6);
+    CHECK_FALSE(fleet.hasReverted);
+}
+
+// Guards against a domain that misses changes because it cannot reach the store, or because its watches hang.
+TEST_CASE("a domain without working watches gets changes from its peers")
+{
+    ConfigurationFleet fleet(4);
+    fleet.startAll(3, 2);
+    fleet.members.run(10s);
+    // Watches stay open, but none of them reports anything any more, except one in another domain.
+    for (const auto& [host, node] : fleet.nodes) {
+        if (host != "d2-h0")
+            fleet.store.disconnect(host);
+    }
+    fleet.write(exampleValue(1));
+    fleet.members.run(7s);
+    CHECK(fleet.installed(1) == 6);
+}
+
+// Guards against the loss of both watchers of a domain.
+TEST_CASE("other hosts watch when the watchers of a domain die")
+{
+    ConfigurationFleet fleet(5);
+    fleet.startAll(2, 4);
+    fleet.members.run(10s);
+    std::vector<std::string> watchers;
+    for (const auto& [host, node] : fleet.nodes) {
+        if (node.distributor->isWatchingStore() && host[1] == '0')
+            watchers.push_back(host);
+    }
+    REQUIRE(watchers.size() == 2);
+    for (const auto& host : watchers)
+        fleet.stop(host);
+    fleet.write(exampleValue(1));
+    fleet.members.run(5s);
+    CHECK(fleet.store.watchCount() == 4);
+    CHECK(fleet.installed(1) == 6);
+}
+
+// Guards against a peer that lowers the revision or sends rubbish.
+TEST_CASE("a push never lowers the revision and a malformed one is counted")
+{
+    ConfigurationFleet fleet(6);
+    fleet.startAll(1, 2);
+    fleet.members.run(2s);
+    auto& node = fleet.nodes.at("d0-h0");
+    protocol::Envelope envelope;
+    envelope.set_from_host("d0-h1");
+    auto& push = *envelope.mutable_configuration_push();
+    const auto receive = [&](std::uint64_t revision, const std::string& value) {
+        push.set_revision(revision);
+        push.set_value(value);
+        node.distributor->peerMessage(envelope);
+    };
+    receive(5, exampleValue(5).json());
+    CHECK(node.holder.revision() == Revision(5));
+    receive(4, exampleValue(4).json());
+    receive(9, exampleValue(4).json());
+    receive(9, "{\"revision\":9}");
+    CHECK(node.holder.revision() == Revision(5));
+    CHECK(node.distributor->statistics().malformedValues == 2);
+}
+
+// Guards against a host that floods its peers because one announces a revision that it cannot deliver.
+TEST_CASE("one pull is outstanding at a time")
+{
+    VirtualClock clock;
+    PcgRandomSource random(1);
+    ConfigurationHolder holder(nullptr);
+    holder.offer(exampleValue(1));
+    size_t pulls = 0;
+    PeerPuller puller(holder, {}, clock, random, [&](const HostId&, const auto&) { ++pulls; });
+    puller.setPeers({ HostId("a"), HostId("b") }, {});
+    for (int step = 0; step < 100; ++step) {
+        puller.peerHas(HostId("a"), Revision(7));
+        puller.peerHas(HostId("b"), Revision(7));
+        puller.tick();
+        clock.advance(100ms);
+    }
+    CHECK(pulls <= 10);
+    CHECK(pulls >= 8);
+}
--- a/tests/membership/MemberFleet.h
+++ b/tests/membership/MemberFleet.h
@@ -39,7 +39,15 @@
         hooks.send = [this, from = settings.self.address](const std::string& to, protocol::Envelope&& envelope) {
             network.send(from, to, std::move(envelope));
         };
-        hooks.changed = [&entry] { ++entry.changes; };
+        hooks.changed = [this, host, &entry] {
+            ++entry.changes;
+            if (changed && entry.table)
+                changed(host);
+        };
+        hooks.fillHeartbeat = [this, host](protocol::Heartbeat& heartbeat) {
+            if (fillHeartbeat)
+                fillHeartbeat(host, heartbeat);
+        };
         entry.table = std::make_unique<MemberTable>(settings, clock, random, hooks);
         network.attach(settings.self.address, [this, host](const auto& envelope) { receive(host, envelope); });
     }
@@ -82,6 +90,8 @@
                 if (!host.isPaused)
                     next = std::min(next, host.table->nextWakeup());
             }
+            if (nextExtension)
+                next = std::min(next, nextExtension());
             if (next > end)
                 break;
             clock.advanceTo(std::max(next, clock.now()));
@@ -90,6 +100,8 @@
                 if (!host.isPaused && host.table->nextWakeup() <= clock.now())
                     host.table->tick();
             }
+            if (tickExtension)
+                tickExtension();
         }
         clock.advanceTo(end);
     }
@@ -122,6 +134,13 @@
     std::vector<std::string> seeds;
     std::map<std::string, Host> hosts;
 
+    /** Called for the named host; may be empty. They let other components run on the same hosts. */
+    std::function<void(const std::string& host)> changed;
+    std::function<void(const std::string& host, protocol::Heartbeat&)> fillHeartbeat;
+    std::function<void(const std::string& host, const protocol::Envelope&)> received;
+    std::function<TimePoint()> nextExtension;
+    std::function<void()> tickExtension;
+
 private:
     void receive(const std::string& host, const protocol::Envelope& envelope)
     {
@@ -132,6 +151,8 @@
         }
         entry.table->heardFrom(HostId(envelope.from_host()), Incarnation(envelope.from_incarnation()),
             envelope.has_heartbeat() ? &envelope.heartbeat() : nullptr);
+        if (received)
+            received(host, envelope);
     }
 
     std::uint64_t m_lastIncarnation { 100 };
