Add register import, differences and tests of faulty documents

Cause: operators import from their own asset register and need every fault with its place. Change: RegisterImport merges CSV or JSON registers with a rules file and reports file, line and column; InventoryDifference compares entry by entry; InventoryFaults keeps place and reason apart.

--- a/modules/rattanroad_inventory/inventory/InventoryFaults.h
+++ b/modules/rattanroad_inventory/inventory/InventoryFaults.h
@@ -11,20 +11,26 @@
 /** Collects the faults of a document, so that an operator sees all of them at once. */
 class InventoryFaults {
 public:
-    /** Records a fault at @p place, for example "targets[3].worker". Only the first fault of a place is kept, since
-        later checks of the same value often fail for the same reason.
+    /** One fault, and the place of the value in the document, for example "targets[3].worker". */
+    struct Fault {
+        std::string place;
+        std::string reason;
+    };
+
+    /** Records a fault at @p place. Only the first fault of a place is kept, since later checks of the same value often
+        fail for the same reason.
     */
     void add(const std::string& place, const std::string& reason);
 
-    bool isEmpty() const { return m_lines.empty(); }
-    const std::vector<std::string>& lines() const { return m_lines; }
+    bool isEmpty() const { return m_faults.empty(); }
+    const std::vector<Fault>& faults() const { return m_faults; }
 
     /** Returns all faults as one failure of type FailureCode::ConfigurationInvalid, one fault a line. */
     Failure failure() const;
 
 private:
     std::set<std::string> m_places;
-    std::vector<std::string> m_lines;
+    std::vector<Fault> m_faults;
 };
 
 }
--- a/modules/rattanroad_inventory/rattanroad_inventory.h
+++ b/modules/rattanroad_inventory/rattanroad_inventory.h
@@ -5,5 +5,7 @@
 */
 #pragma once
 
+#include "rattanroad_inventory/difference/InventoryDifference.h"
+#include "rattanroad_inventory/import/RegisterImport.h"
 #include "rattanroad_inventory/inventory/Inventory.h"
 #include "rattanroad_inventory/inventory/InventoryTypes.h"
--- a/tests/inventory/ExampleInventory.h
+++ b/tests/inventory/ExampleInventory.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "rattanroad_core/rattanroad_core.h"
 #include "rattanroad_inventory/rattanroad_inventory.h"
 
 namespace rattanroad {
