--- a/benchmarks/measure/MeasureSuite.cpp
+++ b/benchmarks/measure/MeasureSuite.cpp
@@ -12,6 +12,11 @@
 
 namespace rattanroad {
 
+namespace {
+    // Three deadlines of the overload scenario, so that the queue reaches its steady length.
+    constexpr Duration overloadLength = std::chrono::seconds(15);
+}
+
 MeasureSuite::MeasureSuite(Settings settings)
     : m_settings(std::move(settings))
     , m_workloads { Workload::ingofero(m_settings.isQuick), Workload::calabash(m_settings.isQuick),
@@ -21,7 +26,9 @@
         const std::shared_ptr<const Input> normal = input(workload, 0.8);
         addFloor(normal);
         addBaselines(normal);
-        addEngine(normal);
+        addEngine("", normal, Scenario::Normal);
+        addEngine("fault.", normal, Scenario::Faults);
+        addOtherLoads(workload, normal);
     }
 }
 
@@ -71,7 +78,26 @@
     });
 }
 
-void MeasureSuite::addEngine(const std::shared_ptr<const Input>&) { }
+// The planned size has 30 times the starts of the others; its extra loads are measured in the full run only.
+void MeasureSuite::addOtherLoads(const Workload& workload, const std::shared_ptr<const Input>& normal)
+{
+    if (m_settings.isQuick && workload.targetCount > 100)
+        return;
+    addEngine("straggler.", normal, Scenario::Straggler);
+    addEngine("load50.", input(workload, 0.5), Scenario::Normal);
+    addEngine("load95.", input(workload, 0.95), Scenario::Normal);
+    Workload overloaded = workload;
+    overloaded.length = std::min<Duration>(workload.length, overloadLength);
+    addEngine("overload.", input(overloaded, 3), Scenario::Overload);
+}
+
+void MeasureSuite::addEngine(const std::string& prefix, const std::shared_ptr<const Input>& input, Scenario scenario)
+{
+    // One engine task costs about 30 times a baseline task; only the order of the cells depends on it.
+    add(prefix + input->workload.name, input, 30, [scenario, seed = m_settings.seed](const Input& each) {
+        return EngineCell::run(scenario, each.workload, each.trace, seed + 2);
+    });
+}
 
 std::map<std::string, double> MeasureSuite::run()
 {
--- a/benchmarks/measure/MeasureSuite.h
+++ b/benchmarks/measure/MeasureSuite.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "measure/CellResult.h"
+#include "measure/EngineCell.h"
 
 #include <cstdint>
 #include <functional>
@@ -33,6 +34,8 @@
     const std::vector<Workload>& workloads() const { return m_workloads; }
 
 private:
+    using Scenario = EngineCell::Scenario;
+
     struct Cell {
         std::string key;
         std::function<std::map<std::string, double>()> measure;
@@ -51,7 +54,8 @@
         std::function<CellResult(const Input&)> run);
     void addFloor(const std::shared_ptr<const Input>& input);
     void addBaselines(const std::shared_ptr<const Input>& input);
-    void addEngine(const std::shared_ptr<const Input>& input);
+    void addOtherLoads(const Workload& workload, const std::shared_ptr<const Input>& normal);
+    void addEngine(const std::string& prefix, const std::shared_ptr<const Input>& input, Scenario scenario);
 
     Settings m_settings;
     std::vector<Workload> m_workloads;
