--- a/tests/history/checker/HistoryEvent.h
+++ b/tests/history/checker/HistoryEvent.h
@@ -40,7 +40,8 @@
     std::string target;
     std::uint64_t revision { 0 };
 
-    /** Invoked: tasks of the job, and the repeat policy: "never", "if-not-started" or "after-failure". */
+    /** Invoked: tasks of the job, and the repeat policy: "never", "if-not-started" or "after-failure";
+       "cancel" for a request to cancel the submission. */
     std::uint32_t taskCount { 0 };
     std::string repeat;
 
--- a/tests/history/checker/JobChecker.cpp
+++ b/tests/history/checker/JobChecker.cpp
@@ -144,7 +144,8 @@
 {
     return std::any_of(submission.requests.begin(), submission.requests.end(), [&](const std::string& other) {
         const Request& candidate = m_requests.at(other);
-        if (other == request || candidate.invoked->timeUs > start.timeUs)
+        const bool isCancellation = candidate.invoked->repeat == "cancel";
+        if (other == request || isCancellation || candidate.invoked->timeUs > start.timeUs)
             return false;
         return std::none_of(candidate.answers.begin(), candidate.answers.end(),
             [&](const HistoryEvent* answer) { return isNotRun(*answer) && answer->timeUs < start.timeUs; });
