--- a/modules/rattanroad_routing/slots/KeeperDirectory.cpp
+++ b/modules/rattanroad_routing/slots/KeeperDirectory.cpp
@@ -22,10 +22,10 @@
 {
 }
 
-void KeeperDirectory::set(const std::vector<SlotBorrower::KeeperOffer>& keepers)
+void KeeperDirectory::set(std::vector<SlotBorrower::KeeperOffer> keepers)
 {
     std::map<HostId, Keeper> next;
-    for (const auto& offer : keepers) {
+    for (auto& offer : keepers) {
         const auto known = m_keepers.find(offer.host);
         Keeper keeper = known != m_keepers.end() ? std::move(known->second) : Keeper {};
         const bool isNewer = known == m_keepers.end() || offer.advertisedAt > keeper.advertisedAt;
@@ -33,20 +33,41 @@
         keeper.distance = offer.distance;
         if (isNewer) {
             keeper.advertisedAt = offer.advertisedAt;
-            keeper.heardAt = std::max(keeper.heardAt, offer.advertisedAt);
-            keeper.offers.clear();
-            for (const auto& slots : offer.freeSlots) {
-                auto& entry = keeper.offers[WorkKind(slots.kind())];
-                entry.free = slots.free();
-                entry.total = slots.total();
-                entry.wait = fromMilliseconds(slots.expected_wait_ms());
-            }
+            // Kinds that are not advertised any more keep the count of what is in flight.
+            for (auto& [kind, entry] : keeper.offers)
+                apply(entry, {});
+            for (const auto& slots : offer.freeSlots)
+                apply(keeper.offers[WorkKind(slots.kind())], slots);
         }
-        next.emplace(offer.host, std::move(keeper));
+        next.emplace(std::move(offer.host), std::move(keeper));
     }
     m_keepers = std::move(next);
 }
 
+void KeeperDirectory::apply(Offer& entry, const protocol::FreeSlots& slots)
+{
+    entry.free = slots.free();
+    entry.total = slots.total();
+    entry.wait = fromMilliseconds(slots.expected_wait_ms());
+    entry.askedSince = entry.inFlight;
+}
+
+void KeeperDirectory::update(const HostId& keeper, const protocol::FreeSlots& offer)
+{
+    const auto found = m_keepers.find(keeper);
+    if (found != m_keepers.end())
+        apply(found->second.offers[WorkKind(offer.kind())], offer);
+}
+
+void KeeperDirectory::addInFlight(const HostId& keeper, const WorkKind& kind, std::int64_t count)
+{
+    const auto found = m_keepers.find(keeper);
+    if (found == m_keepers.end())
+        return;
+    auto& entry = found->second.offers[kind];
+    entry.inFlight = std::max<std::int64_t>(0, entry.inFlight + count);
+}
+
 std::vector<KeeperDirectory::Candidate> KeeperDirectory::candidates(
     const WorkKind& kind, const std::set<HostId>& refusedBy)
 {
@@ -164,16 +185,8 @@
 void KeeperDirectory::heardFrom(const HostId& keeper)
 {
     const auto found = m_keepers.find(keeper);
-    if (found == m_keepers.end())
-        return;
-    found->second.heardAt = m_clock.now();
-    found->second.suspectUntil = {};
-}
-
-bool KeeperDirectory::isFresh(const HostId& keeper, Duration age) const
-{
-    const auto found = m_keepers.find(keeper);
-    return found != m_keepers.end() && m_clock.now() - found->second.heardAt <= age;
+    if (found != m_keepers.end())
+        found->second.suspectUntil = {};
 }
 
 void KeeperDirectory::recordRun(const WorkKind& kind, Duration ran)
