--- a/modules/rattanroad_ledger/ledger/BackupStream.cpp
+++ b/modules/rattanroad_ledger/ledger/BackupStream.cpp
@@ -1,7 +1,5 @@
 #include "rattanroad_ledger/ledger/BackupStream.h"
 
-#include <cassert>
-
 namespace rattanroad {
 
 namespace {
@@ -20,14 +18,6 @@
 {
 }
 
-void BackupStream::retarget(Incarnation incarnation)
-{
-    assert(!m_isAccepted); // an accepted copy was lost with its process and cannot be replaced by an empty one
-    m_incarnation = incarnation;
-    m_lastSend.reset();
-    m_waitingSince.reset();
-}
-
 void BackupStream::openReply(Incarnation from, bool isAccepted, TimePoint now)
 {
     if (from != m_incarnation || m_isAccepted)
--- a/modules/rattanroad_ledger/ledger/BackupStream.h
+++ b/modules/rattanroad_ledger/ledger/BackupStream.h
@@ -7,7 +7,11 @@
 
 namespace rattanroad {
 
-/** Replication of one segment's records to one backup, as the owner sees it. */
+/** Replication of one segment's records to one backup, as the owner sees it.
+
+    The segment is opened at one process of the backup only. Opening it again at a later process is not safe even when
+   no reply was seen: the first one may have accepted, taken over, started tasks and died.
+*/
 class BackupStream {
 public:
     /** What the messages to the backup say about the segment. */
@@ -28,8 +32,6 @@
     /** Number of the newest record that the backup holds, over all epochs. */
     std::uint64_t acknowledged() const { return m_acknowledged; }
 
-    /** Addresses a new process of a backup that has accepted nothing so far. @pre !isAccepted() */
-    void retarget(Incarnation incarnation);
     void openReply(Incarnation from, bool isAccepted, TimePoint now);
     /** Takes a position within the current epoch; older positions change nothing. */
     void acknowledge(std::uint64_t position, TimePoint now);
--- a/modules/rattanroad_ledger/ledger/OwnedSegment.cpp
+++ b/modules/rattanroad_ledger/ledger/OwnedSegment.cpp
@@ -282,9 +282,6 @@
 
 bool OwnedSegment::checkBackup(BackupStream& stream)
 {
-    const auto present = m_context.peers.incarnation(stream.host());
-    if (!stream.isAccepted() && present && *present != stream.incarnation())
-        stream.retarget(*present);
     if (isStalled(stream)) {
         const auto now = m_context.clock.now();
         m_context.peers.avoid(stream.host(), now + avoidedStalls * stallLimit(m_context.settings));
@@ -315,8 +312,10 @@
         return;
     const auto now = m_context.clock.now();
     const BackupStream::Header header { m_key, m_view, m_table.lowWater() };
-    for (auto& stream : m_streams)
-        stream.flush(header, m_log, now);
+    for (auto& stream : m_streams) {
+        if (isUsable(stream))
+            stream.flush(header, m_log, now);
+    }
     // With more backups than one, a takeover without the store could happen on each of them. A view change whose result
     // is unknown could still change the owner of the view that is being handed over.
     const bool canRelease = m_streams.size() == 1 && m_streams.front().isAccepted() && isUsable(m_streams.front())
@@ -347,8 +346,10 @@
     auto wakeup = m_viewChange.nextWakeup();
     if (m_state != State::Owning && m_state != State::Releasing)
         return wakeup;
-    for (const auto& stream : m_streams)
-        wakeup = std::min(wakeup, stream.nextWakeup());
+    for (const auto& stream : m_streams) {
+        if (isUsable(stream))
+            wakeup = std::min(wakeup, stream.nextWakeup());
+    }
     return wakeup;
 }
 
--- a/tests/ledger/LedgerTests.cpp
+++ b/tests/ledger/LedgerTests.cpp
@@ -236,6 +236,23 @@
     CHECK(standing.reason.code == FailureCode::OutcomeUnknown);
 }
 
+// Guards against an owner that opens its segment again at a restarted backup: the earlier process may have taken over
+// and started tasks (found by model/segment.pml, macro NO_SINGLE_OPENING).
+TEST_CASE("a segment is not opened at a second process of the backup")
+{
+    Pair pair;
+    const auto id = pair.a.accept();
+    pair.a.ledger->flush();
+    pair.a.sent.clear();
+    pair.a.ledger->setLivePeers({ { pair.b.id, Incarnation(23) } });
+    pair.clock.advance(200ms);
+    pair.a.ledger->flush();
+    for (const auto& message : pair.a.sent)
+        CHECK(protocol::fromMessage(message.second.segment_open().segment()).segment > id.segment.segment);
+    REQUIRE(pair.a.changes.size() == 1);
+    CHECK(pair.a.changes[0].segment == id.segment);
+}
+
 // Guards against a restarted owner that treats its earlier ids as new.
 TEST_CASE("a restarted owner points to the backup named in the id")
 {
