--- a/scripts/install-dependencies.sh
+++ b/scripts/install-dependencies.sh
@@ -4,7 +4,7 @@
 packages=(g++ cmake ninja-build ccache pkg-config clang-format clang-tidy python3 curl spin
     libh2o-evloop-dev libh2o-dev-common libssl-dev zlib1g-dev libzmq3-dev cppzmq-dev
     libprotobuf-dev libspdlog-dev libcli11-dev nlohmann-json3-dev prometheus-cpp-dev
-    catch2 librapidcheck-dev libpcg-cpp-dev libxxhash-dev)
+    catch2 librapidcheck-dev libpcg-cpp-dev libxxhash-dev libcurl4-openssl-dev)
 if dpkg -s "${packages[@]}" >/dev/null 2>&1; then
     exit 0
 fi
