--- a/apps/rattanroad/CommandLine.cpp
+++ b/apps/rattanroad/CommandLine.cpp
@@ -212,7 +212,7 @@
             if (!inventory)
                 return m_reporter.failure(inventory.lastReason());
             ConfigurationCommands commands(m_context, m_reporter, m_servers);
-            return command == "diff" ? commands.diff(**inventory) : commands.apply(*inventory, m_options.change);
+            return command == "diff" ? commands.diff(**inventory) : commands.apply(**inventory, m_options.change);
         }
 
         ExitCode drain()
--- a/apps/rattanroad/commands/ConfigurationCommands.cpp
+++ b/apps/rattanroad/commands/ConfigurationCommands.cpp
@@ -97,7 +97,7 @@
         change.changeId = "change-" + std::to_string(m_context.random.next());
 }
 
-ExitCode ConfigurationCommands::apply(std::shared_ptr<const Inventory> inventory, Change change)
+ExitCode ConfigurationCommands::apply(const Inventory& inventory, Change change)
 {
     complete(change);
     if (!change.base) {
@@ -106,17 +106,17 @@
             return m_reporter.failure(inForce.lastReason());
         change.base = *inForce ? (*inForce)->revision.value() : 0;
     }
-    return put(*inventory, change, *change.base);
+    return put(inventory, change, *change.base);
 }
 
 HttpExchange ConfigurationCommands::sendPut(const Inventory& inventory, const Change& change, std::uint64_t base)
 {
     // The change id makes the request idempotent, so it may go to another server after a broken connection.
-    HttpRequest request { "PUT", "", path,
+    const HttpRequest request { "PUT", "", path,
         { { "Content-Type", "application/json" }, { "If-Match", "\"" + std::to_string(base) + "\"" },
             { "Change-Id", change.changeId }, { "Author", change.author } },
         inventory.json() };
-    return m_servers.send(std::move(request), applyLimit);
+    return m_servers.send(request, applyLimit);
 }
 
 ExitCode ConfigurationCommands::put(const Inventory& inventory, const Change& change, std::uint64_t base)
--- a/apps/rattanroad/commands/ConfigurationCommands.h
+++ b/apps/rattanroad/commands/ConfigurationCommands.h
@@ -24,7 +24,7 @@
     ConfigurationCommands(CommandContext& context, const Reporter& reporter, ServerPool& servers);
 
     ExitCode diff(const Inventory& inventory);
-    ExitCode apply(std::shared_ptr<const Inventory> inventory, Change change);
+    ExitCode apply(const Inventory& inventory, Change change);
     /** Applies a change that sets @p targets leaving; starts again from the newer revision after a conflict. */
     ExitCode drain(const std::vector<std::string>& targets, Change change);
     ExitCode history(std::size_t limit);
--- a/apps/rattanroad/commands/JobCommands.cpp
+++ b/apps/rattanroad/commands/JobCommands.cpp
@@ -117,7 +117,7 @@
     request.body = job->dump(-1, ' ', false, Json::error_handler_t::replace);
     const auto limit = std::chrono::milliseconds((*job)["deadline_ms"].get<std::uint64_t>()) + answerGrace;
     request.timeout = limit;
-    return reportJob(m_servers.send(std::move(request), limit), id);
+    return reportJob(m_servers.send(request, limit), id);
 }
 
 ExitCode JobCommands::query(const std::string& id)
--- a/apps/rattanroad/http/CurlTransport.cpp
+++ b/apps/rattanroad/http/CurlTransport.cpp
@@ -37,7 +37,7 @@
         // Without this line libcurl waits for "100 Continue" before larger bodies.
         curl_slist* list = curl_slist_append(nullptr, "Expect:");
         for (const auto& [name, value] : request.headers)
-            list = curl_slist_append(list, (name + ": " + value).c_str());
+            list = curl_slist_append(list, std::string(name).append(": ").append(value).c_str());
         return Headers(list);
     }
 
--- a/apps/rattanroad/http/ServerPool.cpp
+++ b/apps/rattanroad/http/ServerPool.cpp
@@ -53,7 +53,7 @@
     return m_transport(request);
 }
 
-HttpExchange ServerPool::send(HttpRequest request, std::chrono::milliseconds timeLimit)
+HttpExchange ServerPool::send(const HttpRequest& request, std::chrono::milliseconds timeLimit)
 {
     const auto end = m_clock.now() + timeLimit;
     HttpExchange last;
--- a/apps/rattanroad/http/ServerPool.h
+++ b/apps/rattanroad/http/ServerPool.h
@@ -17,7 +17,7 @@
         every server is tried at least once. A request that may have reached a server and was not decided by another one
         ends as HttpExchange::Outcome::Broken, even when the last server could not be reached.
     */
-    HttpExchange send(HttpRequest request, std::chrono::milliseconds timeLimit);
+    HttpExchange send(const HttpRequest& request, std::chrono::milliseconds timeLimit);
 
     /** Sends @p request to @p server only, once. */
     HttpExchange sendTo(const std::string& server, HttpRequest request);
--- a/modules/rattanroad_membership/membership/MemberRecords.cpp
+++ b/modules/rattanroad_membership/membership/MemberRecords.cpp
@@ -81,6 +81,23 @@
     return isChanged ? News::Changed : News::SignOfLife;
 }
 
+MemberRecords::News MemberRecords::briefHeartbeat(
+    const HostId& host, Incarnation incarnation, std::uint64_t sequence, bool isDraining)
+{
+    const auto found = m_records.find(host);
+    const bool isDescribed = found != m_records.end() && found->second.member.incarnation == incarnation;
+    if (isDescribed && sequence <= found->second.sequence)
+        return News::Ignored;
+    const auto news = message(host, incarnation);
+    if (!isDescribed || news == News::Ignored)
+        return news;
+    auto& record = found->second;
+    record.sequence = sequence;
+    const bool isChanged = record.member.isDraining != isDraining;
+    record.member.isDraining = isDraining;
+    return isChanged && news == News::SignOfLife ? News::Changed : news;
+}
+
 MemberRecords::News MemberRecords::message(const HostId& host, Incarnation incarnation)
 {
     const auto found = m_records.find(host);
--- a/modules/rattanroad_membership/membership/MemberRecords.h
+++ b/modules/rattanroad_membership/membership/MemberRecords.h
@@ -40,6 +40,8 @@
 
     /** A heartbeat from the member itself. */
     News heartbeat(const protocol::MemberState& state, std::uint64_t sequence);
+    /** A heartbeat without the description of its sender, which the sender gave before. */
+    News briefHeartbeat(const HostId& host, Incarnation incarnation, std::uint64_t sequence, bool isDraining);
     /** Any other message from the member itself. */
     News message(const HostId& host, Incarnation incarnation);
 
--- a/modules/rattanroad_membership/membership/MemberTable.cpp
+++ b/modules/rattanroad_membership/membership/MemberTable.cpp
@@ -15,6 +15,10 @@
     // hosts outside that a domain of the planned size has.
     constexpr size_t innerDigestSize = 6;
 
+    // One in so many inner heartbeats describes its sender; the others leave out what the receiver knows, about 40
+    // bytes.
+    constexpr std::uint64_t describedRounds = 4;
+
     // Outer members are asked directly from this share of the timeout on. The rest of it leaves time for two questions,
     // so that a few lost messages don't declare a live host dead.
     constexpr int probeAgeEighths = 5;
@@ -46,6 +50,7 @@
 private:
     using Digest = std::vector<protocol::MemberState>;
 
+    void handle(MemberRecords::News news, const HostId& host);
     void readDigest(const protocol::Heartbeat& heartbeat, bool isFromInside);
     void sendInner();
     void sendOuter();
@@ -54,7 +59,8 @@
     /** Asks the host at @p address to make itself known; the empty digest asks for an answer. */
     void contact(const std::string& address);
     void answer(const Member& member);
-    void send(const std::string& address, const Digest& digest);
+    void send(const std::string& address, const Digest& digest, bool isDescribed = true);
+    void describeSelf(protocol::MemberState& state) const;
     Digest innerDigest();
     Digest outerDigest(const HostId& receiver);
     Digest describe(std::vector<const MemberRecord*> chosen, size_t limit) const;
@@ -68,6 +74,7 @@
     SendLimit m_answerLimit;
     SendLimit m_probeLimit;
     std::uint64_t m_sequence { 0 };
+    std::uint64_t m_innerRound { 0 };
     TimePoint m_lastTick;
     bool m_isAnswered { false };
 };
@@ -99,6 +106,13 @@
 void MemberTable::Impl::heartbeatFrom(const HostId& host, Incarnation incarnation, const protocol::Heartbeat& heartbeat)
 {
     const auto& state = heartbeat.self();
+    if (state.host().empty()) {
+        const auto news = records.briefHeartbeat(host, incarnation, heartbeat.sequence(), state.draining());
+        // Brief heartbeats go to hosts of the own failure domain only.
+        if (news != MemberRecords::News::Ignored)
+            readDigest(heartbeat, true);
+        return handle(news, host);
+    }
     // A message whose parts contradict each other is not a heartbeat of that host.
     if (state.host() != host.value() || state.incarnation() != incarnation.value() || state.address().empty())
         return;
@@ -106,25 +120,29 @@
     if (news == MemberRecords::News::Ignored)
         return;
     m_isAnswered = true;
-    const bool isFromInside = FailureDomainId(state.failure_domain()) == settings.self.failureDomain;
-    const bool isJoining = news == MemberRecords::News::Joined;
-    readDigest(heartbeat, isFromInside);
+    const auto& member = records.all().at(host).member;
+    readDigest(heartbeat, records.isInside(member));
     // An outer heartbeat without a digest is a contact; its sender repeats it until it hears from this host.
-    if (isJoining || (!isFromInside && heartbeat.known_members().empty()))
-        answer(records.all().at(host).member);
-    if (isJoining || news == MemberRecords::News::Changed)
-        reportChange();
+    const bool isContact = !records.isInside(member) && heartbeat.known_members().empty();
+    if (news == MemberRecords::News::Joined || isContact)
+        answer(member);
+    handle(news, host);
 }
 
 void MemberTable::Impl::messageFrom(const HostId& host, Incarnation incarnation)
 {
-    const auto news = records.message(host, incarnation);
+    handle(records.message(host, incarnation), host);
+}
+
+void MemberTable::Impl::handle(MemberRecords::News news, const HostId& host)
+{
+    if (news == MemberRecords::News::Ignored || news == MemberRecords::News::SignOfLife)
+        return;
     if (news == MemberRecords::News::Replaced) {
         ++statistics.membersDied;
         contact(records.all().at(host).member.address);
     }
-    if (news == MemberRecords::News::Joined || news == MemberRecords::News::Replaced)
-        reportChange();
+    reportChange();
 }
 
 void MemberTable::Impl::readDigest(const protocol::Heartbeat& heartbeat, bool isFromInside)
@@ -165,9 +183,10 @@
 void MemberTable::Impl::sendInner()
 {
     const auto digest = innerDigest();
+    const bool isDescribed = m_innerRound++ % describedRounds == 0;
     for (const auto& [host, record] : records.all()) {
         if (record.isAlive && records.isInside(record.member))
-            send(record.member.address, digest);
+            send(record.member.address, digest, isDescribed);
     }
 }
 
@@ -229,22 +248,27 @@
         send(member.address, outerDigest(HostId()));
 }
 
-void MemberTable::Impl::send(const std::string& address, const Digest& digest)
+void MemberTable::Impl::describeSelf(protocol::MemberState& state) const
 {
-    protocol::Envelope envelope;
-    envelope.set_version(protocol::protocolVersion);
-    envelope.set_from_host(settings.self.host.value());
-    envelope.set_from_incarnation(settings.self.incarnation.value());
-    auto& heartbeat = *envelope.mutable_heartbeat();
-    heartbeat.set_sequence(++m_sequence);
-    auto& state = *heartbeat.mutable_self();
     state.set_host(settings.self.host.value());
     state.set_incarnation(settings.self.incarnation.value());
     state.set_failure_domain(settings.self.failureDomain.value());
     state.set_address(settings.self.address);
     state.set_rack(settings.self.rack.value());
     state.set_region(settings.self.region.value());
-    state.set_draining(settings.self.isDraining);
+}
+
+void MemberTable::Impl::send(const std::string& address, const Digest& digest, bool isDescribed)
+{
+    protocol::Envelope envelope;
+    envelope.set_version(protocol::protocolVersion);
+    envelope.set_from_host(settings.self.host.value());
+    envelope.set_from_incarnation(settings.self.incarnation.value());
+    auto& heartbeat = *envelope.mutable_heartbeat();
+    heartbeat.set_sequence(++m_sequence);
+    heartbeat.mutable_self()->set_draining(settings.self.isDraining);
+    if (isDescribed)
+        describeSelf(*heartbeat.mutable_self());
     for (const auto& entry : digest)
         *heartbeat.add_known_members() = entry;
     if (hooks.fillHeartbeat)
