--- a/apps/rattanroadd/api/OperationsApi.cpp
+++ b/apps/rattanroadd/api/OperationsApi.cpp
@@ -71,6 +71,8 @@
         return { 503, "text/plain", {}, "draining\n" };
     if (!m_engine.configuration().current())
         return { 503, "text/plain", {}, "no configuration\n" };
+    if (!m_hooks.hasJoined())
+        return { 503, "text/plain", {}, "joining the other entry hosts\n" };
     return { 200, "text/plain", {}, "ready\n" };
 }
 
--- a/apps/rattanroadd/api/OperationsApi.h
+++ b/apps/rattanroadd/api/OperationsApi.h
@@ -18,6 +18,8 @@
         std::function<void()> beginDrain;
         /** Returns whether a shutdown was requested, before or after the engine drains. */
         std::function<bool()> isStopping;
+        /** Returns whether the host knows others or has waited long enough for them. */
+        std::function<bool()> hasJoined;
         /** Brings the metrics that are read from counters up to date. */
         std::function<void()> refreshMetrics;
     };
--- a/apps/rattanroadd/daemon/Daemon.cpp
+++ b/apps/rattanroadd/daemon/Daemon.cpp
@@ -18,6 +18,9 @@
 
 namespace {
     constexpr std::chrono::milliseconds lagProbeInterval { 100 };
+    /** A host that gets work before it knows its peers opens segments without backups; after two heartbeats of the
+       outer interval without a peer it is alone. */
+    constexpr std::chrono::seconds joinLimit { 2 };
     /** Lets the last messages to peers leave, as sockets are closed without waiting. */
     constexpr std::chrono::milliseconds lastMessagesWait { 200 };
 
@@ -53,6 +56,7 @@
         , m_clock(clock)
         , m_random(random)
         , m_loop(loop)
+        , m_startedAt(clock.now())
         , m_incarnation(makeIncarnation(clock, random))
         , m_log(clock, m_settings.host.value(), m_settings.logFile)
         , m_targetHttp(loop, targetClientSettings(m_settings))
@@ -153,6 +157,8 @@
         OperationsApi::Hooks hooks;
         hooks.beginDrain = [this] { beginDrain(); };
         hooks.isStopping = [this] { return m_isStopping; };
+        hooks.hasJoined
+            = [this] { return !m_engine->members().liveMembers().empty() || m_clock.now() - m_startedAt >= joinLimit; };
         hooks.refreshMetrics = [this] {
             refreshMetrics(m_metrics, *m_engine, m_peers.statistics(), m_store.statistics(), m_traces.statistics());
             m_metrics.setCounter("rattanroad_caller_disconnects_total", "Callers that left before their answer",
@@ -268,6 +274,7 @@
     Clock& m_clock;
     RandomSource& m_random;
     EventLoop& m_loop;
+    TimePoint m_startedAt;
     Incarnation m_incarnation;
     StateLog m_log;
     Metrics m_metrics;
--- /dev/null
+++ b/tests/network/DaemonPartsTests.cpp
@@ -0,0 +1,162 @@
+#include "api/JobApi.h"
+#include "api/JobRequestParser.h"
+#include "api/ProblemResponse.h"
+#include "daemon/SegmentStore.h"
+#include "daemon/TargetGateway.h"
+#include "rattanroad_core/rattanroad_core.h"
+#include "rattanroad_network/loop/EventLoop.h"
+#include "settings/Settings.h"
+#include "standins/StoreStandin.h"
+
+#include <catch2/catch.hpp>
+#include <nlohmann/json.hpp>
+
+using namespace rattanroad;
+using namespace std::chrono_literals;
+using nlohmann::json;
+
+namespace {
+
+json validSettings()
+{
+    return { { "host", { { "id", "entry-1" }, { "failure_domain", "remera" }, { "region", "kigali" } } },
+        { "listen", { { "callers", "127.0.0.1:8001" }, { "peers", "127.0.0.1:7001" } } },
+        { "store", { { "address", "127.0.0.1:2379" } } } };
+}
+
+std::string settingsFault(const json& settings)
+{
+    const auto parsed = daemon::Settings::parse(settings.dump());
+    return parsed ? "" : parsed.lastReason().detail;
+}
+
+json validJob()
+{
+    return { { "team", "millinery" }, { "deadline_ms", 1000 },
+        { "tasks", json::array({ { { "kind", "quote" }, { "payload", { { "size", 7 } } } } }) } };
+}
+
+std::string jobFault(const json& job)
+{
+    const auto parsed = daemon::parseJobRequest(job.dump());
+    if (parsed)
+        return "";
+    CHECK(parsed.lastReason().code == FailureCode::MalformedRequest);
+    CHECK(parsed.lastReason().runState == RunState::NotRun);
+    return parsed.lastReason().detail;
+}
+
+}
+
+// Guards against a daemon that starts with a misspelt or impossible setting and fails hours later.
+TEST_CASE("settings faults are named by their path", "[settings]")
+{
+    CHECK(settingsFault(validSettings()).empty());
+    json settings = validSettings();
+    settings["dispatch"]["wast_weight"] = 0.2;
+    CHECK_THAT(settingsFault(settings), Catch::Contains("dispatch") && Catch::Contains("wast_weight"));
+    settings = validSettings();
+    settings["dispatch"]["waste_weight"] = 1.5;
+    CHECK_THAT(settingsFault(settings), Catch::Contains("[dispatch][waste_weight]"));
+    settings = validSettings();
+    settings["ledger"]["backups"] = "two";
+    CHECK_THAT(settingsFault(settings), Catch::Contains("[ledger][backups]"));
+    settings = validSettings();
+    settings["listen"]["peers"] = "127.0.0.1:99999";
+    CHECK_THAT(settingsFault(settings), Catch::Contains("[listen][peers]"));
+    settings = validSettings();
+    settings.erase("store");
+    CHECK_THAT(settingsFault(settings), Catch::Contains("store"));
+    CHECK_FALSE(daemon::Settings::parse("{"));
+}
+
+// Guards against requests that run with a field the caller misspelt, and against sizes outside 1 to 260.
+TEST_CASE("job request faults are named by their path", "[api]")
+{
+    CHECK(jobFault(validJob()).empty());
+    json job = validJob();
+    job["tasks"][0]["repaet"] = "never";
+    CHECK_THAT(jobFault(job), Catch::Contains("tasks[0].repaet: unknown field"));
+    job = validJob();
+    job["tasks"][0]["needs"]["memory_mb"] = -1;
+    CHECK_THAT(jobFault(job), Catch::Contains("tasks[0].needs.memory_mb"));
+    job = validJob();
+    job["deadline_ms"] = 18446744073709551615ULL;
+    CHECK_THAT(jobFault(job), Catch::Contains("deadline_ms"));
+    job["deadline_ms"] = "1000";
+    CHECK_THAT(jobFault(job), Catch::Contains("deadline_ms: expected an integer"));
+    job = validJob();
+    job["tasks"] = std::vector<json>(261, validJob()["tasks"][0]);
+    CHECK_THAT(jobFault(job), Catch::Contains("1 to 260"));
+    job["tasks"].erase(260);
+    CHECK(jobFault(job).empty());
+    job["tasks"] = json::array();
+    CHECK_THAT(jobFault(job), Catch::Contains("1 to 260"));
+    CHECK_FALSE(daemon::parseJobRequest("{\"team\":"));
+    CHECK_FALSE(daemon::parseJobRequest("[]"));
+    CHECK_FALSE(daemon::parseIdCount("{\"count\":0}"));
+}
+
+// Guards against results that vanish or break the answer because a target's bytes are not UTF-8.
+TEST_CASE("binary results keep the answer complete", "[api]")
+{
+    JobAnswer answer;
+    answer.isComplete = true;
+    answer.results = { "text", "\xff\x00" };
+    const json body = json::parse(daemon::jobResponse(answer).body);
+    CHECK(body["results"][0] == "text");
+    CHECK(body["results"][1]["base64"] == "/w==");
+}
+
+// Guards against a second start after an attempt that may have reached its target.
+TEST_CASE("only a refused connection and listed statuses count as not run", "[targets]")
+{
+    const auto use = [](HttpEnding ending, int status) {
+        HttpResult result;
+        result.ending = ending;
+        result.status = status;
+        return daemon::TargetGateway::useOf(result, { 503 });
+    };
+    CHECK(use(HttpEnding::NeverOpened, 0) == SlotUse::Unreachable);
+    CHECK(use(HttpEnding::SentNoAnswer, 0) == SlotUse::Unknown);
+    CHECK(use(HttpEnding::Answered, 204) == SlotUse::Succeeded);
+    CHECK(use(HttpEnding::Answered, 503) == SlotUse::Rejected);
+    CHECK(use(HttpEnding::Answered, 500) == SlotUse::Failed);
+    CHECK(use(HttpEnding::Answered, 302) == SlotUse::Failed);
+}
+
+// Guards against two winners of one view change, and against a winner that does not know because its reply was lost.
+TEST_CASE("a view change has one winner, also when its reply is lost", "[segments]")
+{
+    SteadyClock clock;
+    EventLoop loop(clock);
+    standins::StoreStandin standin(loop);
+    REQUIRE(standin.open(0, 0));
+    HttpClient http(loop, {});
+    platform::StoreClient store(http, { "127.0.0.1:" + std::to_string(standin.port()), 300ms });
+    std::vector<ViewChangeResult> results;
+    const auto record = [&](const ViewChangeResult& result) { results.push_back(result); };
+    daemon::SegmentStore first(store, clock, "first/1", record);
+    daemon::SegmentStore second(store, clock, "second/2", record);
+    const SegmentKey segment { FailureDomainId("remera"), HostId("dead"), Incarnation(7), SegmentNumber(1) };
+    const auto change = [&](daemon::SegmentStore& writer, std::uint32_t expected, const char* owner) {
+        const std::size_t before = results.size();
+        writer.change({ segment, Epoch(expected), { Epoch(expected + 1), HostId(owner), { HostId(owner) } } });
+        REQUIRE(loop.runUntil([&] { return results.size() > before; }, 3s));
+        return results.back();
+    };
+    standins::StoreStandin::Mode mode;
+    mode.losesNextReply = true;
+    standin.setMode(mode);
+    CHECK(change(first, 0, "first").kind == ViewChangeResult::Kind::Won);
+    const ViewChangeResult lost = change(second, 0, "second");
+    CHECK(lost.kind == ViewChangeResult::Kind::Lost);
+    CHECK(lost.current.owner == HostId("first"));
+    CHECK(lost.current.epoch == Epoch(1));
+    CHECK(change(second, 1, "second").kind == ViewChangeResult::Kind::Won);
+    CHECK(change(first, 1, "first").kind == ViewChangeResult::Kind::Lost);
+    mode = {};
+    mode.isDown = true;
+    standin.setMode(mode);
+    CHECK(change(first, 2, "first").kind == ViewChangeResult::Kind::Unavailable);
+}
