Register key homes in the fake store; probes use no keys

Cause: homes of keys refused every key, as the fleet answered no registration. Change: FakeStore::registerKeyHome and the hook for it.

--- a/tests/fakes/FakeStore.cpp
+++ b/tests/fakes/FakeStore.cpp
@@ -50,6 +50,20 @@
     return { change.segment, ViewChangeResult::Kind::Won, change.next };
 }
 
+// Registrations are kept for the whole run, as runs are shorter than the retention time of keys.
+void FakeStore::registerKeyHome(
+    const HostId& host, Incarnation incarnation, std::function<void(std::optional<bool>)> callback)
+{
+    m_calls++;
+    m_queue.after(delay(), [this, host, incarnation, callback] {
+        if (m_faults.isDown)
+            return callback(std::nullopt);
+        const auto [entry, isNew] = m_keyHomes.try_emplace(host, incarnation);
+        const bool hadPredecessor = !isNew && entry->second != incarnation;
+        callback(isReplyLost() ? std::nullopt : std::optional<bool>(hadPredecessor));
+    });
+}
+
 void FakeStore::writeConfiguration(const ConfigurationValue& value, std::function<void(WriteResult)> callback)
 {
     m_calls++;
--- a/tests/fakes/FakeStore.h
+++ b/tests/fakes/FakeStore.h
@@ -37,6 +37,12 @@
     /** Executes the change after the store's latency; @p callback gets the result later, never at once. */
     void changeView(const ViewChange& change, std::function<void(const ViewChangeResult&)> callback);
 
+    /** Registers a process as the home of callers' keys; @p callback learns whether an earlier incarnation of the host
+       was registered, or nothing when the store did not answer.
+    */
+    void registerKeyHome(
+        const HostId& host, Incarnation incarnation, std::function<void(std::optional<bool>)> callback);
+
     /** Result of a configuration write as the operator's client sees it. */
     enum class WriteResult {
         Accepted,
@@ -61,6 +67,7 @@
     RandomSource& m_random;
     Faults m_faults;
     std::map<SegmentKey, SegmentView> m_views;
+    std::map<HostId, Incarnation> m_keyHomes;
     std::deque<std::pair<TimePoint, ConfigurationValue>> m_configurations;
     std::uint64_t m_calls { 0 };
 };
--- a/tests/fakes/FleetSettings.cpp
+++ b/tests/fakes/FleetSettings.cpp
@@ -70,6 +70,7 @@
     settings.ledger.failureDomain = self.failureDomain;
     settings.ledger.incarnation = incarnation;
     settings.keeper.wasteWeight = wasteWeight;
+    settings.keyHome.self = self.host;
     settings.borrower.self = self.host;
     settings.borrower.wasteWeight = wasteWeight;
     return settings;
--- a/tests/fakes/HostProcess.cpp
+++ b/tests/fakes/HostProcess.cpp
@@ -65,6 +65,7 @@
     hooks.startTask = [this](const TaskStart& start) { m_connections->start(start); };
     hooks.cancelTask = [this](const TaskKey& key) { m_connections->cancel(key); };
     hooks.changeView = [this](const ViewChange& change) { changeView(change); };
+    hooks.registerKeyHome = [this] { registerKeyHome(); };
     hooks.revisionSeen = [this](const HostId& from, Revision revision) { pullConfiguration(from, revision); };
     hooks.configurationMessage
         = [this](const Member& from, const protocol::Envelope& envelope) { configurationMessage(from, envelope); };
@@ -94,6 +95,18 @@
     });
 }
 
+void HostProcess::registerKeyHome()
+{
+    if (m_environment.network.isCut(place().failureDomain, FailureDomainId(storeDomain)))
+        return;
+    m_environment.store.registerKeyHome(m_environment.settings.hostId(m_host), m_incarnation,
+        [weak = weak_from_this()](std::optional<bool> hadPredecessor) {
+            const auto self = weak.lock();
+            if (self && hadPredecessor)
+                self->input([had = *hadPredecessor](EntryHost& engine) { engine.keyHomeRegistered(had); });
+        });
+}
+
 void HostProcess::pullConfiguration(const HostId& from, Revision revision)
 {
     const Revision own = m_engine->configuration().revision();
--- a/tests/fakes/HostProcess.h
+++ b/tests/fakes/HostProcess.h
@@ -65,6 +65,7 @@
     void begin();
     EntryHostHooks hooks();
     void changeView(const ViewChange& change);
+    void registerKeyHome();
     void pullConfiguration(const HostId& from, Revision revision);
     void configurationMessage(const Member& from, const protocol::Envelope& envelope);
     void scheduleTurn();
--- a/tests/simulation/run/SimulatedCallers.cpp
+++ b/tests/simulation/run/SimulatedCallers.cpp
@@ -80,6 +80,8 @@
 void SimulatedCallers::sendProbe(std::size_t host)
 {
     const SubmissionPointer submission = create(host, 3, 8000);
+    // Homes of keys refuse for the retention time of 10 minutes after a restart.
+    submission->request.job.clear_idempotency_key();
     submission->isProbe = true;
     send(submission, host);
 }
