--- a/tests/fakes/HostProcess.cpp
+++ b/tests/fakes/HostProcess.cpp
@@ -256,10 +256,12 @@
     m_isEnding = true;
     m_environment.queue.after(exitDelay, [weak = weak_from_this()] {
         const auto self = weak.lock();
-        if (self && !self->m_isFrozen)
+        if (!self || !self->m_engine)
+            return;
+        self->m_isEnding = false;
+        // Something may have arrived since the engine said that it was drained.
+        if (!self->m_isFrozen && self->m_engine->isDrained())
             self->end(true);
-        else if (self)
-            self->m_isEnding = false;
     });
 }
 
--- a/tests/history/checker/JobChecker.cpp
+++ b/tests/history/checker/JobChecker.cpp
@@ -129,8 +129,8 @@
 {
     const Submission& submission = m_submissions[invoked.submission];
     for (const HistoryEvent* start : submission.starts) {
-        const std::string text
-            = "request " + name + " was answered \"not run\", but " + describe(invoked.submission, start->task);
+        const std::string text = "request " + name + " was answered \"not run\" (" + answer.code + "), but "
+            + describe(invoked.submission, start->task);
         if (start->timeUs <= answer.timeUs)
             return report(Guarantee::NotRunMeansNotRun, answer, text + " had started");
         if (!mayBeCausedByAnother(submission, name, *start))
