Add the directory of callers' own keys

Cause: a caller's Idempotency-Key must lead to one submission, although key homes keep bindings only in memory.

--- a/modules/rattanroad_ledger/rattanroad_ledger.h
+++ b/modules/rattanroad_ledger/rattanroad_ledger.h
@@ -5,4 +5,5 @@
 */
 #pragma once
 
+#include "rattanroad_ledger/keys/KeyDirectory.h"
 #include "rattanroad_ledger/ledger/SubmissionLedger.h"
