Pack sealed submissions on backups; count segments that are being handed over

And a drain could not tell when its segments were handed over. Change: a backup serializes a submission when it is sealed, without the payloads, and unpacks it at a takeover. Statistics::segmentsOwned includes segments that releaseAll() still hands over.

--- a/modules/rattanroad_ledger/ledger/OwnedSegment.cpp
+++ b/modules/rattanroad_ledger/ledger/OwnedSegment.cpp
@@ -272,6 +272,13 @@
     m_context.statistics.startsRefused += m_pending.refuseStarts(std::nullopt);
 }
 
+bool OwnedSegment::isHandoverPending() const
+{
+    if (m_state != State::Releasing || m_streams.size() != 1 || m_viewChange.isActive())
+        return false;
+    return isUsable(m_streams.front()) && !isStalled(m_streams.front());
+}
+
 void OwnedSegment::checkBackups(bool isCurrent)
 {
     // A release goes out only when everything is acknowledged; from then on the view must stay as it is.
--- a/modules/rattanroad_ledger/ledger/OwnedSegment.h
+++ b/modules/rattanroad_ledger/ledger/OwnedSegment.h
@@ -59,6 +59,8 @@
 
     /** Starts to hand the segment over. */
     void release();
+    /** Returns whether the backup can still take the segment: a graceful shutdown waits for that. */
+    bool isHandoverPending() const;
     /** Looks for backups that died, restarted or refuse. @p isCurrent: new ids still come from this segment. */
     void checkBackups(bool isCurrent);
     void flush();
--- a/modules/rattanroad_ledger/ledger/SegmentDirectory.cpp
+++ b/modules/rattanroad_ledger/ledger/SegmentDirectory.cpp
@@ -237,7 +237,8 @@
 void SegmentDirectory::addSizes(SubmissionLedger::Statistics& statistics) const
 {
     for (const auto& [key, segment] : m_owned) {
-        statistics.segmentsOwned += segment->state() == OwnedSegment::State::Owning ? 1 : 0;
+        const bool isOwned = segment->state() == OwnedSegment::State::Owning || segment->isHandoverPending();
+        statistics.segmentsOwned += isOwned ? 1 : 0;
         statistics.submissionsRetained += segment->submissions().size();
     }
     statistics.segmentsHeldAsBackup = m_replicas.size();
--- a/modules/rattanroad_ledger/ledger/SubmissionLedger.h
+++ b/modules/rattanroad_ledger/ledger/SubmissionLedger.h
@@ -171,6 +171,7 @@
 
     /** Counters and sizes for metrics and status. */
     struct Statistics {
+        /** Includes the segments that releaseAll() still hands over: a drain is finished when this is 0. */
         std::size_t segmentsOwned { 0 };
         std::size_t segmentsHeldAsBackup { 0 };
         std::size_t submissionsRetained { 0 };
--- a/modules/rattanroad_ledger/ledger/SubmissionTable.cpp
+++ b/modules/rattanroad_ledger/ledger/SubmissionTable.cpp
@@ -4,6 +4,25 @@
 
 namespace rattanroad {
 
+namespace {
+
+    /** Moves job and outcomes out; the states of the tasks remain. */
+    void moveTasks(JournaledSubmission& from, RecoveredSubmission& to)
+    {
+        if (from.job)
+            to.job = std::move(*from.job);
+        from.job.reset();
+        for (auto& task : from.tasks) {
+            RecoveredTask state { task.state, task.attempts, {} };
+            if (task.outcome)
+                state.outcome = std::move(*task.outcome);
+            task.outcome.reset();
+            to.tasks.push_back(std::move(state));
+        }
+    }
+
+}
+
 void SubmissionTable::apply(protocol::JournalRecord&& record, TimePoint now)
 {
     const SequenceNumber sequence(record.submission_sequence());
@@ -104,12 +123,59 @@
         std::vector<JournaledTask>().swap(submission.tasks);
         return true;
     }
-    submission.seal = std::move(seal);
+    pack(sequence, submission, std::move(*seal));
+    return true;
+}
+
+void SubmissionTable::pack(SequenceNumber sequence, JournaledSubmission& submission, protocol::SealRecord&& seal)
+{
+    protocol::JournalAppend container;
+    const auto add = [&container, sequence] {
+        auto* record = container.add_records();
+        record->set_submission_sequence(sequence.value());
+        return record;
+    };
     if (submission.job) {
         for (auto& task : *submission.job->mutable_tasks())
-            std::string().swap(*task.mutable_payload());
+            task.clear_payload();
+        *add()->mutable_accept() = std::move(*submission.job);
     }
-    return true;
+    for (std::uint32_t index = 0; index < submission.tasks.size(); ++index) {
+        auto& task = submission.tasks[index];
+        if (task.state == RecoveredTask::State::NotStarted)
+            continue;
+        auto& start = *add()->mutable_start();
+        start.set_task(index);
+        start.set_attempt(task.attempts.value());
+        if (!task.outcome)
+            continue;
+        auto& outcome = *add()->mutable_outcome();
+        outcome.set_task(index);
+        outcome.set_attempt(task.attempts.value());
+        *outcome.mutable_outcome() = std::move(*task.outcome);
+    }
+    *add()->mutable_seal() = std::move(seal);
+    submission.packed = std::make_unique<std::string>(container.SerializeAsString());
+    submission.job.reset();
+    std::vector<JournaledTask>().swap(submission.tasks);
+}
+
+RecoveredSubmission SubmissionTable::unpack(SequenceNumber sequence, const JournaledSubmission& submission)
+{
+    protocol::JournalAppend container;
+    container.ParseFromString(*submission.packed);
+    SubmissionTable records(Content::Complete);
+    RecoveredSubmission result;
+    for (auto& record : *container.mutable_records()) {
+        if (record.has_seal())
+            result.seal = std::move(*record.mutable_seal());
+        else
+            records.apply(std::move(record), submission.acceptedAt);
+    }
+    const auto entry = records.m_submissions.find(sequence);
+    if (entry != records.m_submissions.end())
+        moveTasks(entry->second, result);
+    return result;
 }
 
 const JournaledSubmission* SubmissionTable::find(SequenceNumber sequence) const
@@ -146,24 +212,14 @@
     recovered.reserve(m_submissions.size());
     for (auto& [sequence, submission] : m_submissions) {
         RecoveredSubmission result;
+        if (submission.packed)
+            result = unpack(sequence, submission);
+        else
+            moveTasks(submission, result);
+        submission.packed.reset();
         result.id = { segment, backups, sequence };
         result.isSealed = submission.isSealed;
         result.acceptedAt = submission.acceptedAt;
-        if (submission.job)
-            result.job = std::move(*submission.job);
-        if (submission.seal)
-            result.seal = std::move(*submission.seal);
-        for (auto& task : submission.tasks) {
-            RecoveredTask state { task.state, task.attempts, {} };
-            if (task.outcome)
-                state.outcome = std::move(*task.outcome);
-            task.outcome.reset();
-            result.tasks.push_back(std::move(state));
-        }
-        submission.job.reset();
-        submission.seal.reset();
-        if (submission.isSealed)
-            std::vector<JournaledTask>().swap(submission.tasks);
         recovered.push_back(std::move(result));
     }
     m_content = Content::StatesOnly;
--- a/modules/rattanroad_ledger/ledger/SubmissionTable.h
+++ b/modules/rattanroad_ledger/ledger/SubmissionTable.h
@@ -20,11 +20,14 @@
 
 /** One submission as far as the journal describes it. */
 struct JournaledSubmission {
-    /** Null on the owner; without payloads once sealed. */
+    /** Null on the owner and once sealed. */
     std::unique_ptr<protocol::JobDescription> job;
     std::vector<JournaledTask> tasks;
     bool isSealed { false };
-    std::unique_ptr<protocol::SealRecord> seal;
+    /** On a backup, once sealed: everything but the payloads as a serialized JournalAppend. Millions of outcomes are
+        kept for the retention time, and as objects they take several times the space.
+    */
+    std::unique_ptr<std::string> packed;
     TimePoint acceptedAt;
 };
 
@@ -81,6 +84,8 @@
     std::vector<RecoveredSubmission> recover(const SegmentKey& segment, const std::vector<HostId>& backups);
 
 private:
+    static void pack(SequenceNumber sequence, JournaledSubmission& submission, protocol::SealRecord&& seal);
+    static RecoveredSubmission unpack(SequenceNumber sequence, const JournaledSubmission& submission);
     JournaledTask* activeTask(SequenceNumber sequence, TaskIndex task);
 
     Content m_content;
--- a/tests/ledger/LedgerTests.cpp
+++ b/tests/ledger/LedgerTests.cpp
@@ -274,13 +274,25 @@
 {
     Pair pair;
     const auto id = pair.a.accept();
+    const auto verdict = pair.a.start(id);
     pair.exchange();
+    protocol::TaskOutcome outcome;
+    outcome.set_result("quote");
+    outcome.set_succeeded(true);
+    pair.a.ledger->recordOutcome(id, TaskIndex(0), AttemptNumber(1), false, outcome);
     pair.a.seal(id);
     pair.a.ledger->releaseAll();
+    CHECK(pair.a.ledger->statistics().segmentsOwned == 1);
     pair.exchange();
+    CHECK(pair.a.ledger->statistics().segmentsOwned == 0);
     CHECK(pair.b.changes.empty());
     REQUIRE(pair.b.recovered.size() == 1);
     CHECK(pair.b.recovered[0].isSealed);
+    CHECK(pair.b.recovered[0].seal.has_failure());
+    CHECK(pair.b.recovered[0].job.tasks_size() == 1);
+    REQUIRE(pair.b.recovered[0].tasks.size() == 1);
+    CHECK(pair.b.recovered[0].tasks[0].state == RecoveredTask::State::Ended);
+    CHECK(pair.b.recovered[0].tasks[0].outcome.result() == "quote");
     CHECK(pair.b.ledger->standing(id).kind == Standing::Kind::Sealed);
     CHECK(pair.a.ledger->standing(id).host == pair.b.id);
     CHECK(*pair.a.start(id) == Verdict::Refused);
