Save messages that only inform

Change: an empty answer is sent after 40 ms and only if nothing else was sent to the borrower meanwhile; the borrower takes any message as a sign of life; slots are reusable only while the job itself waits for more; queued asks are refreshed after 60 timeouts instead of 20.

--- a/modules/rattanroad_routing/slots/DemandPlacer.cpp
+++ b/modules/rattanroad_routing/slots/DemandPlacer.cpp
@@ -6,8 +6,11 @@
 
 namespace {
 
-    // A queued ask is placed anew after this many timeouts, which repairs lost grants and stale choices of a keeper.
-    constexpr int timeoutsUntilRefresh = 20;
+    // A queued ask is placed anew after this many timeouts, which repairs lost grants; losses are rare, and each repair
+    // costs messages.
+    constexpr int timeoutsUntilRefresh = 60;
+    // Keepers that refused are asked again after this many timeouts.
+    constexpr int timeoutsUntilRetry = 20;
     // A keeper that did not answer is passed over for this many timeouts.
     constexpr int timeoutsSuspected = 10;
     // Refusals of all keepers are believed at the second time, as keepers change targets when hosts come and go.
@@ -151,7 +154,8 @@
     m_unplaced.erase(demand.id);
     for (const auto& share : shares) {
         auto& ask = m_demands.addAsk(demand, share.keeper, share.count);
-        m_demands.setDue(ask, m_clock.now() + m_settings.demandTimeout);
+        ask.sentAt = m_clock.now();
+        m_demands.setDue(ask, ask.sentAt + m_settings.demandTimeout);
         m_directory.addInFlight(share.keeper, demand.work.kind, share.count);
     }
     sendAsks(demand);
@@ -218,7 +222,7 @@
     ++demand.refusedRounds;
     const bool isFinal = demand.refusal.code == FailureCode::NoEligibleTarget;
     if (!isFinal && demand.refusedRounds < refusedRoundsBelieved) {
-        demand.retryAt = m_clock.now() + m_settings.demandTimeout * timeoutsUntilRefresh;
+        demand.retryAt = m_clock.now() + m_settings.demandTimeout * timeoutsUntilRetry;
         return;
     }
     Failure reason = demand.refusal;
@@ -273,6 +277,11 @@
 
 void DemandPlacer::leaveOrRefresh(Ask& ask)
 {
+    // A keeper that sends other messages has the demand in its queue and need not say so.
+    if (!ask.isAnswered && m_directory.isHeardSince(ask.keeper, ask.sentAt)) {
+        answered(ask, 0);
+        return;
+    }
     if (!ask.isAnswered)
         m_directory.suspect(ask.keeper, m_clock.now() + m_settings.demandTimeout * timeoutsSuspected);
     withdraw(ask);
--- a/modules/rattanroad_routing/slots/KeeperDirectory.cpp
+++ b/modules/rattanroad_routing/slots/KeeperDirectory.cpp
@@ -185,8 +185,16 @@
 void KeeperDirectory::heardFrom(const HostId& keeper)
 {
     const auto found = m_keepers.find(keeper);
-    if (found != m_keepers.end())
-        found->second.suspectUntil = {};
+    if (found == m_keepers.end())
+        return;
+    found->second.heardAt = m_clock.now();
+    found->second.suspectUntil = {};
+}
+
+bool KeeperDirectory::isHeardSince(const HostId& keeper, TimePoint time) const
+{
+    const auto found = m_keepers.find(keeper);
+    return found != m_keepers.end() && found->second.heardAt > time;
 }
 
 void KeeperDirectory::recordRun(const WorkKind& kind, Duration ran)
--- a/modules/rattanroad_routing/slots/KeeperDirectory.h
+++ b/modules/rattanroad_routing/slots/KeeperDirectory.h
@@ -46,6 +46,8 @@
     /** Passes over a keeper that did not answer until it is heard again or @p until. */
     void suspect(const HostId& keeper, TimePoint until);
     void heardFrom(const HostId& keeper);
+    /** Returns whether a message of the keeper arrived after @p time. */
+    bool isHeardSince(const HostId& keeper, TimePoint time) const;
 
     void recordRun(const WorkKind& kind, Duration ran);
     /** Returns the shortest expected wait over the keepers for one more task. */
@@ -68,6 +70,7 @@
         HostId host;
         int distance { 0 };
         TimePoint advertisedAt;
+        TimePoint heardAt;
         TimePoint suspectUntil;
         std::map<WorkKind, Offer> offers;
     };
--- a/modules/rattanroad_routing/slots/OpenDemands.h
+++ b/modules/rattanroad_routing/slots/OpenDemands.h
@@ -22,6 +22,7 @@
     /** Slots asked for since the ask began, as SlotDemand.count states it. */
     std::uint32_t count { 0 };
     std::uint32_t received { 0 };
+    TimePoint sentAt;
     /** When the keeper is asked again, or left if it has not answered. */
     TimePoint dueAt;
     bool isAnswered { false };
--- a/modules/rattanroad_routing/slots/SlotKeeper.cpp
+++ b/modules/rattanroad_routing/slots/SlotKeeper.cpp
@@ -15,9 +15,9 @@
 
 namespace {
 
-    // A demand that is not granted soon is answered empty, so that the borrower knows that it is queued here. Most
-    // demands are granted earlier and need no such answer; the borrower's timeout is longer.
-    constexpr Duration answerDelay = std::chrono::milliseconds(15);
+    // A demand that is not granted soon is answered empty, so that the borrower knows that it is queued here, unless
+    // another message has shown the borrower that this keeper lives. The borrower's timeout is longer by a round trip.
+    constexpr Duration answerDelay = std::chrono::milliseconds(40);
     // Period for trials, drift of the estimates and repeated report requests.
     constexpr Duration housekeepingPeriod = std::chrono::milliseconds(250);
 
@@ -112,6 +112,7 @@
     SlotReservations m_reservations;
     std::vector<PendingGrant> m_pending;
     std::deque<std::pair<TimePoint, DemandKey>> m_unanswered;
+    std::map<HostId, TimePoint> m_lastSentTo;
     TimePoint m_nextHousekeeping;
     bool m_needsRound { false };
 };
@@ -148,6 +149,7 @@
 void SlotKeeper::Impl::hostDied(const HostId& host)
 {
     m_demands.withdrawAll(host);
+    m_lastSentTo.erase(host);
     m_reservations.hostDied(host);
     m_needsRound = true;
 }
@@ -279,10 +281,9 @@
 
 bool SlotKeeper::Impl::isReusable(const PendingGrant& pending)
 {
-    if (pending.isTrial)
+    // Without more tasks of the job waiting here reuse is unlikely, and taking the permission back costs a message.
+    if (pending.isTrial || !m_demands.find(pending.key))
         return false;
-    if (m_demands.size() == 0)
-        return true;
     return std::none_of(pending.leases.begin(), pending.leases.end(), [&](LeaseId id) {
         const auto& target = *m_leases.find(id)->target;
         return isWantedByOthers(target, pending.key.host, pending.team, pending.jobArrivedAt);
@@ -325,6 +326,9 @@
         if (!demand || demand->isAnswered)
             continue;
         demand->isAnswered = true;
+        const auto sentAt = m_lastSentTo.find(demand->key.host);
+        if (sentAt != m_lastSentTo.end() && sentAt->second > demand->receivedAt)
+            continue;
         protocol::SlotGrant answer;
         answer.set_demand(demand->key.demand);
         *answer.mutable_offer() = m_offers.offer(demand->workClass->kind);
@@ -341,6 +345,7 @@
 
 void SlotKeeper::Impl::send(const HostId& host, protocol::SlotGrant grant)
 {
+    m_lastSentTo[host] = m_clock.now();
     auto envelope = newEnvelope();
     *envelope.mutable_slot_grant() = std::move(grant);
     m_hooks.send(host, std::move(envelope));
