Cover lost writes and digests that revive a known dead host

Cause: in a mutation trial of eleven faults the tests missed two: a digest entry that revived a known dead host until the next tick, and a second write with a wrong comparison. Change: one test case more for lost writes, and a second section in the digest test.

--- a/tests/configuration/ApplyOperationTests.cpp
+++ b/tests/configuration/ApplyOperationTests.cpp
@@ -111,6 +111,18 @@
     CHECK(fixture.store.writes == 1);
 }
 
+// Guards against a change that is given up, or refused by its own comparison, because its first write got lost.
+TEST_CASE("a write that never arrived is sent again")
+{
+    Fixture fixture;
+    fixture.store.writesToLose = 1;
+    auto change = fixture.change(0, "c-1");
+    fixture.run({ change.get() });
+    REQUIRE(*change->outcome);
+    CHECK(fixture.store.writes == 2);
+    CHECK(fixture.storedRevision() == 1);
+}
+
 // Guards against a lost reply that is resolved wrongly because another change followed at once.
 TEST_CASE("the own change is recognized after a later one")
 {
--- a/tests/membership/MemberTableTests.cpp
+++ b/tests/membership/MemberTableTests.cpp
@@ -79,9 +79,20 @@
     auto& entry = *heartbeat.add_known_members();
     entry = heartbeatOf("ghost", 8, "d2").self();
     entry.set_age_ms(10);
+    auto& table = *fleet.hosts.at("a").table;
+    SECTION("unknown host") { }
+    SECTION("host that was alive and died")
+    {
+        const auto last = heartbeatOf("ghost", 8, "d2");
+        table.heardFrom(HostId("ghost"), Incarnation(8), &last);
+        REQUIRE(fleet.knows("a", "ghost"));
+        fleet.run(6s);
+        contacts = 0;
+    }
     for (int round = 0; round < 100; ++round) {
         heartbeat.set_sequence(heartbeat.sequence() + 1);
-        fleet.hosts.at("a").table->heardFrom(HostId("b"), Incarnation(9), &heartbeat);
+        table.heardFrom(HostId("b"), Incarnation(9), &heartbeat);
+        REQUIRE_FALSE(fleet.knows("a", "ghost"));
         fleet.run(100ms);
         REQUIRE_FALSE(fleet.knows("a", "ghost"));
     }
--- a/tests/support/VirtualStore.h
+++ b/tests/support/VirtualStore.h
@@ -20,6 +20,8 @@
     bool isDown { false };
     /** Writes take effect, but their replies are lost, this many times. */
     int repliesToLose { 0 };
+    /** Writes get lost on their way to the store this many times. */
+    int writesToLose { 0 };
     /** Reads are answered from the state before the last write. */
     bool isStale { false };
     /** Extra time until a write reaches the store. */
@@ -48,6 +50,10 @@
     void putIf(const StorePutIf& request, std::function<void(const StorePutIfAnswer&)> answer)
     {
         ++writes;
+        if (writesToLose > 0) {
+            --writesToLose;
+            return;
+        }
         after(latency + writeDelay, [this, request, answer = std::move(answer)] {
             StorePutIfAnswer result;
             result.request = request.request;
