--- a/apps/rattanroadd/api/JobApi.cpp
+++ b/apps/rattanroadd/api/JobApi.cpp
@@ -157,7 +157,7 @@
     }
     if (!parent && m_dependencies.random.uniform() >= m_settings.traceSampleShare)
         return {};
-    const TraceContext context
+    TraceContext context
         = parent ? parent->child(m_dependencies.random) : TraceContext::create(m_dependencies.random, true);
     job.set_traceparent(context.header());
     return context;
--- a/apps/rattanroadd/daemon/ConfigurationStore.cpp
+++ b/apps/rattanroadd/daemon/ConfigurationStore.cpp
@@ -61,7 +61,7 @@
         });
 }
 
-void ConfigurationStore::startWatch(const StoreWatch& request, WatchReported reported)
+void ConfigurationStore::startWatch(const StoreWatch& request, const WatchReported& reported)
 {
     const auto changed = [id = request.watch, key = request.key, reported](const platform::StoreEvent& event) {
         // The client watches by prefix.
--- a/apps/rattanroadd/daemon/ConfigurationStore.h
+++ b/apps/rattanroadd/daemon/ConfigurationStore.h
@@ -21,7 +21,7 @@
 
     void get(const StoreGet& request, GetAnswered answered);
     void putIf(const StorePutIf& request, PutAnswered answered);
-    void startWatch(const StoreWatch& request, WatchReported reported);
+    void startWatch(const StoreWatch& request, const WatchReported& reported);
     void stopWatch(StoreWatchId watch);
 
 private:
