Refuse work that cannot meet its deadline; answer undecided keys as unknown

Change: DrainRate estimates the own queue's wait from the slots won in the last second; a job is refused when its wait exceeds a quarter of its deadline. An undecidable key is "outcome unknown". isDrained() also needs no request in progress.

--- a/modules/rattanroad_admission/admission/AdmissionControl.cpp
+++ b/modules/rattanroad_admission/admission/AdmissionControl.cpp
@@ -61,21 +61,21 @@
         return std::nullopt;
     }
 
-    std::optional<Failure> refuseWait(const protocol::JobDescription& job, const AdmissionControl::Situation& situation)
+    std::optional<Failure> refuseWait(const protocol::JobDescription& job, const AdmissionControl::Settings& settings,
+        const AdmissionControl::Situation& situation)
     {
-        for (const auto& task : job.tasks()) {
-            const auto wait = situation.expectedWait.find(WorkKind(task.kind()));
-            if (wait == situation.expectedWait.end() || wait->second.count() <= 0)
-                continue;
-            // The declared time of the task itself may be far off, so only the wait counts.
-            if (wait->second < std::chrono::milliseconds(job.deadline_left_ms()))
-                continue;
-            const auto milliseconds = std::chrono::duration_cast<std::chrono::milliseconds>(wait->second).count();
-            return refusal(FailureCode::DeadlineUnreachable,
-                "the expected wait of " + std::to_string(milliseconds) + " ms for kind '" + task.kind()
-                    + "' exceeds the deadline of " + std::to_string(job.deadline_left_ms()) + " ms");
-        }
-        return std::nullopt;
+        auto wait = situation.queueWait;
+        for (const auto& [kind, kindWait] : situation.expectedWait)
+            wait = std::max(wait, kindWait);
+        // The declared time of a task may be far off, so only the wait counts.
+        const std::chrono::duration<double> allowed
+            = std::chrono::milliseconds(job.deadline_left_ms()) * settings.maximumWaitShare;
+        if (wait <= allowed)
+            return std::nullopt;
+        const auto milliseconds = std::chrono::duration_cast<std::chrono::milliseconds>(wait).count();
+        return refusal(FailureCode::DeadlineUnreachable,
+            "the expected wait of " + std::to_string(milliseconds) + " ms is too long for the deadline of "
+                + std::to_string(job.deadline_left_ms()) + " ms");
     }
 
 }
@@ -107,7 +107,7 @@
     const auto teamLimit = static_cast<double>(m_settings.maximumQueuedTasks) * m_settings.maximumTeamShare;
     if (static_cast<double>(teamCount) > teamLimit)
         return refusal(FailureCode::QuotaExceeded, "the queue share of team '" + job.team() + "' is full");
-    return refuseWait(job, situation);
+    return refuseWait(job, m_settings, situation);
 }
 
 void AdmissionControl::tasksQueued(const TeamId& team, std::size_t count)
--- a/modules/rattanroad_admission/admission/AdmissionControl.h
+++ b/modules/rattanroad_admission/admission/AdmissionControl.h
@@ -23,6 +23,10 @@
         std::size_t maximumQueuedTasks { 20000 };
         /** Share of the queue that one team may fill, 0 to 1. */
         double maximumTeamShare { 0.5 };
+        /** Largest share of a job's deadline that may pass before its first slot, 0 to 1. The rest is for the run
+           itself, which may take longer than declared; a job admitted without that reserve runs in part and fails.
+        */
+        double maximumWaitShare { 0.25 };
         std::chrono::milliseconds maximumDeadline { std::chrono::minutes(10) };
     };
 
@@ -31,6 +35,8 @@
         bool isDraining { false };
         /** Shortest expected wait for a slot, per kind of work in the job. */
         std::map<WorkKind, Duration> expectedWait;
+        /** Expected wait behind the tasks that this host has queued already. */
+        Duration queueWait { 0 };
     };
 
     explicit AdmissionControl(Settings settings);
--- a/modules/rattanroad_admission/rattanroad_admission.h
+++ b/modules/rattanroad_admission/rattanroad_admission.h
@@ -6,4 +6,5 @@
 #pragma once
 
 #include "rattanroad_admission/admission/AdmissionControl.h"
+#include "rattanroad_admission/admission/DrainRate.h"
 #include "rattanroad_admission/retry/RetryPolicy.h"
--- a/modules/rattanroad_dispatch/engine/EntryHost.cpp
+++ b/modules/rattanroad_dispatch/engine/EntryHost.cpp
@@ -43,7 +43,7 @@
     void peerMessage(const protocol::Envelope& envelope);
     void offerConfiguration(ConfigurationValue value) { m_configuration.offer(std::move(value)); }
     void beginDrain();
-    bool isDrained() const { return m_isReleased; }
+    bool isDrained() const { return m_isReleased && isIdle(); }
     void keyHomeRegistered(bool hadPredecessor);
     void flush();
     void tick();
@@ -66,6 +66,7 @@
     SlotBorrower m_borrower;
     AdmissionControl m_admission;
     RetryPolicy m_retry;
+    DrainRate m_drainRate;
     AnswerCache m_answers;
     KeyHome m_keyHome;
     JobRunner m_runner;
@@ -96,6 +97,11 @@
     void superseded(const SegmentKey& segment);
     void recovered(RecoveredSubmission&& submission);
     void releaseWhenIdle();
+    /** Nothing that a caller waits for is in progress, and no attempt holds a slot. */
+    bool isIdle() const
+    {
+        return m_runner.activeJobs() == 0 && m_forwarder.outstanding() == 0 && m_router.waiting() == 0;
+    }
     bool areAllFlushed() const { return m_localMessages.empty(); }
 
     std::deque<protocol::Envelope> m_localMessages;
@@ -126,17 +132,18 @@
     , m_borrower(m_settings.borrower, clock, random, borrowerHooks())
     , m_admission(m_settings.admission)
     , m_retry(m_settings.retry, random)
+    , m_drainRate(clock)
     , m_answers(clock, m_settings.ledger.retention, m_settings.answerCacheSize)
     , m_keyHome(m_settings.keyHome, clock)
-    , m_runner(
-          m_settings.runner, { clock, random, m_timers, m_ledger, m_borrower, m_admission, m_retry }, runnerHooks())
+    , m_runner(m_settings.runner, { clock, random, m_timers, m_ledger, m_borrower, m_admission, m_retry, m_drainRate },
+          runnerHooks())
     , m_forwarder(clock,
           { [this](const HostId& host, protocol::Envelope&& envelope) { sendToHost(host, std::move(envelope)); },
               [this](Forwarder::Request&& request) {
                   ++request.hops;
                   decide(std::move(request));
               } })
-    , m_router({ clock, m_ledger, m_runner, m_answers, m_forwarder, m_borrower, m_admission },
+    , m_router({ clock, m_ledger, m_runner, m_answers, m_forwarder, m_borrower, m_admission, m_drainRate },
           { [this] { return inventory(); }, [this] { return m_isDraining; },
               [this](const HostId& host) { return m_members.find(host) != nullptr; } })
     , m_nextExpiry(clock.now() + cacheExpiryInterval)
@@ -261,10 +268,9 @@
 
 void EntryHost::Impl::decideByKey(SubmissionRouter::Request request)
 {
+    // The key may have been used before at a host that cannot be asked, so "not run" could be wrong.
     const auto fail = [&request](FailureCode code, const std::string& detail) {
-        // Once the request has left this host, its home may have run it.
-        const auto runState = request.hops == 0 ? RunState::NotRun : RunState::OutcomeUnknown;
-        SubmissionRouter::answerFailure(request, { code, runState, detail });
+        SubmissionRouter::answerFailure(request, { code, RunState::OutcomeUnknown, detail });
     };
     const auto current = inventory();
     if (!current)
@@ -542,8 +548,7 @@
 
 void EntryHost::Impl::releaseWhenIdle()
 {
-    const bool isIdle = m_runner.activeJobs() == 0 && m_forwarder.outstanding() == 0 && m_router.waiting() == 0;
-    if (!m_isDraining || m_isReleased || !isIdle || !areAllFlushed())
+    if (!m_isDraining || m_isReleased || !isIdle() || !areAllFlushed())
         return;
     m_ledger.releaseAll();
     m_ledger.flush();
--- a/modules/rattanroad_dispatch/engine/JobRunner.h
+++ b/modules/rattanroad_dispatch/engine/JobRunner.h
@@ -39,6 +39,7 @@
         SlotBorrower& borrower;
         AdmissionControl& admission;
         RetryPolicy& retry;
+        DrainRate& drainRate;
     };
 
     JobRunner(Settings settings, Dependencies dependencies, Hooks hooks);
--- a/modules/rattanroad_dispatch/engine/KeeperAssignment.cpp
+++ b/modules/rattanroad_dispatch/engine/KeeperAssignment.cpp
@@ -9,8 +9,8 @@
 
 namespace {
 
-    // A keeper decides best when it sees many targets. A domain of the planned size (93 targets) fits into one pool; the
-    // bound keeps the grants of one keeper at the planned rate below about 6000 a second.
+    // A keeper decides best when it sees many targets. A domain of the planned size (93 targets) fits into one pool;
+    // the bound keeps the grants of one keeper at the planned rate below about 6000 a second.
     constexpr std::size_t targetsPerPool = 128;
 
     std::string poolOf(const TargetId& target, const std::vector<std::string>& pools)
--- a/modules/rattanroad_dispatch/engine/SubmissionRouter.cpp
+++ b/modules/rattanroad_dispatch/engine/SubmissionRouter.cpp
@@ -69,6 +69,8 @@
 {
     AdmissionControl::Situation situation;
     situation.isDraining = m_hooks.isDraining();
+    situation.queueWait
+        = m_dependencies.drainRate.expectedWait(m_dependencies.admission.queuedTasks()).value_or(Duration(0));
     for (const auto& task : job.tasks()) {
         const WorkKind kind(task.kind());
         if (!situation.expectedWait.count(kind))
--- a/modules/rattanroad_dispatch/engine/SubmissionRouter.h
+++ b/modules/rattanroad_dispatch/engine/SubmissionRouter.h
@@ -24,6 +24,7 @@
         Forwarder& forwarder;
         SlotBorrower& borrower;
         AdmissionControl& admission;
+        const DrainRate& drainRate;
     };
 
     struct Hooks {
