--- a/tests/ledger/LedgerMutations.cmake
+++ b/tests/ledger/LedgerMutations.cmake
@@ -4,7 +4,7 @@
 set_tests_properties(model model_mutations PROPERTIES TIMEOUT 120)
 
 file(GLOB ledger_sources CONFIGURE_DEPENDS ${CMAKE_SOURCE_DIR}/modules/rattanroad_ledger/ledger/*.cpp)
-add_library(ledger_seeded OBJECT ledger/SimulatedFleet.cpp ledger/SeededTests.cpp)
+add_library(ledger_seeded OBJECT ledger/SimulatedFleet.cpp ledger/SimulatedFaults.cpp ledger/SeededTests.cpp)
 # The rarest case, records of an earlier epoch, needed 2534 seeds when it was measured.
 target_compile_definitions(ledger_seeded PRIVATE RATTANROAD_LEDGER_SEEDS=15000)
 target_link_libraries(ledger_seeded PUBLIC catch_main rattanroad_protocol)
--- a/tests/ledger/SimulatedFleet.h
+++ b/tests/ledger/SimulatedFleet.h
@@ -24,6 +24,11 @@
 
 private:
     static constexpr std::size_t hostCount = 4;
+    static rattanroad::HostId hostName(std::size_t index)
+    {
+        return rattanroad::HostId(std::string(1, static_cast<char>('a' + index)));
+    }
+    static std::string text(const rattanroad::SubmissionId& id, std::uint32_t task);
     using SubmissionId = rattanroad::SubmissionId;
     using Task = std::pair<SubmissionId, std::uint32_t>;
     using Action = std::function<void()>;
