Weigh moves, reuse and confirmations by the waste weight

Cause: moves of queued asks cost 0.1 wasted messages per task for 2 % of the mean ratio, reuse 0.02 for 0.4 to 0.7 %; renewals of slots that may not be reused were confirmed without need. Change: a demand moves after 5 ms plus 500 ms times the waste weight, doubled with each move; no reuse from a weight of 0.75 on; only reusable slots are confirmed.

--- a/modules/rattanroad_routing/slots/DemandPlacer.cpp
+++ b/modules/rattanroad_routing/slots/DemandPlacer.cpp
@@ -15,11 +15,11 @@
     constexpr int timeoutsSuspected = 10;
     // Refusals of all keepers are believed at the second time, as keepers change targets when hosts come and go.
     constexpr std::uint32_t refusedRoundsBelieved = 2;
-    // Pause between moves of one demand to keepers with free slots, without and with full weight of wasted messages;
+    // A demand waits this long before it moves to keepers with free slots, per unit of the weight of wasted messages;
     // doubled with each move, as free slots that are gone on arrival show that the load changes faster than it is
-    // stated.
+    // stated. A move costs up to three messages.
     constexpr std::chrono::duration<double> firstMovePause = std::chrono::milliseconds(5);
-    constexpr std::chrono::duration<double> wasteMovePause = std::chrono::milliseconds(50);
+    constexpr std::chrono::duration<double> wasteMovePause = std::chrono::milliseconds(500);
     constexpr std::uint32_t maximumMoveDoublings = 6;
 
     protocol::Envelope newEnvelope()
@@ -200,13 +200,14 @@
     for (const auto number : queued) {
         auto& ask = *m_demands.findAsk(number);
         auto& demand = *m_demands.find(ask.demand);
-        if (now < demand.nextMoveAt)
+        const auto pause = std::chrono::duration_cast<Duration>(
+            (firstMovePause + wasteMovePause * m_settings.wasteWeight) * (1U << demand.moves));
+        if (now < std::max(ask.sentAt, demand.movedAt) + pause)
             continue;
         const auto free = m_directory.freeElsewhere(demand.work.kind, ask.keeper, demand.refusedBy);
         if (free == 0)
             continue;
-        const auto pause = firstMovePause + wasteMovePause * m_settings.wasteWeight;
-        demand.nextMoveAt = now + std::chrono::duration_cast<Duration>(pause * (1U << demand.moves));
+        demand.movedAt = now;
         demand.moves = std::min(demand.moves + 1, maximumMoveDoublings);
         cut(demand, ask, std::min(free, ask.outstanding()));
         adjust(demand);
--- a/modules/rattanroad_routing/slots/OpenDemands.h
+++ b/modules/rattanroad_routing/slots/OpenDemands.h
@@ -42,9 +42,9 @@
     std::map<std::uint64_t, Ask> asks;
     std::set<HostId> refusedBy;
     Failure refusal;
-    /** How often asks were moved to keepers with free slots, and when the next move is allowed. */
+    /** How often asks were moved to keepers with free slots, and when last. */
     std::uint32_t moves { 0 };
-    TimePoint nextMoveAt;
+    TimePoint movedAt;
     /** How often all keepers have refused. */
     std::uint32_t refusedRounds { 0 };
     /** Not before this time are keepers that refused asked again. */
--- a/modules/rattanroad_routing/slots/SlotKeeper.cpp
+++ b/modules/rattanroad_routing/slots/SlotKeeper.cpp
@@ -18,6 +18,10 @@
     // A demand that is not granted soon is answered empty, so that the borrower knows that it is queued here, unless
     // another message has shown the borrower that this keeper lives. The borrower's timeout is longer by a round trip.
     constexpr Duration answerDelay = std::chrono::milliseconds(40);
+    // From this weight of wasted messages on slots are not reused: the permission saves a round trip of waiting, but
+    // costs messages when it is taken back. Measured: 0.02 wasted messages per task against 0.4 to 0.7 % of the mean
+    // ratio.
+    constexpr double noReuseWeight = 0.75;
     // Period for trials, drift of the estimates and repeated report requests.
     constexpr Duration housekeepingPeriod = std::chrono::milliseconds(250);
 
@@ -180,11 +184,12 @@
 
 void SlotKeeper::Impl::handleReturn(const HostId& from, const protocol::SlotReturn& message)
 {
-    // Renewals are confirmed, as the borrower may reuse a slot only while it is certain of the lease. The answer also
-    // repeats a revocation that was lost.
+    // Renewals of reusable slots are confirmed, as the borrower may reuse a slot only while it is certain of the lease.
+    // The answer to a slot that was reused without permission repeats a revocation that was lost.
     std::map<bool, protocol::SlotGrant> confirmations;
     for (const auto& slot : message.slots()) {
-        if (const auto* const lease = m_leases.returned(from, slot))
+        const auto* const lease = m_leases.returned(from, slot);
+        if (lease && (lease->isReusable || slot.use() != protocol::ReturnedSlot::UNUSED))
             confirmations[lease->isReusable].add_slots()->set_lease(lease->id.value());
     }
     for (auto& [isReusable, confirmation] : confirmations) {
@@ -282,7 +287,7 @@
 bool SlotKeeper::Impl::isReusable(const PendingGrant& pending)
 {
     // Without more tasks of the job waiting here reuse is unlikely, and taking the permission back costs a message.
-    if (pending.isTrial || !m_demands.find(pending.key))
+    if (pending.isTrial || m_settings.wasteWeight >= noReuseWeight || !m_demands.find(pending.key))
         return false;
     return std::none_of(pending.leases.begin(), pending.leases.end(), [&](LeaseId id) {
         const auto& target = *m_leases.find(id)->target;
