Measure store calls and test the platform's host list

Cause: the duration of store calls was missing among the metrics, and the path from /platform/hosts/ to the keepers was untested. Change: StoreClient reports the duration of each call, shown as rattanroad_store_call_duration_seconds; a test marks a worker as leaving.

--- a/apps/rattanroadd/daemon/Daemon.cpp
+++ b/apps/rattanroadd/daemon/Daemon.cpp
@@ -61,7 +61,7 @@
         , m_log(clock, m_settings.host.value(), m_settings.logFile)
         , m_targetHttp(loop, targetClientSettings(m_settings))
         , m_platformHttp(loop, {})
-        , m_store(m_platformHttp, { m_settings.storeAddress, m_settings.storeTimeout })
+        , m_store(m_platformHttp, { m_settings.storeAddress, m_settings.storeTimeout, storeHistogram() })
         , m_traces(loop, m_platformHttp, { m_settings.host.value(), m_settings.traceFile, m_settings.traceAddress })
         , m_peers(loop, {}, [this](const protocol::Envelope& envelope) { m_engine->peerMessage(envelope); })
         , m_targets(m_targetHttp, [this](TaskResult&& result) { taskEnded(std::move(result)); })
@@ -167,6 +167,13 @@
         return hooks;
     }
 
+    std::function<void(Duration)> storeHistogram()
+    {
+        const Metrics::Observe observe = m_metrics.histogram(
+            "rattanroad_store_call_duration_seconds", "Duration of calls to the store", Metrics::timeBuckets());
+        return [observe](Duration duration) { observe(std::chrono::duration<double>(duration).count()); };
+    }
+
     void makeHistograms()
     {
         const auto& buckets = Metrics::timeBuckets();
--- a/modules/rattanroad_network/store/StoreClient.cpp
+++ b/modules/rattanroad_network/store/StoreClient.cpp
@@ -82,6 +82,8 @@
             [this, isAlive = m_isAlive, callback = std::move(callback)](HttpResult&& result) {
                 if (!*isAlive)
                     return;
+                if (m_settings.callEnded)
+                    m_settings.callEnded(result.elapsed);
                 const Reply reply = replyFrom(std::move(result));
                 if (reply.outcome != StoreOutcome::Done)
                     ++m_statistics.failures;
--- a/modules/rattanroad_network/store/StoreClient.h
+++ b/modules/rattanroad_network/store/StoreClient.h
@@ -96,6 +96,8 @@
         /** "<IPv4 number>:<port>" */
         std::string address;
         Duration timeout { std::chrono::seconds(2) };
+        /** Called with the duration of each call, watches excepted. May be empty. */
+        std::function<void(Duration)> callEnded;
     };
     struct Statistics {
         std::uint64_t calls { 0 };
--- a/tests/network/DaemonPartsTests.cpp
+++ b/tests/network/DaemonPartsTests.cpp
@@ -133,7 +133,7 @@
     standins::StoreStandin standin(loop);
     REQUIRE(standin.open(0, 0));
     HttpClient http(loop, {});
-    platform::StoreClient store(http, { "127.0.0.1:" + std::to_string(standin.port()), 300ms });
+    platform::StoreClient store(http, { "127.0.0.1:" + std::to_string(standin.port()), 300ms, {} });
     std::vector<ViewChangeResult> results;
     const auto record = [&](const ViewChangeResult& result) { results.push_back(result); };
     daemon::SegmentStore first(store, clock, "first/1", record);
--- a/tests/network/DaemonTests.cpp
+++ b/tests/network/DaemonTests.cpp
@@ -2,6 +2,7 @@
 #include "rattanroad_core/rattanroad_core.h"
 #include "rattanroad_network/http/HttpClient.h"
 #include "rattanroad_network/loop/EventLoop.h"
+#include "rattanroad_network/store/StoreClient.h"
 #include "standins/StoreStandin.h"
 #include "standins/TargetStandin.h"
 
@@ -170,6 +171,24 @@
     CHECK(call("POST", "/v1/configuration/check", inventory().dump()).status == 200);
 }
 
+// Guards against work that goes to a host which the platform is about to take away; the bound is 3 s.
+TEST_CASE_METHOD(DaemonFixture, "a target on a leaving host gets no new work", "[daemon]")
+{
+    makeReady();
+    platform::StoreClient client(http, { "127.0.0.1:" + std::to_string(store.port()), 1s, {} });
+    client.write({ {}, { { "/platform/hosts/w", "{\"state\":\"leaving\"}", platform::StoreLease() } }, "" },
+        [](const platform::StoreWriteResult& result) { CHECK(result.outcome == platform::StoreOutcome::Done); });
+    const auto isLeaving = [&] {
+        const json status = json::parse(call("GET", "/v1/status").body);
+        return status["kept_targets"].size() == 1 && status["kept_targets"][0]["leaving"] == true;
+    };
+    REQUIRE(loop.runUntil(isLeaving, 3s));
+    json late = job(1);
+    late["deadline_ms"] = 300;
+    CHECK(call("POST", "/v1/jobs", late.dump()).status >= 400);
+    CHECK(targets.counts(targetPort).started == 0);
+}
+
 // Guards against a shutdown that cuts off a job in progress or takes new work while it waits.
 TEST_CASE_METHOD(DaemonFixture, "a drain finishes the job in progress and refuses new ones", "[daemon]")
 {
--- a/tests/network/StoreTests.cpp
+++ b/tests/network/StoreTests.cpp
@@ -24,7 +24,7 @@
     {
         REQUIRE(standin.open(0, 0));
         store = std::make_unique<StoreClient>(
-            http, StoreClient::Settings { "127.0.0.1:" + std::to_string(standin.port()), 300ms });
+            http, StoreClient::Settings { "127.0.0.1:" + std::to_string(standin.port()), 300ms, {} });
     }
 
     StoreWriteResult write(
