Use bytes without NUL in the test of binary results

Cause: the lint found that the literal ended at its NUL byte, so the test covered one byte only. Change: two bytes that are not UTF-8. Conclusion: none beyond the lint.

--- a/tests/network/DaemonPartsTests.cpp
+++ b/tests/network/DaemonPartsTests.cpp
@@ -102,10 +102,10 @@
 {
     JobAnswer answer;
     answer.isComplete = true;
-    answer.results = { "text", "\xff\x00" };
+    answer.results = { "text", "\xff\xfe" };
     const json body = json::parse(daemon::jobResponse(answer).body);
     CHECK(body["results"][0] == "text");
-    CHECK(body["results"][1]["base64"] == "/w==");
+    CHECK(body["results"][1]["base64"] == "//4=");
 }
 
 // Guards against a second start after an attempt that may have reached its target.
