--- a/tests/network/DaemonPartsTests.cpp
+++ b/tests/network/DaemonPartsTests.cpp
@@ -102,10 +102,10 @@
 {
     JobAnswer answer;
     answer.isComplete = true;
-    answer.results = { "text", "\xff\x00" };
+    answer.results = { "text", "\xff\xfe" };
     const json body = json::parse(daemon::jobResponse(answer).body);
     CHECK(body["results"][0] == "text");
-    CHECK(body["results"][1]["base64"] == "/w==");
+    CHECK(body["results"][1]["base64"] == "//4=");
 }
 
 // Guards against a second start after an attempt that may have reached its target.
@@ -133,7 +133,7 @@
     standins::StoreStandin standin(loop);
     REQUIRE(standin.open(0, 0));
     HttpClient http(loop, {});
-    platform::StoreClient store(http, { "127.0.0.1:" + std::to_string(standin.port()), 300ms });
+    platform::StoreClient store(http, { "127.0.0.1:" + std::to_string(standin.port()), 300ms, {} });
     std::vector<ViewChangeResult> results;
     const auto record = [&](const ViewChangeResult& result) { results.push_back(result); };
     daemon::SegmentStore first(store, clock, "first/1", record);
