Give way to jobs that can finish when there is a queue

Change: RunEstimate learns measured over declared run time per kind; once the expected wait passes 5 % of the deadline, wait plus longest expected run must fit into it.

--- a/modules/rattanroad_admission/admission/AdmissionControl.cpp
+++ b/modules/rattanroad_admission/admission/AdmissionControl.cpp
@@ -67,15 +67,17 @@
         auto wait = situation.queueWait;
         for (const auto& [kind, kindWait] : situation.expectedWait)
             wait = std::max(wait, kindWait);
-        // The declared time of a task may be far off, so only the wait counts.
-        const std::chrono::duration<double> allowed
-            = std::chrono::milliseconds(job.deadline_left_ms()) * settings.maximumWaitShare;
-        if (wait <= allowed)
+        const std::chrono::duration<double> deadline = std::chrono::milliseconds(job.deadline_left_ms());
+        // The declared time of a task may be far off, so without a queue the job gets its chance.
+        const bool isOverloaded = wait > deadline * settings.overloadedWaitShare;
+        const bool fits = wait + situation.longestRun <= deadline;
+        if (wait <= deadline * settings.maximumWaitShare && (fits || !isOverloaded))
             return std::nullopt;
         const auto milliseconds = std::chrono::duration_cast<std::chrono::milliseconds>(wait).count();
         return refusal(FailureCode::DeadlineUnreachable,
-            "the expected wait of " + std::to_string(milliseconds) + " ms is too long for the deadline of "
-                + std::to_string(job.deadline_left_ms()) + " ms");
+            "the expected wait of " + std::to_string(milliseconds)
+                + " ms and the run time are too long for the deadline of " + std::to_string(job.deadline_left_ms())
+                + " ms");
     }
 
 }
--- a/modules/rattanroad_admission/admission/AdmissionControl.h
+++ b/modules/rattanroad_admission/admission/AdmissionControl.h
@@ -27,6 +27,10 @@
            itself, which may take longer than declared; a job admitted without that reserve runs in part and fails.
         */
         double maximumWaitShare { 0.25 };
+        /** Once the expected wait exceeds this share of the deadline, the expected run must fit into the rest as well:
+           a job that will not finish takes slots from jobs that would.
+        */
+        double overloadedWaitShare { 0.05 };
         std::chrono::milliseconds maximumDeadline { std::chrono::minutes(10) };
     };
 
@@ -37,6 +41,8 @@
         std::map<WorkKind, Duration> expectedWait;
         /** Expected wait behind the tasks that this host has queued already. */
         Duration queueWait { 0 };
+        /** Expected run time of the job's longest task; zero when it is not known. */
+        Duration longestRun { 0 };
     };
 
     explicit AdmissionControl(Settings settings);
--- a/modules/rattanroad_admission/rattanroad_admission.h
+++ b/modules/rattanroad_admission/rattanroad_admission.h
@@ -7,4 +7,5 @@
 
 #include "rattanroad_admission/admission/AdmissionControl.h"
 #include "rattanroad_admission/admission/DrainRate.h"
+#include "rattanroad_admission/admission/RunEstimate.h"
 #include "rattanroad_admission/retry/RetryPolicy.h"
--- a/modules/rattanroad_dispatch/engine/EntryHost.cpp
+++ b/modules/rattanroad_dispatch/engine/EntryHost.cpp
@@ -67,6 +67,7 @@
     AdmissionControl m_admission;
     RetryPolicy m_retry;
     DrainRate m_drainRate;
+    RunEstimate m_runEstimate;
     AnswerCache m_answers;
     KeyHome m_keyHome;
     JobRunner m_runner;
@@ -135,7 +136,8 @@
     , m_drainRate(clock)
     , m_answers(clock, m_settings.ledger.retention, m_settings.answerCacheSize)
     , m_keyHome(m_settings.keyHome, clock)
-    , m_runner(m_settings.runner, { clock, random, m_timers, m_ledger, m_borrower, m_admission, m_retry, m_drainRate },
+    , m_runner(m_settings.runner,
+          { clock, random, m_timers, m_ledger, m_borrower, m_admission, m_retry, m_drainRate, m_runEstimate },
           runnerHooks())
     , m_forwarder(clock,
           { [this](const HostId& host, protocol::Envelope&& envelope) { sendToHost(host, std::move(envelope)); },
@@ -143,7 +145,8 @@
                   ++request.hops;
                   decide(std::move(request));
               } })
-    , m_router({ clock, m_ledger, m_runner, m_answers, m_forwarder, m_borrower, m_admission, m_drainRate },
+    , m_router(
+          { clock, m_ledger, m_runner, m_answers, m_forwarder, m_borrower, m_admission, m_drainRate, m_runEstimate },
           { [this] { return inventory(); }, [this] { return m_isDraining; },
               [this](const HostId& host) { return m_members.find(host) != nullptr; } })
     , m_nextExpiry(clock.now() + cacheExpiryInterval)
--- a/modules/rattanroad_dispatch/engine/JobRunner.cpp
+++ b/modules/rattanroad_dispatch/engine/JobRunner.cpp
@@ -332,9 +332,10 @@
     const auto& description = job->task(task);
     const WorkKind kind(description.kind());
     const std::chrono::milliseconds declared(description.declared_ms());
-    if (result.use == SlotUse::Succeeded)
+    if (result.use == SlotUse::Succeeded) {
+        m_dependencies.runEstimate.record(kind, declared, result.ran, slot.relativeSpeed);
         taskSucceeded(*job, task, result);
-    else
+    } else
         taskFailed(*job, task, result);
     // The slot goes back last: releasing it may bind another task, and that must see the job's new state.
     m_dependencies.borrower.release(slot, result.use, kind, result.ran, declared);
--- a/modules/rattanroad_dispatch/engine/JobRunner.h
+++ b/modules/rattanroad_dispatch/engine/JobRunner.h
@@ -40,6 +40,7 @@
         AdmissionControl& admission;
         RetryPolicy& retry;
         DrainRate& drainRate;
+        RunEstimate& runEstimate;
     };
 
     JobRunner(Settings settings, Dependencies dependencies, Hooks hooks);
--- a/modules/rattanroad_dispatch/engine/SubmissionRouter.cpp
+++ b/modules/rattanroad_dispatch/engine/SubmissionRouter.cpp
@@ -73,6 +73,8 @@
         = m_dependencies.drainRate.expectedWait(m_dependencies.admission.queuedTasks()).value_or(Duration(0));
     for (const auto& task : job.tasks()) {
         const WorkKind kind(task.kind());
+        const auto run = m_dependencies.runEstimate.expectedRun(kind, std::chrono::milliseconds(task.declared_ms()));
+        situation.longestRun = std::max(situation.longestRun, run);
         if (!situation.expectedWait.count(kind))
             situation.expectedWait[kind] = m_dependencies.borrower.expectedWait(kind);
     }
--- a/modules/rattanroad_dispatch/engine/SubmissionRouter.h
+++ b/modules/rattanroad_dispatch/engine/SubmissionRouter.h
@@ -25,6 +25,7 @@
         SlotBorrower& borrower;
         AdmissionControl& admission;
         const DrainRate& drainRate;
+        const RunEstimate& runEstimate;
     };
 
     struct Hooks {
