--- a/modules/rattanroad_dispatch/engine/SubmissionRouter.cpp
+++ b/modules/rattanroad_dispatch/engine/SubmissionRouter.cpp
@@ -83,8 +83,12 @@
 
 void SubmissionRouter::routeNew(Request request)
 {
-    if (!isSubmission(request.kind))
-        return answerFailure(request, { FailureCode::NotFound, RunState::NotRun, "no job was submitted with this id" });
+    if (request.kind == Kind::Cancel)
+        return cancelNew(request);
+    // A submission may be on its way, so the absence of a job is no final word.
+    if (request.kind == Kind::Query)
+        return answerFailure(request,
+            { FailureCode::NotFound, RunState::OutcomeUnknown, "no job has been submitted with this id so far" });
     const auto inventory = m_hooks.inventory();
     if (!inventory) {
         ++m_jobsRefused;
@@ -107,6 +111,21 @@
     request.answer(accepted);
 }
 
+void SubmissionRouter::cancelNew(const Request& request)
+{
+    // Sealing makes the answer final: a submission that was delayed on its way is refused when it arrives.
+    const auto id = *request.job.submissionId;
+    JobAnswer answer;
+    answer.submissionId = id;
+    answer.failure = { FailureCode::Cancelled, RunState::NotRun, "the submission was cancelled before it arrived" };
+    m_dependencies.answers.insert(id, answer);
+    m_dependencies.ledger.seal(id, false, answer.failure, [request, answer](bool isSealed) mutable {
+        if (!isSealed)
+            answer.failure.runState = RunState::OutcomeUnknown;
+        request.answer(answer);
+    });
+}
+
 void SubmissionRouter::routeActive(Request request)
 {
     const auto id = *request.job.submissionId;
--- a/modules/rattanroad_dispatch/engine/SubmissionRouter.h
+++ b/modules/rattanroad_dispatch/engine/SubmissionRouter.h
@@ -56,6 +56,7 @@
 
 private:
     void routeNew(Request request);
+    void cancelNew(const Request& request);
     void routeActive(Request request);
     void routeSealed(const Request& request);
     void routeElsewhere(Request request, const HostId& host);
--- a/tests/dispatch/EntryHostTests.cpp
+++ b/tests/dispatch/EntryHostTests.cpp
@@ -168,3 +168,31 @@
     fleet.runFor(std::chrono::seconds(1));
     CHECK(fleet.starts.size() == startsBefore);
 }
+
+// Guards against work that starts after its cancellation was answered with "not run" (seed 298 of the failure runs).
+TEST_CASE("a submission that arrives after its cancellation does not run")
+{
+    SmallFleet fleet(2);
+    const auto id = fleet.host(0).mintIds(1).front();
+    Answers cancelled;
+    fleet.host(1).cancel(id, cancelled.callback());
+    REQUIRE(fleet.runUntil([&] { return !cancelled.all.empty(); }));
+    CHECK(cancelled.all.front().failure.runState == RunState::NotRun);
+    Answers late;
+    fleet.host(1).submit({ id, SmallFleet::job(3) }, late.callback());
+    REQUIRE(fleet.runUntil([&] { return !late.all.empty(); }));
+    CHECK(late.all.front().failure.code == FailureCode::Cancelled);
+    CHECK(late.all.front().failure.runState == RunState::NotRun);
+    CHECK(fleet.starts.empty());
+}
+
+// Guards against a query that calls a submission "not run" while it is on its way.
+TEST_CASE("a query about an unused id does not claim that nothing ran")
+{
+    SmallFleet fleet(2);
+    Answers answers;
+    fleet.host(1).query(fleet.host(0).mintIds(1).front(), answers.callback());
+    REQUIRE(fleet.runUntil([&] { return !answers.all.empty(); }));
+    CHECK(answers.all.front().failure.code == FailureCode::NotFound);
+    CHECK(answers.all.front().failure.runState == RunState::OutcomeUnknown);
+}
--- a/tests/standins/TargetStandin.cpp
+++ b/tests/standins/TargetStandin.cpp
@@ -166,8 +166,12 @@
     const auto time
         = std::chrono::duration_cast<std::chrono::microseconds>(m_loop.clock().wallNow().time_since_epoch());
     const std::string* const task = request.header("rattanroad-task");
+    const auto payload = nlohmann::json::parse(request.body, nullptr, false);
+    // The caller's own name of the task, so that histories do not rely on the ids that rattanroad hands out.
+    const auto taskName = payload.is_object() ? payload.value("name", std::string()) : std::string();
     m_history << R"({"time_us":)" << time.count() << R"(,"event":")" << event << R"(","target":)" << port
-              << R"(,"task":)" << nlohmann::json(task ? *task : "").dump() << "}\n";
+              << R"(,"task":)" << nlohmann::json(task ? *task : "").dump() << R"(,"name":)"
+              << nlohmann::json(taskName).dump() << "}\n";
 }
 
 }
