--- a/modules/rattanroad_dispatch/engine/EntryHost.cpp
+++ b/modules/rattanroad_dispatch/engine/EntryHost.cpp
@@ -16,6 +16,8 @@
     // Local messages can trigger further ones; a longer chain than this within one flush would be an endless loop.
     constexpr int maximumLocalRounds = 1000;
     constexpr Duration cacheExpiryInterval = std::chrono::seconds(1);
+    // Short against the shortest tasks; a refresh costs some microseconds for each known keeper.
+    constexpr Duration ownOfferAge = std::chrono::milliseconds(10);
     constexpr Duration keyHomeRetryInterval = std::chrono::seconds(2);
 
     protocol::ForwardedAnswer messageFromAnswer(std::uint64_t request, const JobAnswer& answer)
@@ -112,6 +114,7 @@
     TimePoint m_nextExpiry;
     bool m_isKeyHomeRegistered { false };
     bool m_areOffersStale { true };
+    TimePoint m_offersUpdatedAt;
     std::uint64_t m_messagesSent { 0 };
 };
 
@@ -258,6 +261,11 @@
 
 void EntryHost::Impl::decide(SubmissionRouter::Request request)
 {
+    // Admission compares waits, and those of the own keeper change without a message.
+    if (m_clock.now() >= m_offersUpdatedAt + ownOfferAge) {
+        m_areOffersStale = true;
+        updateOffers();
+    }
     if (request.job.submissionId)
         return m_router.route(std::move(request));
     if (!request.job.job.idempotency_key().empty())
@@ -495,6 +503,7 @@
     if (!m_areOffersStale)
         return;
     m_areOffersStale = false;
+    m_offersUpdatedAt = m_clock.now();
     const auto& self = m_settings.membership.self;
     std::vector<SlotBorrower::KeeperOffer> offers;
     offers.push_back({ self.host, 0, m_keeper.freeSlots(), m_clock.now() });
--- a/tests/admission/AdmissionTests.cpp
+++ b/tests/admission/AdmissionTests.cpp
@@ -59,8 +59,48 @@
     CHECK(refuse(makeJob(1), draining) == FailureCode::Draining);
     AdmissionControl::Situation busy;
     busy.expectedWait[WorkKind("quote")] = 2s;
+    // A quarter of the deadline may be spent waiting.
     CHECK(refuse(makeJob(1, 1500), busy) == FailureCode::DeadlineUnreachable);
-    CHECK_FALSE(refuse(makeJob(1, 2500), busy));
+    CHECK(refuse(makeJob(1, 7999), busy) == FailureCode::DeadlineUnreachable);
+    CHECK_FALSE(refuse(makeJob(1, 8000), busy));
+    AdmissionControl::Situation queued;
+    queued.queueWait = 2s;
+    CHECK(refuse(makeJob(1, 7999), queued) == FailureCode::DeadlineUnreachable);
+    CHECK_FALSE(refuse(makeJob(1, 8000), queued));
+    queued.longestRun = 7s;
+    CHECK(refuse(makeJob(1, 8000), queued) == FailureCode::DeadlineUnreachable);
+    AdmissionControl::Situation idleButLong;
+    idleButLong.longestRun = 7s;
+    CHECK_FALSE(refuse(makeJob(1, 5000), idleButLong));
+}
+
+// Guards against an overload that admits more than can finish because no message tells of it.
+TEST_CASE("the queue's wait follows the slots won in the last second")
+{
+    VirtualClock clock;
+    DrainRate rate(clock);
+    CHECK_FALSE(rate.expectedWait(100));
+    for (int slot = 0; slot < 100; ++slot) {
+        rate.record();
+        clock.advance(10ms);
+    }
+    REQUIRE(rate.expectedWait(200));
+    CHECK(*rate.expectedWait(200) >= 1900ms);
+    CHECK(*rate.expectedWait(200) <= 2300ms);
+    clock.advance(2s);
+    CHECK_FALSE(rate.expectedWait(200));
+}
+
+// Guards against declared times that are wrong by a constant factor deciding about admission.
+TEST_CASE("the expected run follows the measured times of a kind")
+{
+    RunEstimate estimate;
+    const WorkKind kind("quote");
+    CHECK(estimate.expectedRun(kind, 100ms) == Duration(0));
+    for (int sample = 0; sample < 50; ++sample)
+        estimate.record(kind, 100ms, 150ms, 2);
+    CHECK(estimate.expectedRun(kind, 100ms) > 290ms);
+    CHECK(estimate.expectedRun(kind, 100ms) < 310ms);
 }
 
 // Guards against one team filling the queue, and against a queue that grows without bound.
