--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -54,24 +54,30 @@
 echo "six entry hosts in three failure domains see each other"
 
 python3 - "$work" <<'PY'
-import json, sys
+import csv, json, sys
 work = sys.argv[1]
 domains = ["nyamirambo", "kimironko", "remera"]
+with open(f"{work}/workers.csv", "w", newline="") as file:
+    rows = csv.writer(file)
+    rows.writerow(["id", "failure_domain", "rack", "cores", "memory_mb", "accelerators"])
+    rows.writerows([f"worker-{i}", domains[i % 3], f"{domains[i % 3]}-{i // 6}", 32, 131072, 0] for i in range(12))
+with open(f"{work}/targets.csv", "w", newline="") as file:
+    rows = csv.writer(file)
+    rows.writerow(["id", "worker", "address", "path", "kinds", "slots", "connections"])
+    rows.writerows([f"runner-{i}", f"worker-{i}", f"127.0.0.1:{19201 + i}", "/run", "quote", 8, 64] for i in range(12))
 json.dump({
     "failure_domains": [{"id": d, "region": "kigali"} for d in domains],
-    "workers": [{"id": f"worker-{i}", "failure_domain": domains[i % 3], "rack": f"{domains[i % 3]}-{i // 6}",
-                 "cores": 32, "memory_mb": 131072, "accelerators": 0} for i in range(12)],
-    "targets": [{"id": f"runner-{i}", "worker": f"worker-{i}", "address": f"127.0.0.1:{19201 + i}", "path": "/run",
-                 "kinds": ["quote"], "slots": 8, "connections": 64, "state": "active", "not_run_statuses": []}
-                for i in range(12)],
     "teams": [{"id": "millinery", "quota_slots": 0, "weight": 1}],
     "rules": [{"id": "quotes-once", "kind": "quote", "never_repeat": True}],
     "entry_hosts": [{"id": f"entry-{i + 1}", "failure_domain": domains[i % 3]} for i in range(6)],
-}, open(f"{work}/inventory.json", "w"))
+}, open(f"{work}/rules.json", "w"))
 PY
-echo "applying the inventory through entry-1"
-curl -sf -o /dev/null -X PUT --data @"$work/inventory.json" -H 'If-Match: 0' -H 'Change-Id: demo-1' -H 'Author: demo' \
-    http://127.0.0.1:18201/v1/configuration || fail "the inventory was not accepted"
+command=$build/apps/rattanroad/rattanroad
+echo "importing the asset register (CSV) and the rules, applying them through entry-1"
+"$command" import --workers "$work/workers.csv" --targets "$work/targets.csv" --rules "$work/rules.json" \
+    --output "$work/inventory.json" || fail "the register was not imported"
+"$command" --server http://127.0.0.1:18201 apply "$work/inventory.json" --author demo --wait 7 ||
+    fail "the inventory was not accepted"
 for i in 1 2 3 4 5 6; do await "entry-$i is not ready" curl -sf "http://127.0.0.1:$((18200 + i))/readyz"; done
 echo "in force on all six entry hosts"
 
