--- a/scripts/check-mutations.sh
+++ b/scripts/check-mutations.sh
@@ -44,9 +44,6 @@
     'm_pending.begin();' rattanroad_simulate "$runs"
 mutate not-run-after-start $engine/JobRunner.cpp 'failure.runState = job.runState();' \
     'failure.runState = RunState::NotRun;' rattanroad_simulate "$runs"
-mutate start-after-close $engine/JobRunner.cpp \
-    'verdict == SubmissionLedger::StartVerdict::Permitted && !job->isClosed' \
-    'verdict == SubmissionLedger::StartVerdict::Permitted' rattanroad_simulate "$runs"
 mutate leaving-target-offered modules/rattanroad_routing/slots/TargetPool.h \
     'return isListedLeaving || contract.state == TargetState::Leaving;' 'return false;' rattanroad_simulate "$runs"
 mutate exit-before-answer $engine/EntryHost.cpp 'return m_isReleased && isIdle();' 'return m_isDraining;' \
