Stamp heartbeats once

Cause: the read-through found that the engine put version, host and incarnation on messages of the member table, which has done so itself; an accessor had no caller. Change: both removed from EntryHost.cpp; behaviour is the same. Measured: dispatch, simulation, membership and network tests pass (13 s), formatter and linter clean; the other test programs were not run again. Conclusion: none further.

--- a/modules/rattanroad_dispatch/engine/EntryHost.cpp
+++ b/modules/rattanroad_dispatch/engine/EntryHost.cpp
@@ -54,8 +54,6 @@
     SubmissionRouter::Request request(Forwarder::Kind kind, const SubmissionId& id, AnswerCallback answer) const;
     void sendToHost(const HostId& host, protocol::Envelope&& envelope);
 
-    MemberTable::Settings& membership() { return m_settings.membership; }
-
     EntryHostSettings m_settings;
     Clock& m_clock;
     RandomSource& m_random;
@@ -180,10 +178,8 @@
 MemberTable::Hooks EntryHost::Impl::memberHooks()
 {
     MemberTable::Hooks hooks;
+    // The member table has put this host's name on its messages already.
     hooks.send = [this](const std::string& address, protocol::Envelope&& envelope) {
-        envelope.set_version(protocol::protocolVersion);
-        envelope.set_from_host(m_settings.membership.self.host.value());
-        envelope.set_from_incarnation(m_settings.membership.self.incarnation.value());
         ++m_messagesSent;
         m_hooks.sendToPeer(address, std::move(envelope));
     };
