Add jobs on the platform: shards, elections, target sessions and the adapter

The truth about a submission lived in the memory of peers, which cannot hold when all hosts lose power at once. This adds the new path beside it: records in the store, one holder a shard under a fencing token, one session a target.

--- a/apps/rattanroadd/main.cpp
+++ b/apps/rattanroadd/main.cpp
@@ -1,4 +1,6 @@
 #include "daemon/Daemon.h"
+#include "fleet/FleetHost.h"
+#include "rattanroad_core/time/BootClock.h"
 #include "rattanroad_network/loop/EventLoop.h"
 
 #include <CLI/CLI.hpp>
@@ -15,11 +17,37 @@
 constexpr int cannotStartStatus = 1;
 constexpr int invalidSettingsStatus = 2;
 
+std::uint64_t entropy()
+{
+    std::random_device device;
+    return (static_cast<std::uint64_t>(device()) << 32U) | device();
+}
+
+int runOnPlatform(const daemon::Settings& settings)
+{
+    BootClock clock;
+    EventLoop loop(clock);
+    std::unique_ptr<daemon::FleetHost> host;
+    loop.watchSignals({ SIGTERM, SIGINT, SIGHUP }, [&host](int signal) {
+        // Nothing of the settings changes while a process lives.
+        if (signal != SIGHUP)
+            host->beginDrain();
+    });
+    host = std::make_unique<daemon::FleetHost>(settings, clock, Incarnation(entropy()), loop);
+    if (const auto failure = host->start()) {
+        std::cerr << "rattanroadd: " << failure->detail << '\n';
+        return cannotStartStatus;
+    }
+    loop.run();
+    return 0;
+}
+
 int runDaemon(const daemon::Settings& settings)
 {
+    if (settings.storeKind == daemon::Settings::StoreKind::Platform)
+        return runOnPlatform(settings);
     SteadyClock clock;
-    std::random_device entropy;
-    PcgRandomSource random((static_cast<std::uint64_t>(entropy()) << 32U) | entropy());
+    PcgRandomSource random(entropy());
     EventLoop loop(clock);
     std::unique_ptr<daemon::Daemon> host;
     loop.watchSignals({ SIGTERM, SIGINT }, [&host](int) { host->beginDrain(); });
@@ -40,7 +68,7 @@
     bool checksOnly = false;
     bool printsSchema = false;
     CLI::App app("rattanroadd: the daemon of an entry host");
-    app.add_option("--settings", file, "Settings file, JSON");
+    app.add_option("--settings", file, "Settings file, JSON")->envname("RATTANROAD_CONFIG");
     app.add_flag("--check-settings", checksOnly, "Check the settings and exit");
     app.add_flag("--print-schema", printsSchema, "Print the JSON schema of the settings and exit");
     CLI11_PARSE(app, argc, argv);
--- a/apps/rattanroadd/settings/Settings.cpp
+++ b/apps/rattanroadd/settings/Settings.cpp
@@ -48,6 +48,10 @@
         };
         check("$[listen][callers]", settings.callerAddress);
         check("$[listen][peers]", settings.peerAddress);
+        check("$[listen][readiness]", settings.readinessAddress);
+        const bool isPlatform = settings.storeKind == Settings::StoreKind::Platform;
+        if (isPlatform && (settings.readinessAddress.empty() || settings.failureDomains.empty()))
+            faults += "$[store][kind]: platform needs $[listen][readiness] and $[failure_domains]\n";
         check("$[store][address]", settings.storeAddress);
         check("$[traces][address]", settings.traceAddress);
         for (std::size_t i = 0; i < settings.seedAddresses.size(); ++i)
@@ -77,6 +81,11 @@
         settings.rack = RackId(host.value("rack", ""));
         settings.callerAddress = part("listen").value("callers", "");
         settings.peerAddress = part("listen").value("peers", "");
+        settings.readinessAddress = part("listen").value("readiness", "");
+        for (const std::string& domain : document.value("failure_domains", std::vector<std::string> {}))
+            settings.failureDomains.emplace_back(domain);
+        if (part("store").value("kind", "etcd") == "platform")
+            settings.storeKind = Settings::StoreKind::Platform;
         settings.seedAddresses = document.value("seeds", std::vector<std::string> {});
         settings.storeAddress = part("store").value("address", "");
         settings.storeTimeout = milliseconds(part("store"), "timeout_ms", settings.storeTimeout);
--- a/apps/rattanroadd/settings/Settings.h
+++ b/apps/rattanroadd/settings/Settings.h
@@ -19,7 +19,17 @@
     std::string callerAddress;
     /** Address of the peer socket; the other entry hosts connect to it. */
     std::string peerAddress;
+    /** Address that answers whether the host takes callers; only with StoreKind::Platform. */
+    std::string readinessAddress;
+    /** All failure domains with targets; only with StoreKind::Platform. */
+    std::vector<FailureDomainId> failureDomains;
     std::vector<std::string> seedAddresses;
+    /** Which store holds the configuration; with Platform it also holds the jobs. */
+    enum class StoreKind {
+        Etcd,
+        Platform,
+    };
+    StoreKind storeKind { StoreKind::Etcd };
     std::string storeAddress;
     std::chrono::milliseconds storeTimeout { 2000 };
     ByteCount maximumRequestSize { 8U << 20U };
--- a/apps/rattanroadd/settings/SettingsSchema.cpp
+++ b/apps/rattanroadd/settings/SettingsSchema.cpp
@@ -24,13 +24,16 @@
       "type": "object", "additionalProperties": false, "required": ["callers", "peers"],
       "properties": {
         "callers": { "type": "string", "pattern": "^[0-9.]+:[0-9]+$" },
-        "peers": { "type": "string", "pattern": "^[0-9.]+:[0-9]+$" }
+        "peers": { "type": "string", "pattern": "^[0-9.]+:[0-9]+$" },
+        "readiness": { "type": "string", "pattern": "^[0-9.]+:[0-9]+$" }
       }
     },
+    "failure_domains": { "type": "array", "items": { "type": "string", "pattern": "^[a-z0-9-]+$" } },
     "seeds": { "type": "array", "items": { "type": "string", "pattern": "^[0-9.]+:[0-9]+$" } },
     "store": {
       "type": "object", "additionalProperties": false, "required": ["address"],
       "properties": {
+        "kind": { "enum": ["etcd", "platform"] },
         "address": { "type": "string", "pattern": "^[0-9.]+:[0-9]+$" },
         "timeout_ms": { "type": "integer", "minimum": 10, "maximum": 60000 }
       }
--- a/modules/rattanroad_network/http/HttpServer.cpp
+++ b/modules/rattanroad_network/http/HttpServer.cpp
@@ -320,7 +320,10 @@
         request.path.assign(native->path.base, pathLength);
         if (pathLength < native->path.len)
             request.query.assign(native->path.base + pathLength + 1, native->path.len - pathLength - 1);
-        request.headers.reserve(native->headers.size);
+        request.headers.reserve(native->headers.size + 1);
+        // h2o takes the Host header out of the others.
+        if (native->input.authority.len != 0)
+            request.headers.push_back({ "host", { native->input.authority.base, native->input.authority.len } });
         for (std::size_t i = 0; i < native->headers.size; ++i) {
             const h2o_header_t& header = native->headers.entries[i];
             request.headers.push_back(
--- /dev/null
+++ b/modules/rattanroad_shards/holding/FleetView.cpp
@@ -0,0 +1,58 @@
+#include "rattanroad_shards/holding/FleetView.h"
+
+#include "rattanroad_shards/holding/StoreKeys.h"
+
+namespace rattanroad::shards {
+
+namespace {
+    bool startsWith(const std::string& text, const std::string& prefix)
+    {
+        return text.compare(0, prefix.size(), prefix) == 0;
+    }
+}
+
+std::optional<ShardId> FleetView::written(const StoredItem& item)
+{
+    if (startsWith(item.key, storekeys::hostPrefix)) {
+        protocol::HostRecord record;
+        if (!record.ParseFromString(item.value)) {
+            ++m_malformedItems;
+            return std::nullopt;
+        }
+        m_hosts[HostId(item.key.substr(storekeys::hostPrefix.size()))] = { Incarnation(record.incarnation()),
+            record.address(), FailureDomainId(record.failure_domain()), record.draining() };
+        return std::nullopt;
+    }
+    if (!startsWith(item.key, storekeys::holderPrefix))
+        return std::nullopt;
+    protocol::ShardHolderRecord record;
+    if (!record.ParseFromString(item.value)) {
+        ++m_malformedItems;
+        return std::nullopt;
+    }
+    const ShardId shard(item.key.substr(storekeys::holderPrefix.size()));
+    m_holders[shard] = { HostId(record.host()), Incarnation(record.incarnation()), record.address(),
+        Generation(record.generation()), FencingToken(item.revision.value()) };
+    return shard;
+}
+
+std::optional<ShardId> FleetView::removed(const std::string& key)
+{
+    if (startsWith(key, storekeys::hostPrefix)) {
+        m_hosts.erase(HostId(key.substr(storekeys::hostPrefix.size())));
+        return std::nullopt;
+    }
+    if (!startsWith(key, storekeys::holderPrefix))
+        return std::nullopt;
+    const ShardId shard(key.substr(storekeys::holderPrefix.size()));
+    m_holders.erase(shard);
+    return shard;
+}
+
+const ShardHolder* FleetView::holder(const ShardId& shard) const
+{
+    const auto found = m_holders.find(shard);
+    return found == m_holders.end() ? nullptr : &found->second;
+}
+
+}
--- /dev/null
+++ b/modules/rattanroad_shards/holding/FleetView.h
@@ -0,0 +1,49 @@
+#pragma once
+
+#include "rattanroad_protocol/rattanroad_protocol.h"
+#include "rattanroad_shards/store/KeyValueStore.h"
+#include "rattanroad_shards/types/ShardTypes.h"
+
+#include <map>
+#include <optional>
+
+namespace rattanroad::shards {
+
+/** A live entry host. */
+struct LiveHost {
+    Incarnation incarnation;
+    std::string address;
+    FailureDomainId failureDomain;
+    bool isDraining { false };
+};
+
+/** Who holds a shard. */
+struct ShardHolder {
+    HostId host;
+    Incarnation incarnation;
+    std::string address;
+    Generation generation;
+    /** Revision of the holder's key, which is its fencing token. */
+    FencingToken token;
+};
+
+/** The live hosts and the holders of the shards, as the store says. */
+class FleetView {
+public:
+    /** Takes a written key; one that cannot be read is ignored and counted. Returns the shard whose holder changed. */
+    std::optional<ShardId> written(const StoredItem& item);
+    /** Takes a removed key. Returns the shard that has no holder any more. */
+    std::optional<ShardId> removed(const std::string& key);
+
+    const std::map<HostId, LiveHost>& hosts() const { return m_hosts; }
+    const ShardHolder* holder(const ShardId& shard) const;
+    const std::map<ShardId, ShardHolder>& holders() const { return m_holders; }
+    std::uint64_t malformedItems() const { return m_malformedItems; }
+
+private:
+    std::map<HostId, LiveHost> m_hosts;
+    std::map<ShardId, ShardHolder> m_holders;
+    std::uint64_t m_malformedItems { 0 };
+};
+
+}
--- /dev/null
+++ b/modules/rattanroad_shards/holding/HostLease.cpp
@@ -0,0 +1,87 @@
+#include "rattanroad_shards/holding/HostLease.h"
+
+namespace rattanroad::shards {
+
+HostLease::HostLease(Settings settings, KeyValueStore& store, Timers timers, const Clock& clock, Hooks hooks)
+    : m_settings(settings)
+    , m_store(store)
+    , m_timers(std::move(timers))
+    , m_clock(clock)
+    , m_hooks(std::move(hooks))
+{
+}
+
+void HostLease::replace()
+{
+    if (m_lease.value() == 0)
+        return;
+    lose();
+}
+
+void HostLease::grant()
+{
+    const std::uint64_t round = ++m_round;
+    const TimePoint sentAt = m_clock.now();
+    m_store.grantLease(m_settings.timeToLive, [this, round, sentAt](const LeaseReply& reply) {
+        if (round != m_round)
+            return;
+        if (reply.ending != StoreEnding::Done) {
+            m_timers.after(m_settings.retryPause, [this, round] {
+                if (round == m_round)
+                    grant();
+            });
+            return;
+        }
+        m_lease = reply.lease;
+        m_validUntil = sentAt + reply.timeToLive;
+        renewLater(m_settings.renewalInterval);
+        checkExpiry();
+        m_hooks.granted();
+    });
+}
+
+void HostLease::renewLater(Duration pause)
+{
+    m_timers.after(pause, [this, round = m_round] {
+        if (round == m_round)
+            renew();
+    });
+}
+
+void HostLease::renew()
+{
+    const TimePoint sentAt = m_clock.now();
+    m_store.renewLease(m_lease, [this, round = m_round, sentAt](const LeaseReply& reply) {
+        if (round != m_round)
+            return;
+        if (reply.ending == StoreEnding::Absent) {
+            lose();
+            return;
+        }
+        if (reply.ending == StoreEnding::Done)
+            m_validUntil = sentAt + reply.timeToLive;
+        renewLater(reply.ending == StoreEnding::Done ? m_settings.renewalInterval : m_settings.retryPause);
+    });
+}
+
+void HostLease::checkExpiry()
+{
+    m_timers.after(m_validUntil - m_clock.now(), [this, round = m_round] {
+        if (round != m_round)
+            return;
+        if (m_clock.now() < m_validUntil)
+            checkExpiry();
+        else
+            lose();
+    });
+}
+
+void HostLease::lose()
+{
+    m_lease = KeyLease(0);
+    m_validUntil = TimePoint::min();
+    grant();
+    m_hooks.lost();
+}
+
+}
--- /dev/null
+++ b/modules/rattanroad_shards/holding/ShardElection.cpp
@@ -0,0 +1,205 @@
+#include "rattanroad_shards/holding/ShardElection.h"
+
+#include "rattanroad_shards/holding/StoreKeys.h"
+
+#include <algorithm>
+#include <charconv>
+
+namespace rattanroad::shards {
+
+namespace {
+    /** Differs between hosts and between shards, and is the same on all hosts. */
+    std::uint64_t rendezvousWeight(const ShardId& shard, const HostId& host)
+    {
+        std::uint64_t hash = 1469598103934665603ULL;
+        for (const char character : shard.value() + "/" + host.value())
+            hash = (hash ^ static_cast<unsigned char>(character)) * 1099511628211ULL;
+        return hash ^ (hash >> 29U);
+    }
+
+    std::uint64_t parseGeneration(const std::string& text)
+    {
+        std::uint64_t generation = 0;
+        std::from_chars(text.data(), text.data() + text.size(), generation);
+        return generation;
+    }
+}
+
+ShardElection::ShardElection(Settings settings, KeyValueStore& store, HostLease& lease, const FleetView& fleet,
+    Timers timers, const Clock& clock, Hooks hooks)
+    : m_settings(std::move(settings))
+    , m_store(store)
+    , m_lease(lease)
+    , m_fleet(fleet)
+    , m_timers(std::move(timers))
+    , m_clock(clock)
+    , m_hooks(std::move(hooks))
+{
+}
+
+void ShardElection::review()
+{
+    const ShardHolder* const holder = m_fleet.holder(m_settings.shard);
+    if (m_holding) {
+        // The watch may be behind the own write, so only a newer holder counts.
+        if (holder && holder->token > m_holding->token)
+            lose("another host holds the shard");
+        else if (shouldGiveWay())
+            release();
+        return;
+    }
+    if (!m_isCandidate || !m_lease.isValid() || m_isAttempting || m_isAttemptDue)
+        return;
+    const bool isOwnFormerKey
+        = holder && holder->host == m_settings.self && holder->incarnation != m_settings.incarnation;
+    if (isOwnFormerKey)
+        attemptAfter(Duration(0));
+    else if (!holder)
+        attemptAfter(m_settings.attemptSpacing * rank());
+}
+
+std::size_t ShardElection::rank() const
+{
+    const auto order = [this](const HostId& host, const FailureDomainId& domain) {
+        const bool holdsAnother = std::any_of(m_fleet.holders().begin(), m_fleet.holders().end(),
+            [&host](const auto& entry) { return entry.second.host == host; });
+        return std::make_tuple(
+            domain != m_settings.preferredDomain, holdsAnother, rendezvousWeight(m_settings.shard, host));
+    };
+    const auto own = order(m_settings.self, m_settings.selfDomain);
+    return static_cast<std::size_t>(
+        std::count_if(m_fleet.hosts().begin(), m_fleet.hosts().end(), [&](const auto& entry) {
+            return entry.first != m_settings.self && !entry.second.isDraining
+                && order(entry.first, entry.second.failureDomain) < own;
+        }));
+}
+
+bool ShardElection::shouldGiveWay()
+{
+    const bool isPreferred = m_settings.selfDomain == m_settings.preferredDomain;
+    const bool hasBetter = !isPreferred
+        && std::any_of(m_fleet.hosts().begin(), m_fleet.hosts().end(), [this](const auto& entry) {
+               return entry.second.failureDomain == m_settings.preferredDomain && !entry.second.isDraining;
+           });
+    if (!hasBetter) {
+        m_betterHostSince.reset();
+        return false;
+    }
+    if (!m_betterHostSince)
+        m_betterHostSince = m_clock.now();
+    return m_clock.now() - *m_betterHostSince >= m_settings.giveWayAfter;
+}
+
+void ShardElection::attemptAfter(Duration pause)
+{
+    m_isAttemptDue = true;
+    m_timers.after(pause, [this] {
+        m_isAttemptDue = false;
+        attempt();
+    });
+}
+
+void ShardElection::attempt()
+{
+    if (m_holding || m_isAttempting || !m_isCandidate || !m_lease.isValid())
+        return;
+    const ShardHolder* const holder = m_fleet.holder(m_settings.shard);
+    if (holder && !(holder->host == m_settings.self && holder->incarnation != m_settings.incarnation))
+        return;
+    m_isAttempting = true;
+    m_store.read(storekeys::generation(m_settings.shard), [this](const ReadReply& reply) {
+        m_isAttempting = false;
+        if (reply.ending == StoreEnding::Done || reply.ending == StoreEnding::Absent)
+            write(reply);
+    });
+}
+
+void ShardElection::write(const ReadReply& generationKey)
+{
+    if (m_holding || !m_isCandidate || !m_lease.isValid())
+        return;
+    const ShardHolder* const holder = m_fleet.holder(m_settings.shard);
+    const bool exists = generationKey.ending == StoreEnding::Done && !generationKey.items.empty();
+    const KeyRevision generationRevision = exists ? generationKey.items.front().revision : KeyRevision(0);
+    const std::uint64_t before = exists ? parseGeneration(generationKey.items.front().value) : 0;
+    const bool isContinued = exists && generationRevision == m_lastGenerationRevision;
+    // A continued holding keeps its number: attempts of tasks stay in one sequence.
+    const Generation generation(isContinued ? before : before + 1);
+    protocol::ShardHolderRecord record;
+    record.set_host(m_settings.self.value());
+    record.set_incarnation(m_settings.incarnation.value());
+    record.set_address(m_settings.address);
+    record.set_generation(generation.value());
+    KeyTransaction transaction;
+    transaction.conditions.push_back(
+        { storekeys::holder(m_settings.shard), holder ? KeyRevision(holder->token.value()) : KeyRevision(0) });
+    transaction.conditions.push_back({ storekeys::generation(m_settings.shard), generationRevision });
+    transaction.writes.push_back(
+        { storekeys::holder(m_settings.shard), record.SerializeAsString(), m_lease.lease() });
+    if (!isContinued)
+        transaction.writes.push_back(
+            { storekeys::generation(m_settings.shard), std::to_string(generation.value()), KeyLease(0) });
+    m_isAttempting = true;
+    m_store.transact(transaction, [this, generation, isContinued, lease = m_lease.lease()](const auto& reply) {
+        m_isAttempting = false;
+        // Of an earlier lease, the key ends with it.
+        if (lease == m_lease.lease())
+            takeReply(reply, generation, isContinued);
+    });
+}
+
+void ShardElection::takeReply(const TransactionReply& reply, Generation generation, bool isContinued)
+{
+    // The key may exist without this host knowing its token; it goes with its lease.
+    if (reply.ending == StoreEnding::Unknown) {
+        m_lease.replace();
+        return;
+    }
+    if (reply.ending != StoreEnding::Done || !m_lease.isValid())
+        return;
+    m_betterHostSince.reset();
+    if (!isContinued)
+        m_lastGenerationRevision = reply.revision;
+    m_holding = Holding { FencingToken(reply.revision.value()), generation, isContinued };
+    m_hooks.acquired(*m_holding);
+}
+
+void ShardElection::leaseLost() { lose("the lease has ended"); }
+
+void ShardElection::displaced()
+{
+    lose("the key of the shard has changed");
+    // The store has removed or replaced a key of the lease, so nothing else under it can be relied on.
+    m_lease.replace();
+}
+
+void ShardElection::release()
+{
+    if (!m_holding)
+        return;
+    const FencingToken token = m_holding->token;
+    lose("given up for another host");
+    removeKey(token);
+}
+
+void ShardElection::removeKey(FencingToken token)
+{
+    KeyTransaction transaction;
+    transaction.conditions.push_back({ storekeys::holder(m_settings.shard), KeyRevision(token.value()) });
+    transaction.removals.push_back(storekeys::holder(m_settings.shard));
+    m_store.transact(transaction, [this, token](const TransactionReply& reply) {
+        // Nobody else can hold the shard while the key stays and the lease is renewed.
+        if (reply.ending == StoreEnding::Refused || reply.ending == StoreEnding::Unknown)
+            m_timers.after(m_settings.attemptSpacing, [this, token] { removeKey(token); });
+    });
+}
+
+void ShardElection::lose(const char* reason)
+{
+    if (!m_holding)
+        return;
+    m_holding.reset();
+    m_hooks.lost(reason);
+}
+
+}
--- /dev/null
+++ b/modules/rattanroad_shards/jobs/JobMath.cpp
@@ -0,0 +1,34 @@
+#include "rattanroad_shards/jobs/JobMath.h"
+
+#include <algorithm>
+
+namespace rattanroad::shards {
+
+std::chrono::milliseconds longestChain(const protocol::PlacedJob& job)
+{
+    std::vector<std::int64_t> ends;
+    std::int64_t longest = 0;
+    for (const protocol::PhaseDescription& phase : job.phases()) {
+        std::int64_t start = 0;
+        for (const std::uint32_t before : phase.after()) {
+            if (before < ends.size())
+                start = std::max(start, ends[before]);
+        }
+        ends.push_back(start + phase.estimated_ms());
+        longest = std::max(longest, ends.back());
+    }
+    return std::chrono::milliseconds(longest);
+}
+
+std::chrono::milliseconds objectiveOf(const protocol::PlacedJob& job)
+{
+    const double stretched = job.rule().stretch() * static_cast<double>(longestChain(job).count());
+    return std::chrono::milliseconds(static_cast<std::int64_t>(stretched) + job.rule().target_duration_ms());
+}
+
+Resources resourcesOf(const protocol::PhaseDescription& phase)
+{
+    return { phase.millicores(), phase.memory_mb(), phase.accelerators() };
+}
+
+}
--- /dev/null
+++ b/modules/rattanroad_shards/jobs/JobMath.h
@@ -0,0 +1,15 @@
+#pragma once
+
+#include "rattanroad_protocol/rattanroad_protocol.h"
+#include "rattanroad_shards/types/ShardTypes.h"
+
+namespace rattanroad::shards {
+
+/** Returns the sum of the estimates along the longest chain of phases. */
+std::chrono::milliseconds longestChain(const protocol::PlacedJob& job);
+/** Returns the time from submission to the end that the caller counts as in time. */
+std::chrono::milliseconds objectiveOf(const protocol::PlacedJob& job);
+/** Returns what one task of a phase takes. */
+Resources resourcesOf(const protocol::PhaseDescription& phase);
+
+}
--- /dev/null
+++ b/modules/rattanroad_shards/jobs/ShardDispatcher.h
@@ -0,0 +1,155 @@
+#pragma once
+
+#include "rattanroad_shards/holding/ShardElection.h"
+#include "rattanroad_shards/jobs/ShardJob.h"
+#include "rattanroad_shards/placing/SpeedBook.h"
+#include "rattanroad_shards/placing/TaskPlacer.h"
+#include "rattanroad_shards/store/RecordWriter.h"
+#include "rattanroad_shards/targets/TargetSession.h"
+
+#include <map>
+#include <memory>
+#include <optional>
+
+namespace rattanroad::shards {
+
+/** The holder of a shard answers a submission so. */
+enum class SubmitVerdict {
+    Accepted, ///< The job's record is in the store.
+    Refused, ///< The job never runs.
+    NotHolder, ///< Nothing was done with the job here.
+};
+
+/** Holds one shard: accepts its jobs, runs their tasks on its targets and records how the jobs end.
+
+    A new holder reads the records of the shard's jobs and asks each target, under its own token, what runs and what
+    has ended. It goes on with what it finds; a task that it does not find starts again only when no earlier run can
+    be left on any target.
+*/
+class ShardDispatcher {
+public:
+    struct Settings {
+        ShardId shard;
+        TargetSession::Settings targets;
+        TaskPlacer::Settings placing;
+        /** Time after taking the shard until no order of an earlier holder can be in force: a lease of a host, a
+            lease of a target, and the drift of its clock. */
+        std::chrono::milliseconds earlierHolderLimit { 3100 };
+        /** Targets that were listed before the hosts began to follow the list may be missing from it. */
+        std::chrono::seconds listSettled { 4 };
+        /** Ends that are kept for longer are covered by a record of the job's progress. */
+        std::chrono::milliseconds progressDelay { 700 };
+        /** Ended jobs stay known for this long. */
+        std::chrono::seconds retention { 130 };
+        /** A target whose entry is gone is forgotten after this time: entries that lapsed with the store are back
+            within two seconds. */
+        std::chrono::milliseconds unlistedLimit { 3500 };
+        /** Interval of the checks that no event triggers. */
+        std::chrono::milliseconds sweepInterval { 200 };
+        /** Pause before a task that a target could not read starts again. */
+        std::chrono::milliseconds malformedPause { 200 };
+        /** A job whose expected wait is this many times its objective is refused: later it would be of no use. */
+        double refusalFactor { 2 };
+        /** Wait that is advised at least with a refusal. */
+        std::chrono::milliseconds shortestRetry { 100 };
+    };
+    struct Hooks {
+        /** A job has ended, for the host that took it in. */
+        std::function<void(const ShardJob&)> jobEnded;
+        /** The key of the shard is no longer this host's. */
+        std::function<void()> displaced;
+        /** Logs a decision about a job. */
+        std::function<void(const char* event, const JobId&, const std::string& detail)> log;
+    };
+    using SubmitReply = std::function<void(SubmitVerdict, std::chrono::milliseconds retryAfter)>;
+    using StateReply = std::function<void(bool isKnown, JobState)>;
+
+    ShardDispatcher(Settings settings, KeyValueStore& store, TargetCalls& targets, Timers timers, const Clock& clock,
+        Hooks hooks);
+    ShardDispatcher(const ShardDispatcher&) = delete;
+    ShardDispatcher& operator=(const ShardDispatcher&) = delete;
+
+    /** Begins to hold the shard. */
+    void begin(const ShardElection::Holding& holding);
+    /** Gives no order from now on. */
+    void end();
+    bool isHolding() const { return m_holding.has_value() && m_isLoaded; }
+
+    void targetListed(const TargetReport& report);
+    void targetUnlisted(const TargetId& target);
+
+    void submit(const protocol::PlacedJob& job, std::chrono::milliseconds waited, const std::string& entranceAddress,
+        SubmitReply reply);
+    /** Returns the state of a job, or nothing when it is not in memory here. */
+    std::optional<JobState> state(const JobId& job) const;
+    /** Cancels a job; @p reply follows when the record is stored, or at once for a job that is unknown or ended. */
+    void cancel(const JobId& job, StateReply reply);
+
+    /** Returns the load, for the hosts that choose among shards. */
+    protocol::ShardLoad load() const;
+
+private:
+    void readRecords(const std::string& after);
+    void takeRecords(const ReadReply& reply);
+    void takeRecord(const StoredItem& item);
+    void finishLoading();
+    std::unique_ptr<ShardJob> makeJob(const protocol::PlacedJob& description) const;
+    void openSession(const TargetReport& report);
+    TargetSession::Hooks sessionHooks();
+
+    void acceptanceKnown(const JobId& id, RecordWriter::Acceptance acceptance, const StoredItem& existing);
+    void runEnded(TargetSession& session, const EndedTask& end);
+    void learn(TargetSession& session, const EndedTask& end);
+    std::optional<Resources> runFound(TargetSession& session, const RunningTask& running);
+    void startRejected(TargetSession& session, const TaskName& task, std::uint32_t attempt, TargetEnding ending);
+    void taskDone(ShardJob& job, ShardTask& task, const TaskName& name);
+    void endJob(ShardJob& job, JobState state, const std::string& reason);
+    void stopRuns(ShardJob& job);
+    void keepEnd(ShardJob& job, TargetSession& session, std::uint64_t number);
+    void endStored(const JobId& id);
+    void forgetEnds(ShardJob& job, std::uint64_t lastSequence);
+    std::string record(const ShardJob& job) const;
+
+    void scheduleSoon();
+    void schedule();
+    std::vector<ShardJob*> jobsInOrder();
+    void placeJob(ShardJob& job);
+    bool placeTask(ShardJob& job, std::size_t phase, std::uint32_t index);
+    PlacingTask placingTask(const ShardJob& job, std::size_t phase) const;
+    std::uint32_t nextAttempt(const ShardJob& job, const ShardTask& task) const;
+    std::chrono::milliseconds expectedWait(TimePoint objective) const;
+    bool hasEligibleTarget(const ShardJob& job) const;
+
+    void sweep();
+    void sweepRecovery();
+    void sweepTargets();
+    void sweepJobs();
+
+    Settings m_settings;
+    KeyValueStore& m_store;
+    TargetCalls& m_targetCalls;
+    Timers m_timers;
+    const Clock& m_clock;
+    Hooks m_hooks;
+    RecordWriter m_writer;
+    TaskPlacer m_placer;
+    SpeedBook m_speeds;
+    std::optional<ShardElection::Holding> m_holding;
+    /** Rises with each holding, so that readings of an earlier one are ignored. */
+    std::uint64_t m_round { 0 };
+    bool m_isLoaded { false };
+    bool m_isRecovering { false };
+    bool m_isScheduleDue { false };
+    TimePoint m_heldSince;
+    TimePoint m_followedSince;
+    TimePoint m_lastUnlisted { TimePoint::min() };
+    std::map<TargetId, TargetReport> m_reports;
+    std::map<TargetId, std::unique_ptr<TargetSession>> m_sessions;
+    std::map<JobId, std::unique_ptr<ShardJob>> m_jobs;
+    /** Jobs that have not ended. */
+    std::map<JobId, ShardJob*> m_open;
+    std::map<JobId, std::vector<SubmitReply>> m_submitReplies;
+    std::uint64_t m_lastKeptEnd { 0 };
+};
+
+}
--- /dev/null
+++ b/modules/rattanroad_shards/placing/SpeedBook.cpp
@@ -0,0 +1,44 @@
+#include "rattanroad_shards/placing/SpeedBook.h"
+
+#include <algorithm>
+
+namespace rattanroad::shards {
+
+namespace {
+    /** Share of a new sample. Estimates are off by a few tenths, so a kind averages over about fifty runs, and a
+        single target, which may turn slow within seconds, over about eight. */
+    constexpr double kindShare = 0.02;
+    constexpr double targetShare = 0.12;
+    /** A single sample counts at most this much, as a stopped machine would otherwise spoil the average for long. */
+    constexpr double highestRatio = 10;
+    constexpr double lowestRatio = 0.05;
+
+    std::string kindOf(const TargetReport& target) { return target.labels.empty() ? "" : target.labels.front(); }
+}
+
+void SpeedBook::Average::add(double sample, double share)
+{
+    // The first samples weigh equally, so that the starting value does not matter.
+    weight += 1;
+    value += std::max(share, 1 / weight) * (sample - value);
+}
+
+void SpeedBook::add(const TargetReport& target, double ratio)
+{
+    const double sample = std::clamp(ratio, lowestRatio, highestRatio);
+    Average& kind = m_kinds[kindOf(target)];
+    kind.add(sample, kindShare);
+    Average& own = m_targets[target.id];
+    if (own.weight == 0)
+        own.weight = 1 / targetShare;
+    own.add(sample / kind.value, targetShare);
+}
+
+double SpeedBook::factor(const TargetReport& target) const
+{
+    const auto kind = m_kinds.find(kindOf(target));
+    const auto own = m_targets.find(target.id);
+    return (kind == m_kinds.end() ? 1 : kind->second.value) * (own == m_targets.end() ? 1 : own->second.value);
+}
+
+}
--- /dev/null
+++ b/modules/rattanroad_shards/placing/TaskPlacer.cpp
@@ -0,0 +1,43 @@
+#include "rattanroad_shards/placing/TaskPlacer.h"
+
+#include <algorithm>
+
+namespace rattanroad::shards {
+
+bool TaskPlacer::isEligible(const PlacingTask& task, const TargetReport& target)
+{
+    const bool hasLabel = task.requiredLabel.empty()
+        || std::find(target.labels.begin(), target.labels.end(), task.requiredLabel) != target.labels.end();
+    return target.service == task.service && hasLabel && task.resources.fitsInto(target.capacity);
+}
+
+std::chrono::milliseconds TaskPlacer::predict(const PlacingTask& task, const PlacingTarget& target) const
+{
+    const auto& labels = target.report->labels;
+    const bool isNear
+        = task.dataRack.empty() || std::find(labels.begin(), labels.end(), task.dataRack) != labels.end();
+    const double factor = target.factor * (isNear ? 1 : m_settings.remotePenalty);
+    return std::chrono::milliseconds(static_cast<std::int64_t>(static_cast<double>(task.estimate.count()) * factor));
+}
+
+Placement TaskPlacer::choose(const PlacingTask& task, const std::vector<PlacingTarget>& targets) const
+{
+    Placement best { targets.size(), std::chrono::milliseconds::max() };
+    std::uint32_t bestRest = 0;
+    for (std::size_t i = 0; i < targets.size(); ++i) {
+        const PlacingTarget& target = targets[i];
+        if (!isEligible(task, *target.report) || !task.resources.fitsInto(target.free))
+            continue;
+        if (task.maximumPerTarget != 0 && target.samePhase >= task.maximumPerTarget)
+            continue;
+        const auto predicted = predict(task, target);
+        const std::uint32_t rest = target.free.millicores - task.resources.millicores;
+        if (predicted < best.predicted || (predicted == best.predicted && rest < bestRest)) {
+            best = { i, predicted };
+            bestRest = rest;
+        }
+    }
+    return best;
+}
+
+}
--- /dev/null
+++ b/modules/rattanroad_shards/placing/TaskPlacer.h
@@ -0,0 +1,65 @@
+#pragma once
+
+#include "rattanroad_shards/types/ShardTypes.h"
+
+#include <vector>
+
+namespace rattanroad::shards {
+
+/** A target as the placing of tasks sees it. */
+struct PlacingTarget {
+    const TargetReport* report { nullptr };
+    Resources free;
+    /** Expected run time against the estimate; see SpeedBook. */
+    double factor { 1 };
+    /** Tasks of the phase in question that run there. */
+    std::uint32_t samePhase { 0 };
+};
+
+/** What one task needs. */
+struct PlacingTask {
+    Resources resources;
+    std::chrono::milliseconds estimate { 0 };
+    ServiceId service;
+    /** Empty for none. */
+    std::string requiredLabel;
+    /** Rack with the input data; empty for none. */
+    std::string dataRack;
+    /** 0 for no limit. */
+    std::uint32_t maximumPerTarget { 0 };
+    /** Time left until the job's objective; negative when it has passed. */
+    std::chrono::milliseconds timeLeft { 0 };
+};
+
+struct Placement {
+    std::size_t target { 0 };
+    std::chrono::milliseconds predicted { 0 };
+};
+
+/** Chooses the target of one task. */
+class TaskPlacer {
+public:
+    struct Settings {
+        /** Tasks away from their data take this many times as long. */
+        double remotePenalty { 2 };
+    };
+
+    explicit TaskPlacer(Settings settings)
+        : m_settings(settings)
+    {
+    }
+
+    /** Returns whether the target could ever run the task. */
+    static bool isEligible(const PlacingTask& task, const TargetReport& target);
+    /** Returns the expected run time. */
+    std::chrono::milliseconds predict(const PlacingTask& task, const PlacingTarget& target) const;
+    /** Returns the target with room that ends the task first; of equals, the one with the least room left. Returns an
+        index of targets.size() when no target has room.
+    */
+    Placement choose(const PlacingTask& task, const std::vector<PlacingTarget>& targets) const;
+
+private:
+    Settings m_settings;
+};
+
+}
--- /dev/null
+++ b/modules/rattanroad_shards/store/PrefixFollower.cpp
@@ -0,0 +1,142 @@
+#include "rattanroad_shards/store/PrefixFollower.h"
+
+#include <algorithm>
+
+namespace rattanroad::shards {
+
+PrefixFollower::PrefixFollower(
+    Settings settings, KeyValueStore& store, Timers timers, const Clock& clock, Hooks hooks)
+    : m_settings(std::move(settings))
+    , m_store(store)
+    , m_timers(std::move(timers))
+    , m_clock(clock)
+    , m_hooks(std::move(hooks))
+{
+}
+
+void PrefixFollower::start() { readPage(""); }
+
+void PrefixFollower::readPage(const std::string& after)
+{
+    if (after.empty()) {
+        m_read.clear();
+        m_readRevision = KeyRevision(0);
+    }
+    m_store.readPage(m_settings.prefix, after, [this](const ReadReply& reply) { takePage(reply); });
+}
+
+void PrefixFollower::takePage(const ReadReply& reply)
+{
+    // A reading older than what the watch has shown would bring removed keys back.
+    if (reply.ending != StoreEnding::Done || reply.storeRevision < m_watchedTo) {
+        readAgainLater();
+        return;
+    }
+    m_lastAnswer = m_clock.now();
+    if (m_readRevision.value() == 0)
+        m_readRevision = reply.storeRevision;
+    for (const StoredItem& item : reply.items) {
+        m_read[item.key] = item.revision;
+        take(item);
+    }
+    if (reply.hasMore && !reply.items.empty()) {
+        readPage(reply.items.back().key);
+        return;
+    }
+    finishReading(m_readRevision);
+}
+
+void PrefixFollower::finishReading(KeyRevision storeRevision)
+{
+    std::vector<std::string> missing;
+    for (const auto& known : m_known) {
+        if (!m_read.count(known.first))
+            missing.push_back(known.first);
+    }
+    for (const std::string& key : missing)
+        takeRemoval(key, storeRevision);
+    m_read.clear();
+    m_watchedTo = std::max(m_watchedTo, storeRevision);
+    m_isSynchronized = true;
+    if (m_hooks.synchronized)
+        m_hooks.synchronized();
+    watch();
+}
+
+void PrefixFollower::watch()
+{
+    m_store.watch(m_settings.prefix, m_watchedTo, m_settings.watchWait,
+        [this](const WatchReply& reply) { takeChanges(reply); });
+}
+
+void PrefixFollower::watchAfterPause()
+{
+    const Duration pause = m_hooks.pause ? m_hooks.pause() : Duration(0);
+    if (pause == Duration(0)) {
+        watch();
+        return;
+    }
+    m_isPausing = true;
+    m_timers.after(pause, [this, number = ++m_pause] {
+        if (m_isPausing && number == m_pause)
+            watchNow();
+    });
+}
+
+void PrefixFollower::watchNow()
+{
+    if (!m_isPausing)
+        return;
+    m_isPausing = false;
+    watch();
+}
+
+void PrefixFollower::takeChanges(const WatchReply& reply)
+{
+    if (reply.ending == StoreEnding::HistoryGone) {
+        readPage("");
+        return;
+    }
+    if (reply.ending != StoreEnding::Done) {
+        if (m_hooks.interrupted)
+            m_hooks.interrupted();
+        m_timers.after(m_settings.retryPause, [this] { watch(); });
+        return;
+    }
+    m_lastAnswer = m_clock.now();
+    for (const KeyChange& change : reply.changes) {
+        if (change.isRemoved)
+            takeRemoval(change.item.key, change.item.revision);
+        else
+            take(change.item);
+    }
+    m_watchedTo = std::max(m_watchedTo, reply.storeRevision);
+    watchAfterPause();
+}
+
+void PrefixFollower::take(const StoredItem& item)
+{
+    KeyRevision& known = m_known[item.key];
+    if (item.revision <= known)
+        return;
+    known = item.revision;
+    m_hooks.written(item);
+}
+
+void PrefixFollower::takeRemoval(const std::string& key, KeyRevision revision)
+{
+    const auto found = m_known.find(key);
+    if (found == m_known.end() || found->second > revision)
+        return;
+    m_known.erase(found);
+    m_hooks.removed(key);
+}
+
+void PrefixFollower::readAgainLater()
+{
+    if (m_hooks.interrupted)
+        m_hooks.interrupted();
+    m_timers.after(m_settings.retryPause, [this] { readPage(""); });
+}
+
+}
