Serve best-effort jobs: answer at the end, keep them in their shard

Best-effort jobs now live in the holder's memory, stay in the shard that first took them, and are answered at their end.

--- a/apps/rattanroadd/fleet/FleetHost.cpp
+++ b/apps/rattanroadd/fleet/FleetHost.cpp
@@ -61,7 +61,7 @@
         , m_configuration({ adapter::configurationKey }, m_store, m_timers, clock, configurationHooks())
         , m_targetList({ adapter::targetPrefix }, m_store, m_timers, clock, targetHooks())
         , m_fleetList({ storekeys::fleetPrefix }, m_store, m_timers, clock, fleetHooks())
-        , m_link(loop, {}, [this](const protocol::Envelope& envelope) { m_entrance->received(envelope); })
+        , m_link(loop, {}, [this](const protocol::Envelope& envelope) { received(envelope); })
     {
         makeShards();
         m_entrance = std::make_unique<JobEntrance>(
@@ -133,6 +133,7 @@
             settings.shard = shard;
             ShardDispatcher::Hooks hooks;
             hooks.jobEnded = [this](const ShardJob& job) { announceEnd(job); };
+            hooks.keyChanged = [this, shard] { m_shards[shard].election->keyChanged(); };
             hooks.displaced = [this, shard] { m_shards[shard].election->displaced(); };
             hooks.log = [this](const char* event, const JobId& job, const std::string& detail) {
                 m_log.write(event, { { "job", job.value() }, { "detail", detail } });
@@ -334,6 +335,18 @@
         return envelope;
     }
 
+    void received(const protocol::Envelope& message)
+    {
+        if (message.has_shard_load()) {
+            // A host that is cut off from the store sees here that it was replaced.
+            const auto shard = m_shards.find(ShardId(message.shard_load().shard()));
+            const auto& holding = shard == m_shards.end() ? std::nullopt : shard->second.election->holding();
+            if (holding && message.shard_load().generation() > holding->generation.value())
+                shard->second.election->displaced();
+        }
+        m_entrance->received(message);
+    }
+
     void sendLoads()
     {
         for (const auto& entry : m_shards) {
@@ -341,6 +354,9 @@
                 continue;
             protocol::Envelope message = envelope();
             *message.mutable_shard_load() = entry.second.dispatcher->load();
+            message.mutable_shard_load()->set_address(m_settings.peerAddress);
+            for (const JobId& job : entry.second.dispatcher->takeNewJobs())
+                message.mutable_shard_load()->add_new_jobs(job.value());
             m_entrance->loadReceived(message.shard_load());
             for (const auto& host : m_fleet.hosts()) {
                 if (host.first != m_settings.host)
--- a/modules/rattanroad_dispatch/engine/EntryHost.cpp
+++ b/modules/rattanroad_dispatch/engine/EntryHost.cpp
@@ -374,6 +374,13 @@
         return;
     case Body::kHeartbeat:
     case Body::BODY_NOT_SET:
+    // Messages of hosts whose jobs live in the platform's store.
+    case Body::kShardSubmit:
+    case Body::kShardSubmitReply:
+    case Body::kShardQuery:
+    case Body::kShardCancel:
+    case Body::kShardJobReply:
+    case Body::kShardLoad:
         return;
     }
 }
--- a/modules/rattanroad_shards/entrance/JobEntrance.cpp
+++ b/modules/rattanroad_shards/entrance/JobEntrance.cpp
@@ -36,13 +36,38 @@
     return envelope;
 }
 
-void JobEntrance::submit(const protocol::PlacedJob& job, std::chrono::milliseconds wait, SubmitReply reply)
+std::uint64_t JobEntrance::submit(
+    const protocol::PlacedJob& job, std::chrono::milliseconds wait, SubmitReply reply)
 {
     const TimePoint now = m_clock.now();
     const auto limit = wait.count() > 0 ? wait : m_settings.defaultWait;
     const std::uint64_t id = ++m_lastRequest;
     m_submissions[id] = { job, now, now + limit, std::move(reply), ShardId(), 0, 0 };
+    if (job.best_effort())
+        m_awaited.emplace(JobId(job.id()), id);
     trySubmit(id);
+    return id;
+}
+
+void JobEntrance::abandon(std::uint64_t id)
+{
+    const auto found = m_submissions.find(id);
+    if (found == m_submissions.end())
+        return;
+    const Submission& submission = found->second;
+    const JobId job(submission.job.id());
+    if (submission.job.best_effort() && submission.unresolved > 0) {
+        ShardDispatcher* const local = m_hooks.local(submission.shard);
+        const std::string* const address = holderAddress(submission.shard);
+        if (local) {
+            local->cancel(job, [](bool, JobState) {});
+        } else if (address) {
+            protocol::Envelope message = envelope();
+            message.mutable_shard_cancel()->set_id(job.value());
+            m_hooks.send(*address, message);
+        }
+    }
+    finishSubmission(id, EntranceVerdict::Unknown, {});
 }
 
 void JobEntrance::trySubmit(std::uint64_t id)
@@ -53,12 +78,17 @@
     Submission& submission = found->second;
     const TimePoint now = m_clock.now();
     if (now >= submission.deadline) {
+        if (submission.job.best_effort() && submission.unresolved > 0) {
+            abandon(id);
+            return;
+        }
         finishSubmission(id, submission.unresolved > 0 ? EntranceVerdict::Unknown : EntranceVerdict::Refused,
             m_settings.unavailableRetry);
         return;
     }
-    const std::optional<ShardId> shard = chooseShard(submission.job);
-    if (!shard) {
+    const std::optional<ShardId> shard = shardFor(submission);
+    const std::string* const address = shard ? holderAddress(*shard) : nullptr;
+    if (!shard || (!address && !m_hooks.local(*shard))) {
         if (submission.unresolved == 0) {
             m_hooks.log("job_refused", JobId(submission.job.id()), "no shard can take jobs");
             finishSubmission(id, EntranceVerdict::Refused, m_settings.unavailableRetry);
@@ -68,6 +98,9 @@
         return;
     }
     submission.shard = *shard;
+    const bool isResent = submission.unresolved > 0 || m_places.count(JobId(submission.job.id())) != 0;
+    if (submission.job.best_effort())
+        place(JobId(submission.job.id()), *shard);
     const std::uint64_t attempt = ++submission.attempt;
     const auto waited = std::chrono::duration_cast<std::chrono::milliseconds>(now - submission.startedAt);
     ShardDispatcher* const local = m_hooks.local(*shard);
@@ -78,7 +111,8 @@
     m_timers.after(std::min<Duration>(m_settings.replyTimeout, submission.deadline - now), [this, id, attempt, isCurrent] {
         if (!isCurrent())
             return;
-        m_hooks.log("submit_unanswered", JobId(m_submissions[id].job.id()), "shard " + m_submissions[id].shard.value());
+        if (!m_submissions[id].job.best_effort())
+            m_hooks.log("submit_unanswered", JobId(m_submissions[id].job.id()), "shard " + m_submissions[id].shard.value());
         trySubmit(id);
     });
     ++submission.unresolved;
@@ -87,20 +121,50 @@
         wanted += std::uint64_t { phase.count() } * phase.millicores();
     m_loads[*shard].handedOut += wanted;
     if (local) {
-        local->submit(submission.job, waited, m_settings.address,
+        local->submit(submission.job, waited, isResent, m_settings.address,
             [this, id, attempt](SubmitVerdict verdict, std::chrono::milliseconds retryAfter) {
                 takeVerdict(id, attempt, verdict, retryAfter);
             });
         return;
     }
-    const ShardHolder* const holder = m_fleet.holder(*shard);
     protocol::Envelope message = envelope();
     protocol::ShardSubmit* const body = message.mutable_shard_submit();
     body->set_request(wireNumber(id, attempt));
     body->set_shard(shard->value());
     *body->mutable_job() = submission.job;
     body->set_waited_ms(static_cast<std::uint32_t>(waited.count()));
-    m_hooks.send(holder->address, message);
+    body->set_resent(isResent);
+    m_hooks.send(*address, message);
+}
+
+std::optional<ShardId> JobEntrance::shardFor(const Submission& submission) const
+{
+    // Runs of one task in two shards could overlap.
+    const auto placed = m_places.find(JobId(submission.job.id()));
+    if (submission.job.best_effort() && placed != m_places.end())
+        return placed->second.shard;
+    return chooseShard(submission.job);
+}
+
+const std::string* JobEntrance::holderAddress(const ShardId& shard) const
+{
+    const auto seen = m_loads.find(shard);
+    const ShardHolder* const holder = m_fleet.holder(shard);
+    // A host that is cut off from the store learns of a new holder from its load.
+    if (seen != m_loads.end() && (!holder || seen->second.load.generation() >= holder->generation.value()))
+        return &seen->second.load.address();
+    return holder ? &holder->address : nullptr;
+}
+
+void JobEntrance::place(const JobId& job, const ShardId& shard)
+{
+    const TimePoint now = m_clock.now();
+    if (m_places.emplace(job, Place { shard, now }).second)
+        m_placeOrder.emplace_back(now, job);
+    std::size_t expired = 0;
+    while (expired < m_placeOrder.size() && now - m_placeOrder[expired].first >= m_settings.placeLimit)
+        m_places.erase(m_placeOrder[expired++].second);
+    m_placeOrder.erase(m_placeOrder.begin(), m_placeOrder.begin() + static_cast<std::ptrdiff_t>(expired));
 }
 
 std::optional<ShardId> JobEntrance::chooseShard(const protocol::PlacedJob& job) const
@@ -111,7 +175,7 @@
     for (const ShardId& shard : m_settings.shards) {
         const auto seen = m_loads.find(shard);
         const bool isFresh = seen != m_loads.end() && now - seen->second.seenAt < m_settings.loadLimit;
-        if (!isFresh || seen->second.load.targets() == 0 || (!m_hooks.local(shard) && !m_fleet.holder(shard)))
+        if (!isFresh || seen->second.load.targets() == 0)
             continue;
         const protocol::ShardLoad& load = seen->second.load;
         const auto& services = load.services();
@@ -153,6 +217,8 @@
     if (found == m_submissions.end())
         return;
     Submission& submission = found->second;
+    if (verdict == SubmitVerdict::Accepted && submission.job.best_effort())
+        return;
     if (verdict == SubmitVerdict::Accepted) {
         remember(JobId(submission.job.id()), submission.shard, JobState::Queued);
         finishSubmission(id, EntranceVerdict::Accepted, {});
@@ -174,6 +240,13 @@
     std::uint64_t id, EntranceVerdict verdict, std::chrono::milliseconds retryAfter)
 {
     const SubmitReply reply = std::move(m_submissions[id].reply);
+    const auto awaited = m_awaited.equal_range(JobId(m_submissions[id].job.id()));
+    for (auto entry = awaited.first; entry != awaited.second; ++entry) {
+        if (entry->second == id) {
+            m_awaited.erase(entry);
+            break;
+        }
+    }
     m_submissions.erase(id);
     reply(verdict, retryAfter);
 }
@@ -242,8 +315,8 @@
         takeAnswer(id, attempt, state.has_value(), state.value_or(JobState::Queued));
         return;
     }
-    const ShardHolder* const holder = m_fleet.holder(shard);
-    if (!holder)
+    const std::string* const address = holderAddress(shard);
+    if (!address)
         return;
     protocol::Envelope message = envelope();
     if (question.isCancel) {
@@ -253,7 +326,7 @@
         message.mutable_shard_query()->set_request(wireNumber(id, attempt));
         message.mutable_shard_query()->set_id(question.job.value());
     }
-    m_hooks.send(holder->address, message);
+    m_hooks.send(*address, message);
 }
 
 void JobEntrance::readRecord(std::uint64_t id)
@@ -351,6 +424,12 @@
 
 void JobEntrance::jobEnded(const JobId& job, JobState state)
 {
+    std::vector<std::uint64_t> submissions;
+    const auto awaited = m_awaited.equal_range(job);
+    for (auto entry = awaited.first; entry != awaited.second; ++entry)
+        submissions.push_back(entry->second);
+    for (const std::uint64_t id : submissions)
+        finishSubmission(id, state == JobState::Done ? EntranceVerdict::Done : EntranceVerdict::Failed, {});
     const auto found = m_states.find(job);
     if (found != m_states.end())
         remember(job, ShardId(found->second.shard), state);
@@ -380,6 +459,8 @@
     if (load.generation() < seen.load.generation())
         return;
     seen = { load, m_clock.now(), 0 };
+    for (const std::string& job : load.new_jobs())
+        place(JobId(job), ShardId(load.shard()));
 }
 
 void JobEntrance::received(const protocol::Envelope& message)
@@ -434,7 +515,8 @@
         reply(SubmitVerdict::NotHolder, {});
         return;
     }
-    local->submit(body.job(), std::chrono::milliseconds(body.waited_ms()), message.from_host(), reply);
+    local->submit(
+        body.job(), std::chrono::milliseconds(body.waited_ms()), body.resent(), message.from_host(), reply);
 }
 
 void JobEntrance::answerQuestion(const protocol::Envelope& message)
--- a/modules/rattanroad_shards/entrance/JobEntrance.h
+++ b/modules/rattanroad_shards/entrance/JobEntrance.h
@@ -12,6 +12,8 @@
 /** What a caller is told about a submission. */
 enum class EntranceVerdict {
     Accepted, ///< The job is stored.
+    Done, ///< The best-effort job has ended as done.
+    Failed, ///< The best-effort job has ended as failed.
     Refused, ///< The job never runs.
     Unknown, ///< The job may have been stored; the caller should ask again.
 };
@@ -33,7 +35,7 @@
         std::chrono::milliseconds replyTimeout { 350 };
         std::chrono::milliseconds retryPause { 40 };
         /** Loads are sent ten times a second; a holder that is silent for longer may be gone. */
-        std::chrono::milliseconds loadLimit { 900 };
+        std::chrono::milliseconds loadLimit { 450 };
         /** A state that was seen this recently is given without asking again. */
         std::chrono::milliseconds stateLimit { 250 };
         /** Callers wait this long when they do not say. */
@@ -48,6 +50,8 @@
         std::chrono::milliseconds fullCost { 60 };
         /** States of jobs that are kept in memory. */
         std::size_t maximumStates { 20000 };
+        /** Best-effort jobs of other hosts are remembered for this long: callers submit again after 1.3 s. */
+        std::chrono::seconds placeLimit { 8 };
     };
     struct Hooks {
         std::function<void(const std::string& address, const protocol::Envelope&)> send;
@@ -68,7 +72,10 @@
     JobEntrance(const JobEntrance&) = delete;
     JobEntrance& operator=(const JobEntrance&) = delete;
 
-    void submit(const protocol::PlacedJob& job, std::chrono::milliseconds wait, SubmitReply reply);
+    /** Hands a job in. Returns a number for abandon(). */
+    std::uint64_t submit(const protocol::PlacedJob& job, std::chrono::milliseconds wait, SubmitReply reply);
+    /** The caller has gone. A best-effort job is then stopped. */
+    void abandon(std::uint64_t submission);
     void query(const JobId& job, std::chrono::milliseconds wait, StateReply reply);
     void cancel(const JobId& job, std::chrono::milliseconds wait, StateReply reply);
     /** Returns the number of accepted jobs of a queue of which no task has started. */
@@ -109,6 +116,10 @@
         JobState state { JobState::Queued };
         TimePoint seenAt;
     };
+    struct Place {
+        ShardId shard;
+        TimePoint seenAt;
+    };
     struct SeenLoad {
         protocol::ShardLoad load;
         TimePoint seenAt;
@@ -118,6 +129,10 @@
 
     void trySubmit(std::uint64_t id);
     std::optional<ShardId> chooseShard(const protocol::PlacedJob& job) const;
+    std::optional<ShardId> shardFor(const Submission& submission) const;
+    /** Returns the address of a shard's holder, or null. */
+    const std::string* holderAddress(const ShardId& shard) const;
+    void place(const JobId& job, const ShardId& shard);
     void takeVerdict(
         std::uint64_t id, std::uint64_t attempt, SubmitVerdict verdict, std::chrono::milliseconds retryAfter);
     void finishSubmission(std::uint64_t id, EntranceVerdict verdict, std::chrono::milliseconds retryAfter);
@@ -144,6 +159,10 @@
     std::vector<JobId> m_stateOrder;
     std::size_t m_oldestState { 0 };
     std::map<ShardId, SeenLoad> m_loads;
+    /** Shards of best-effort jobs, which stay where they were first sent to. */
+    std::map<JobId, Place> m_places;
+    std::vector<std::pair<TimePoint, JobId>> m_placeOrder;
+    std::multimap<JobId, std::uint64_t> m_awaited;
     std::uint64_t m_lastRequest { 0 };
 };
 
--- a/modules/rattanroad_shards/holding/ShardElection.cpp
+++ b/modules/rattanroad_shards/holding/ShardElection.cpp
@@ -44,18 +44,28 @@
         // The watch may be behind the own write, so only a newer holder counts.
         if (holder && holder->token > m_holding->token)
             lose("another host holds the shard");
-        else if (shouldGiveWay())
+        else if (m_unconfirmedSince && m_clock.now() - *m_unconfirmedSince >= m_settings.unconfirmedLimit)
+            lose("held too long without a lease");
+        else if (!m_unconfirmedSince && shouldGiveWay())
             release();
-        return;
+        if (!m_holding || !m_unconfirmedSince)
+            return;
     }
-    if (!m_isCandidate || !m_lease.isValid() || m_isAttempting || m_isAttemptDue)
+    if (!m_isCandidate || !m_lease.isValid() || m_isAttempting || m_isAttemptDue || !isFree())
         return;
-    const bool isOwnFormerKey
-        = holder && holder->host == m_settings.self && holder->incarnation != m_settings.incarnation;
-    if (isOwnFormerKey)
-        attemptAfter(Duration(0));
-    else if (!holder)
-        attemptAfter(m_settings.attemptSpacing * rank());
+    const bool isOwn = m_holding || holder;
+    attemptAfter(isOwn ? Duration(0) : m_settings.attemptSpacing * rank());
+}
+
+bool ShardElection::isFree() const
+{
+    const ShardHolder* const holder = m_fleet.holder(m_settings.shard);
+    if (!holder)
+        return true;
+    if (holder->host != m_settings.self)
+        return false;
+    // The key of an earlier process, or of an earlier lease of this one.
+    return holder->incarnation != m_settings.incarnation || m_unconfirmedSince;
 }
 
 std::size_t ShardElection::rank() const
@@ -101,10 +111,8 @@
 
 void ShardElection::attempt()
 {
-    if (m_holding || m_isAttempting || !m_isCandidate || !m_lease.isValid())
-        return;
-    const ShardHolder* const holder = m_fleet.holder(m_settings.shard);
-    if (holder && !(holder->host == m_settings.self && holder->incarnation != m_settings.incarnation))
+    const bool isConfirmed = m_holding && !m_unconfirmedSince;
+    if (isConfirmed || m_isAttempting || !m_isCandidate || !m_lease.isValid() || !isFree())
         return;
     m_isAttempting = true;
     m_store.read(storekeys::generation(m_settings.shard), [this](const ReadReply& reply) {
@@ -116,13 +124,18 @@
 
 void ShardElection::write(const ReadReply& generationKey)
 {
-    if (m_holding || !m_isCandidate || !m_lease.isValid())
+    const bool isConfirmed = m_holding && !m_unconfirmedSince;
+    if (isConfirmed || !m_isCandidate || !m_lease.isValid() || !isFree())
         return;
     const ShardHolder* const holder = m_fleet.holder(m_settings.shard);
     const bool exists = generationKey.ending == StoreEnding::Done && !generationKey.items.empty();
     const KeyRevision generationRevision = exists ? generationKey.items.front().revision : KeyRevision(0);
     const std::uint64_t before = exists ? parseGeneration(generationKey.items.front().value) : 0;
     const bool isContinued = exists && generationRevision == m_lastGenerationRevision;
+    if (m_holding && !isContinued) {
+        lose("another host has held the shard");
+        return;
+    }
     // A continued holding keeps its number: attempts of tasks stay in one sequence.
     const Generation generation(isContinued ? before : before + 1);
     protocol::ShardHolderRecord record;
@@ -160,19 +173,27 @@
     m_betterHostSince.reset();
     if (!isContinued)
         m_lastGenerationRevision = reply.revision;
+    m_unconfirmedSince.reset();
     m_holding = Holding { FencingToken(reply.revision.value()), generation, isContinued };
     m_hooks.acquired(*m_holding);
 }
 
-void ShardElection::leaseLost() { lose("the lease has ended"); }
+void ShardElection::leaseLost()
+{
+    if (m_holding && !m_unconfirmedSince)
+        m_unconfirmedSince = m_clock.now();
+}
 
-void ShardElection::displaced()
+void ShardElection::keyChanged()
 {
-    lose("the key of the shard has changed");
+    leaseLost();
     // The store has removed or replaced a key of the lease, so nothing else under it can be relied on.
     m_lease.replace();
+    review();
 }
 
+void ShardElection::displaced() { lose("another host holds the shard"); }
+
 void ShardElection::release()
 {
     if (!m_holding)
@@ -199,6 +220,7 @@
     if (!m_holding)
         return;
     m_holding.reset();
+    m_unconfirmedSince.reset();
     m_hooks.lost(reason);
 }
 
--- a/modules/rattanroad_shards/holding/ShardElection.h
+++ b/modules/rattanroad_shards/holding/ShardElection.h
@@ -27,6 +27,9 @@
         std::chrono::milliseconds attemptSpacing { 120 };
         /** A holder from another domain gives way to a host of the preferred domain that has lived this long. */
         std::chrono::milliseconds giveWayAfter { 2500 };
+        /** Without a lease, a holder goes on for this long unless another host takes the shard: outages of the store
+            last several seconds, and targets refuse the orders of a holder that was replaced. */
+        std::chrono::milliseconds unconfirmedLimit { 10000 };
     };
     struct Holding {
         FencingToken token;
@@ -36,7 +39,7 @@
     };
     struct Hooks {
         std::function<void(const Holding&)> acquired;
-        /** The shard is held no more, or maybe no more: no order may be given from now on. */
+        /** The shard is held no more: no order may be given from now on. */
         std::function<void(const char* reason)> lost;
     };
 
@@ -47,9 +50,11 @@
 
     /** Looks at the fleet again. Called when the fleet or the lease has changed, and at intervals. */
     void review();
-    /** The lease has ended. */
+    /** The lease has ended: another host may take the shard. */
     void leaseLost();
     /** A write under the shard's key was refused because the key has changed. */
+    void keyChanged();
+    /** Another host has been seen to hold the shard. */
     void displaced();
     /** Gives the shard up for another host. */
     void release();
@@ -57,11 +62,14 @@
     void setCandidate(bool isCandidate) { m_isCandidate = isCandidate; }
 
     bool isHeld() const { return m_holding.has_value(); }
+    /** Returns whether the shard is held without a lease. */
+    bool isUnconfirmed() const { return m_unconfirmedSince.has_value(); }
     const std::optional<Holding>& holding() const { return m_holding; }
 
 private:
     std::size_t rank() const;
     bool shouldGiveWay();
+    bool isFree() const;
     void attemptAfter(Duration pause);
     void attempt();
     void write(const ReadReply& generationKey);
@@ -77,6 +85,7 @@
     const Clock& m_clock;
     Hooks m_hooks;
     std::optional<Holding> m_holding;
+    std::optional<TimePoint> m_unconfirmedSince;
     /** Of the last time that this host held the shard. */
     KeyRevision m_lastGenerationRevision;
     bool m_isAttempting { false };
--- a/modules/rattanroad_shards/jobs/ShardDispatcher.cpp
+++ b/modules/rattanroad_shards/jobs/ShardDispatcher.cpp
@@ -20,7 +20,7 @@
     , m_timers(std::move(timers))
     , m_clock(clock)
     , m_hooks(std::move(hooks))
-    , m_writer({ storekeys::holder(m_settings.shard) }, store, m_timers, { [this] { m_hooks.displaced(); } })
+    , m_writer({ storekeys::holder(m_settings.shard) }, store, m_timers, { [this] { m_hooks.keyChanged(); } })
     , m_placer(m_settings.placing)
     , m_heldSince(clock.now())
     , m_followedSince(clock.now())
@@ -194,7 +194,7 @@
     return hooks;
 }
 
-void ShardDispatcher::submit(const protocol::PlacedJob& description, std::chrono::milliseconds waited,
+void ShardDispatcher::submit(const protocol::PlacedJob& description, std::chrono::milliseconds waited, bool isResent,
     const std::string& entranceAddress, SubmitReply reply)
 {
     if (!isHolding()) {
@@ -204,9 +204,13 @@
     const JobId id(description.id());
     const auto known = m_jobs.find(id);
     if (known != m_jobs.end()) {
-        if (known->second->isStored)
+        ShardJob& job = *known->second;
+        job.entranceAddress = entranceAddress;
+        if (job.isStored)
             reply(SubmitVerdict::Accepted, {});
-        else
+        if (job.description.best_effort() && hasEnded(job.state))
+            m_hooks.jobEnded(job);
+        if (!job.isStored)
             m_submitReplies[id].push_back(std::move(reply));
         return;
     }
@@ -216,15 +220,21 @@
     job->acceptedIn = m_holding->generation;
     job->entranceAddress = entranceAddress;
     const auto wait = expectedWait(job->objective);
+    const bool isStoreNeeded = !description.best_effort();
+    const bool isStoreAway = isStoreNeeded && m_writer.isStoreAway();
     const bool isTooLate = wait > objectiveOf(description) * m_settings.refusalFactor;
-    if (isTooLate || m_writer.isStoreAway() || !hasEligibleTarget(*job)) {
+    if (isTooLate || isStoreAway || !hasEligibleTarget(*job)) {
         m_hooks.log("job_refused", id,
-            m_writer.isStoreAway() ? "the store is away"
-                : isTooLate        ? "expected wait " + std::to_string(wait.count()) + " ms"
-                                   : "no target can run it");
+            isStoreAway     ? "the store is away"
+                : isTooLate ? "expected wait " + std::to_string(wait.count()) + " ms"
+                            : "no target can run it");
         reply(SubmitVerdict::Refused, std::max(m_settings.shortestRetry, wait));
         return;
     }
+    if (description.best_effort()) {
+        submitBestEffort(std::move(job), isResent, reply);
+        return;
+    }
     m_submitReplies[id].push_back(std::move(reply));
     const std::string value = record(*job);
     m_jobs[id] = std::move(job);
@@ -233,6 +243,30 @@
     });
 }
 
+void ShardDispatcher::submitBestEffort(std::unique_ptr<ShardJob> job, bool isResent, const SubmitReply& reply)
+{
+    const JobId id = job->id;
+    job->isStored = true;
+    // An earlier holder may have left a run on a target that has not answered yet.
+    const bool isUncertain = isResent && !areAllTargetsReady();
+    for (auto& phase : job->phases) {
+        for (ShardTask& task : phase)
+            task.isUncertain = isUncertain;
+    }
+    m_open[id] = job.get();
+    m_jobs[id] = std::move(job);
+    m_newJobs.push_back(id);
+    reply(SubmitVerdict::Accepted, {});
+    scheduleSoon();
+}
+
+std::vector<JobId> ShardDispatcher::takeNewJobs()
+{
+    std::vector<JobId> jobs;
+    jobs.swap(m_newJobs);
+    return jobs;
+}
+
 void ShardDispatcher::acceptanceKnown(
     const JobId& id, RecordWriter::Acceptance acceptance, const StoredItem& existing)
 {
@@ -394,6 +428,11 @@
     // The targets keep the ends until the record is stored, so a later holder comes to the same state.
     if (state != JobState::Cancelled)
         m_hooks.jobEnded(job);
+    if (job.description.best_effort()) {
+        job.isEndStored = true;
+        forgetEnds(job, m_lastKeptEnd);
+        return;
+    }
     m_writer.update(storekeys::job(job.id), record(job), [this, id = job.id] { endStored(id); });
 }
 
@@ -429,7 +468,8 @@
 void ShardDispatcher::keepEnd(ShardJob& job, TargetSession& session, std::uint64_t number)
 {
     job.keptEnds.push_back({ session.report().id, session.bornMs(), number, m_clock.now(), ++m_lastKeptEnd });
-    if (job.isEndStored)
+    // Nobody goes on with a best-effort job from what its tasks have done.
+    if (job.isEndStored || job.description.best_effort())
         forgetEnds(job, m_lastKeptEnd);
 }
 
@@ -668,11 +708,22 @@
 
 void ShardDispatcher::sweepRecovery()
 {
-    if (!m_isRecovering || !m_isLoaded)
+    if (!m_isLoaded)
+        return;
+    if (areAllTargetsReady()) {
+        for (const auto& entry : m_open) {
+            if (!entry.second->description.best_effort())
+                continue;
+            for (auto& phase : entry.second->phases) {
+                for (ShardTask& task : phase)
+                    task.isUncertain = false;
+            }
+        }
+    }
+    if (!m_isRecovering)
         return;
     const TimePoint now = m_clock.now();
-    const bool areAllReady = std::all_of(
-        m_sessions.begin(), m_sessions.end(), [](const auto& entry) { return entry.second->isReady(); });
+    const bool areAllReady = areAllTargetsReady();
     // A target that is missing from the list may run something all the same.
     const bool isListSettled
         = now - m_followedSince >= m_settings.listSettled && now - m_lastUnlisted >= m_settings.listSettled;
@@ -690,6 +741,13 @@
     scheduleSoon();
 }
 
+bool ShardDispatcher::areAllTargetsReady() const
+{
+    return !m_sessions.empty() && std::all_of(m_sessions.begin(), m_sessions.end(), [](const auto& entry) {
+        return entry.second->isReady();
+    });
+}
+
 void ShardDispatcher::sweepTargets()
 {
     const TimePoint now = m_clock.now();
@@ -722,11 +780,13 @@
         const ShardJob& job = *entry.second;
         if (!job.endedAt)
             continue;
-        if (now - *job.endedAt >= m_settings.retention)
+        const bool isBestEffort = job.description.best_effort();
+        if (now - *job.endedAt >= (isBestEffort ? m_settings.bestEffortRetention : m_settings.retention))
             expired.push_back(entry.first);
     }
     for (const JobId& id : expired) {
-        m_writer.remove(storekeys::job(id));
+        if (!m_jobs[id]->description.best_effort())
+            m_writer.remove(storekeys::job(id));
         m_jobs.erase(id);
     }
 }
--- a/modules/rattanroad_shards/jobs/ShardDispatcher.h
+++ b/modules/rattanroad_shards/jobs/ShardDispatcher.h
@@ -32,15 +32,17 @@
         ShardId shard;
         TargetSession::Settings targets;
         TaskPlacer::Settings placing;
-        /** Time after taking the shard until no order of an earlier holder can be in force: a lease of a host, a
-            lease of a target, and the drift of its clock. */
-        std::chrono::milliseconds earlierHolderLimit { 3100 };
+        /** Time after taking the shard until no order of an earlier holder can be in force: a lease of a host, the
+            time that it goes on without one, a lease of a target, and the drift of its clock. */
+        std::chrono::milliseconds earlierHolderLimit { 13000 };
         /** Targets that were listed before the hosts began to follow the list may be missing from it. */
         std::chrono::seconds listSettled { 4 };
         /** Ends that are kept for longer are covered by a record of the job's progress. */
         std::chrono::milliseconds progressDelay { 700 };
         /** Ended jobs stay known for this long. */
         std::chrono::seconds retention { 130 };
+        /** Callers submit a best-effort job again within a few seconds, or not at all. */
+        std::chrono::seconds bestEffortRetention { 6 };
         /** A target whose entry is gone is forgotten after this time: entries that lapsed with the store are back
             within two seconds. */
         std::chrono::milliseconds unlistedLimit { 3500 };
@@ -56,7 +58,9 @@
     struct Hooks {
         /** A job has ended, for the host that took it in. */
         std::function<void(const ShardJob&)> jobEnded;
-        /** The key of the shard is no longer this host's. */
+        /** The key of the shard in the store is no longer this host's. */
+        std::function<void()> keyChanged;
+        /** A target has seen another holder. */
         std::function<void()> displaced;
         /** Logs a decision about a job. */
         std::function<void(const char* event, const JobId&, const std::string& detail)> log;
@@ -78,8 +82,9 @@
     void targetListed(const TargetReport& report);
     void targetUnlisted(const TargetId& target);
 
-    void submit(const protocol::PlacedJob& job, std::chrono::milliseconds waited, const std::string& entranceAddress,
-        SubmitReply reply);
+    /** Takes a job. @p isResent tells that an earlier holder, or this one, may have started it. */
+    void submit(const protocol::PlacedJob& job, std::chrono::milliseconds waited, bool isResent,
+        const std::string& entranceAddress, SubmitReply reply);
     /** Returns the state of a job, or nothing when it is not in memory here. */
     std::optional<JobState> state(const JobId& job) const;
     /** Cancels a job; @p reply follows when the record is stored, or at once for a job that is unknown or ended. */
@@ -87,6 +92,8 @@
 
     /** Returns the load, for the hosts that choose among shards. */
     protocol::ShardLoad load() const;
+    /** Returns the best-effort jobs that were taken in since the last call. */
+    std::vector<JobId> takeNewJobs();
 
 private:
     void readRecords(const std::string& after);
@@ -107,6 +114,8 @@
     void stopRuns(ShardJob& job);
     void keepEnd(ShardJob& job, TargetSession& session, std::uint64_t number);
     void endStored(const JobId& id);
+    bool areAllTargetsReady() const;
+    void submitBestEffort(std::unique_ptr<ShardJob> job, bool isResent, const SubmitReply& reply);
     void forgetEnds(ShardJob& job, std::uint64_t lastSequence);
     std::string record(const ShardJob& job) const;
 
@@ -150,6 +159,7 @@
     std::map<JobId, ShardJob*> m_open;
     std::map<JobId, std::vector<SubmitReply>> m_submitReplies;
     std::uint64_t m_lastKeptEnd { 0 };
+    std::vector<JobId> m_newJobs;
 };
 
 }
