Hand best-effort jobs to the next holder; drain connections

Cause of LOST: kept-alive connections of callers were still open when a drained host exited; answers now close them. Ruled out: resubmission to another shard (the log shows one shard a job).

--- a/apps/rattanroadd/fleet/FleetHost.cpp
+++ b/apps/rattanroadd/fleet/FleetHost.cpp
@@ -23,7 +23,7 @@
     constexpr std::chrono::milliseconds linkInterval { 500 };
     constexpr std::chrono::milliseconds electionInterval { 100 };
     /** Below the time that the platform gives a process to stop, which is 6 s. */
-    constexpr std::chrono::milliseconds drainLimit { 4500 };
+    constexpr std::chrono::milliseconds drainLimit { 5500 };
     /** The platform notices within two of its checks, 1 s apart, that the host takes no new connections. */
     constexpr std::chrono::milliseconds drainNotice { 2300 };
     constexpr std::chrono::milliseconds drainPoll { 50 };
@@ -110,6 +110,7 @@
         m_isDraining = true;
         m_drainStartedAt = m_clock.now();
         m_log.write("drain_started", {});
+        m_server->drain();
         registerHost();
         for (auto& entry : m_shards) {
             entry.second.election->setCandidate(false);
@@ -257,8 +258,11 @@
     {
         PrefixFollower::Hooks hooks;
         hooks.written = [this](const StoredItem& item) {
-            if (const auto shard = m_fleet.written(item))
-                m_shards[*shard].election->review();
+            const auto shard = m_fleet.written(item);
+            if (!shard || !m_shards.count(*shard))
+                return;
+            m_shards[*shard].election->review();
+            handOver(*shard);
         };
         hooks.removed = [this](const std::string& key) {
             const auto shard = m_fleet.removed(key);
@@ -326,6 +330,18 @@
         m_loop.addTimer(electionInterval, [this] { reviewElections(); });
     }
 
+    /** Sends the jobs of a shard that this host gave up to the new holder. */
+    void handOver(const ShardId& shard)
+    {
+        const ShardHolder* const holder = m_fleet.holder(shard);
+        if (m_shards[shard].election->isHeld() || !holder || holder->host == m_settings.host)
+            return;
+        protocol::Envelope message = envelope();
+        *message.mutable_shard_handover() = m_shards[shard].dispatcher->takeHandover();
+        if (message.shard_handover().jobs_size() > 0)
+            m_link.send(holder->address, message);
+    }
+
     protocol::Envelope envelope() const
     {
         protocol::Envelope envelope;
@@ -343,6 +359,11 @@
             const auto& holding = shard == m_shards.end() ? std::nullopt : shard->second.election->holding();
             if (holding && message.shard_load().generation() > holding->generation.value())
                 shard->second.election->displaced();
+        } else if (message.has_shard_handover()) {
+            const auto shard = m_shards.find(ShardId(message.shard_handover().shard()));
+            if (shard != m_shards.end())
+                shard->second.dispatcher->handoverReceived(message.shard_handover());
+            return;
         }
         m_entrance->received(message);
     }
--- a/modules/rattanroad_dispatch/engine/EntryHost.cpp
+++ b/modules/rattanroad_dispatch/engine/EntryHost.cpp
@@ -381,6 +381,7 @@
     case Body::kShardCancel:
     case Body::kShardJobReply:
     case Body::kShardLoad:
+    case Body::kShardHandover:
         return;
     }
 }
--- a/modules/rattanroad_network/http/HttpServer.cpp
+++ b/modules/rattanroad_network/http/HttpServer.cpp
@@ -23,8 +23,9 @@
         State* state;
     };
 
-    explicit State(h2o_req_t* request)
+    State(h2o_req_t* request, std::shared_ptr<const bool> isDraining)
         : m_request(request)
+        , m_isDraining(std::move(isDraining))
         , m_descriptor(h2o_socket_get_fd(request->conn->callbacks->get_socket(request->conn)))
     {
     }
@@ -99,6 +100,8 @@
 private:
     void fillHead(int status, const std::string& contentType, const std::vector<HttpHeader>& headers)
     {
+        if (*m_isDraining)
+            m_request->http1_is_persistent = 0;
         m_request->res.status = status;
         m_request->res.reason = status < 400 ? "OK" : "Error";
         const auto copied = h2o_strdup(&m_request->pool, contentType.data(), contentType.size());
@@ -133,6 +136,7 @@
     }
 
     h2o_req_t* m_request;
+    std::shared_ptr<const bool> m_isDraining;
     int m_descriptor;
     Generator m_generator {};
     std::function<void()> m_disconnectCallback;
@@ -232,6 +236,7 @@
         m_listeners.erase(found);
     }
 
+    void drain() { *m_isDraining = true; }
     std::size_t openRequests() const { return m_requests.size(); }
 
 private:
@@ -290,7 +295,7 @@
 
     void handle(h2o_req_t* native)
     {
-        auto state = std::make_shared<HttpResponder::State>(native);
+        auto state = std::make_shared<HttpResponder::State>(native, m_isDraining);
         struct Holder {
             std::shared_ptr<HttpResponder::State> state;
             Impl* server;
@@ -358,6 +363,7 @@
     std::map<int, std::unique_ptr<Listener>> m_listeners;
     std::unordered_map<int, int> m_portByDescriptor;
     std::unordered_map<int, std::shared_ptr<HttpResponder::State>> m_requests;
+    std::shared_ptr<bool> m_isDraining { std::make_shared<bool>(false) };
 };
 
 HttpServer::HttpServer(EventLoop& loop, Settings settings, Handler handler)
@@ -371,6 +377,8 @@
 
 void HttpServer::closeListener(int port) { m_impl->closeListener(port); }
 
+void HttpServer::drain() { m_impl->drain(); }
+
 std::size_t HttpServer::openRequests() const { return m_impl->openRequests(); }
 
 }
--- a/modules/rattanroad_network/http/HttpServer.h
+++ b/modules/rattanroad_network/http/HttpServer.h
@@ -65,6 +65,8 @@
     Result<int> listen(const std::string& address);
     /** Stops accepting connections on @p port; open connections stay. */
     void closeListener(int port);
+    /** Closes each connection after the answer in progress or the next one, so that callers turn to other hosts. */
+    void drain();
     /** Returns the number of requests whose answer is not complete. */
     std::size_t openRequests() const;
 
--- a/modules/rattanroad_shards/jobs/ShardDispatcher.cpp
+++ b/modules/rattanroad_shards/jobs/ShardDispatcher.cpp
@@ -40,6 +40,7 @@
         return;
     }
     m_isLoaded = false;
+    m_areSessionsOpen = false;
     m_heldSince = m_clock.now();
     m_sessions.clear();
     m_open.clear();
@@ -123,11 +124,86 @@
     m_isLoaded = true;
     m_isRecovering = true;
     m_hooks.log("shard_loaded", JobId(), std::to_string(m_open.size()) + " open jobs");
+    const bool hasPredecessor = m_holding->generation.value() > 1;
+    m_timers.after(hasPredecessor ? m_settings.handoverWait : Duration(0), [this, round = m_round] {
+        if (round == m_round && m_holding)
+            openSessions();
+    });
+}
+
+void ShardDispatcher::openSessions()
+{
+    if (m_areSessionsOpen)
+        return;
+    m_areSessionsOpen = true;
     for (const auto& entry : m_reports)
         openSession(entry.second);
     sweepRecovery();
 }
 
+protocol::ShardHandover ShardDispatcher::takeHandover()
+{
+    protocol::ShardHandover handover;
+    handover.set_shard(m_settings.shard.value());
+    for (const auto& entry : m_open) {
+        const ShardJob& job = *entry.second;
+        if (!job.description.best_effort())
+            continue;
+        protocol::JobHandover* const added = handover.add_jobs();
+        *added->mutable_job() = job.description;
+        const auto waited = std::chrono::duration_cast<std::chrono::milliseconds>(m_clock.now() - job.receivedAt);
+        added->set_waited_ms(static_cast<std::uint32_t>(waited.count()));
+        added->set_entrance(job.entranceAddress);
+        for (std::size_t phase = 0; phase < job.phases.size(); ++phase) {
+            for (std::size_t index = 0; index < job.phases[phase].size(); ++index) {
+                const ShardTask& task = job.phases[phase][index];
+                protocol::TaskHandover* const state = added->add_tasks();
+                state->set_phase(static_cast<std::uint32_t>(phase));
+                state->set_index(static_cast<std::uint32_t>(index));
+                state->set_done(task.state == ShardTask::State::Done);
+                state->set_attempt(task.attempt);
+                state->set_failed_runs(task.failedRuns);
+            }
+        }
+    }
+    m_open.clear();
+    m_jobs.clear();
+    m_isLoaded = false;
+    return handover;
+}
+
+void ShardDispatcher::handoverReceived(const protocol::ShardHandover& handover)
+{
+    if (!m_holding)
+        return;
+    for (const protocol::JobHandover& handed : handover.jobs()) {
+        const JobId id(handed.job().id());
+        if (m_jobs.count(id))
+            continue;
+        auto job = makeJob(handed.job());
+        job->receivedAt -= std::chrono::milliseconds(handed.waited_ms());
+        job->objective -= std::chrono::milliseconds(handed.waited_ms());
+        job->acceptedIn = m_holding->generation;
+        job->entranceAddress = handed.entrance();
+        job->isStored = true;
+        for (const protocol::TaskHandover& state : handed.tasks()) {
+            ShardTask* const task = job->task({ id, state.phase(), state.index() });
+            if (!task)
+                continue;
+            task->attempt = state.attempt();
+            task->failedRuns = state.failed_runs();
+            task->state = state.done() ? ShardTask::State::Done : ShardTask::State::Waiting;
+            task->isUncertain = !state.done() && state.attempt() > 0;
+        }
+        m_open[id] = job.get();
+        m_jobs[id] = std::move(job);
+        m_newJobs.push_back(id);
+    }
+    m_hooks.log("handover_received", JobId(), std::to_string(handover.jobs_size()) + " jobs");
+    if (m_isLoaded)
+        openSessions();
+}
+
 std::unique_ptr<ShardJob> ShardDispatcher::makeJob(const protocol::PlacedJob& description) const
 {
     auto job = std::make_unique<ShardJob>();
@@ -146,7 +222,7 @@
     if (known != m_reports.end() && known->second.bornMs != report.bornMs)
         m_speeds.forget(report.id);
     m_reports[report.id] = report;
-    if (!m_holding || !m_isLoaded)
+    if (!m_holding || !m_areSessionsOpen)
         return;
     const auto session = m_sessions.find(report.id);
     if (session != m_sessions.end() && session->second->report().address == report.address)
@@ -391,7 +467,7 @@
     ShardJob& job = *found->second;
     task->attempt = std::max(task->attempt, running.attempt);
     const bool isWanted
-        = !hasEnded(job.state) && task->state == ShardTask::State::Waiting && task->isUncertain && m_isRecovering;
+        = !hasEnded(job.state) && task->state == ShardTask::State::Waiting && task->isUncertain;
     if (!isWanted)
         return std::nullopt;
     task->state = ShardTask::State::Placed;
@@ -569,12 +645,14 @@
 {
     const PlacingTask wanted = placingTask(job, phase);
     const TaskName name { job.id, static_cast<std::uint32_t>(phase), index };
+    // A run of another attempt, or one that an earlier holder started, may be about to end.
+    if (hasRun(name))
+        return true;
     std::vector<PlacingTarget> targets;
     std::vector<TargetSession*> sessions;
     for (const auto& entry : m_sessions) {
         TargetSession& session = *entry.second;
-        // A run of another attempt may be about to end there.
-        if (!session.canStart() || session.runs().count(name))
+        if (!session.canStart())
             continue;
         std::uint32_t samePhase = 0;
         if (wanted.maximumPerTarget != 0) {
@@ -601,6 +679,12 @@
     return true;
 }
 
+bool ShardDispatcher::hasRun(const TaskName& task) const
+{
+    return std::any_of(m_sessions.begin(), m_sessions.end(),
+        [&task](const auto& entry) { return entry.second->runs().count(task) != 0; });
+}
+
 PlacingTask ShardDispatcher::placingTask(const ShardJob& job, std::size_t phase) const
 {
     const protocol::PhaseDescription& description = job.description.phases(static_cast<int>(phase));
--- a/modules/rattanroad_shards/jobs/ShardDispatcher.h
+++ b/modules/rattanroad_shards/jobs/ShardDispatcher.h
@@ -46,6 +46,9 @@
         /** A target whose entry is gone is forgotten after this time: entries that lapsed with the store are back
             within two seconds. */
         std::chrono::milliseconds unlistedLimit { 3500 };
+        /** A new holder waits this long for the jobs of the one before, several links long, before it asks the targets:
+            it stops what it does not know. */
+        std::chrono::milliseconds handoverWait { 80 };
         /** Interval of the checks that no event triggers. */
         std::chrono::milliseconds sweepInterval { 200 };
         /** Pause before a task that a target could not read starts again. */
@@ -78,6 +81,10 @@
     /** Gives no order from now on. */
     void end();
     bool isHolding() const { return m_holding.has_value() && m_isLoaded; }
+    /** Returns the best-effort jobs for the next holder, once. @pre this host no longer holds the shard */
+    protocol::ShardHandover takeHandover();
+    /** Takes the jobs of the holder before. */
+    void handoverReceived(const protocol::ShardHandover& handover);
 
     void targetListed(const TargetReport& report);
     void targetUnlisted(const TargetId& target);
@@ -100,6 +107,8 @@
     void takeRecords(const ReadReply& reply);
     void takeRecord(const StoredItem& item);
     void finishLoading();
+    void openSessions();
+    bool hasRun(const TaskName& task) const;
     std::unique_ptr<ShardJob> makeJob(const protocol::PlacedJob& description) const;
     void openSession(const TargetReport& report);
     TargetSession::Hooks sessionHooks();
@@ -147,6 +156,7 @@
     /** Rises with each holding, so that readings of an earlier one are ignored. */
     std::uint64_t m_round { 0 };
     bool m_isLoaded { false };
+    bool m_areSessionsOpen { false };
     bool m_isRecovering { false };
     bool m_isScheduleDue { false };
     TimePoint m_heldSince;
