Stop jobs that their entrance no longer asks after; hand over only at once

Jobs are now handed over within 0.6 s of the loss only, and a holder stops a job after 1 s without its entrance, before a caller may submit it elsewhere.

--- a/apps/rattanroadd/fleet/FleetHost.cpp
+++ b/apps/rattanroadd/fleet/FleetHost.cpp
@@ -376,7 +376,7 @@
             protocol::Envelope message = envelope();
             *message.mutable_shard_load() = entry.second.dispatcher->load();
             message.mutable_shard_load()->set_address(m_settings.peerAddress);
-            for (const JobId& job : entry.second.dispatcher->takeNewJobs())
+            for (const JobId& job : entry.second.dispatcher->newJobs())
                 message.mutable_shard_load()->add_new_jobs(job.value());
             m_entrance->loadReceived(message.shard_load());
             for (const auto& host : m_fleet.hosts()) {
--- a/modules/rattanroad_shards/entrance/JobEntrance.h
+++ b/modules/rattanroad_shards/entrance/JobEntrance.h
@@ -32,7 +32,7 @@
         /** Shards by failure domain of their targets. */
         std::vector<ShardId> shards;
         /** Limit of one message and its reply: a store answer, two links, and the batching of records. */
-        std::chrono::milliseconds replyTimeout { 350 };
+        std::chrono::milliseconds replyTimeout { 300 };
         std::chrono::milliseconds retryPause { 40 };
         /** Loads are sent ten times a second; a holder that is silent for longer may be gone. */
         std::chrono::milliseconds loadLimit { 450 };
--- a/modules/rattanroad_shards/jobs/ShardDispatcher.cpp
+++ b/modules/rattanroad_shards/jobs/ShardDispatcher.cpp
@@ -52,6 +52,7 @@
 void ShardDispatcher::end()
 {
     m_holding.reset();
+    m_lostAt = m_clock.now();
     m_writer.end();
     for (const auto& entry : m_sessions)
         entry.second->close();
@@ -145,9 +146,10 @@
 {
     protocol::ShardHandover handover;
     handover.set_shard(m_settings.shard.value());
+    const bool isInTime = m_clock.now() - m_lostAt < m_settings.handoverLimit;
     for (const auto& entry : m_open) {
         const ShardJob& job = *entry.second;
-        if (!job.description.best_effort())
+        if (!job.description.best_effort() || !isInTime)
             continue;
         protocol::JobHandover* const added = handover.add_jobs();
         *added->mutable_job() = job.description;
@@ -197,7 +199,7 @@
         }
         m_open[id] = job.get();
         m_jobs[id] = std::move(job);
-        m_newJobs.push_back(id);
+        m_newJobs.emplace_back(m_clock.now(), id);
     }
     m_hooks.log("handover_received", JobId(), std::to_string(handover.jobs_size()) + " jobs");
     if (m_isLoaded)
@@ -210,6 +212,7 @@
     job->id = JobId(description.id());
     job->description = description;
     job->receivedAt = m_clock.now();
+    job->askedAt = job->receivedAt;
     job->objective = job->receivedAt + objectiveOf(description);
     for (const protocol::PhaseDescription& phase : description.phases())
         job->phases.emplace_back(phase.count());
@@ -282,6 +285,7 @@
     if (known != m_jobs.end()) {
         ShardJob& job = *known->second;
         job.entranceAddress = entranceAddress;
+        job.askedAt = m_clock.now();
         if (job.isStored)
             reply(SubmitVerdict::Accepted, {});
         if (job.description.best_effort() && hasEnded(job.state))
@@ -331,15 +335,20 @@
     }
     m_open[id] = job.get();
     m_jobs[id] = std::move(job);
-    m_newJobs.push_back(id);
+    m_newJobs.emplace_back(m_clock.now(), id);
     reply(SubmitVerdict::Accepted, {});
     scheduleSoon();
 }
 
-std::vector<JobId> ShardDispatcher::takeNewJobs()
+std::vector<JobId> ShardDispatcher::newJobs()
 {
+    const TimePoint oldest = m_clock.now() - m_settings.announceTime;
+    const auto first = std::find_if(
+        m_newJobs.begin(), m_newJobs.end(), [oldest](const auto& entry) { return entry.first >= oldest; });
+    m_newJobs.erase(m_newJobs.begin(), first);
     std::vector<JobId> jobs;
-    jobs.swap(m_newJobs);
+    for (const auto& entry : m_newJobs)
+        jobs.push_back(entry.second);
     return jobs;
 }
 
@@ -846,6 +855,14 @@
 void ShardDispatcher::sweepJobs()
 {
     const TimePoint now = m_clock.now();
+    std::vector<ShardJob*> forsaken;
+    for (const auto& entry : m_open) {
+        ShardJob& job = *entry.second;
+        if (job.description.best_effort() && now - job.askedAt >= m_settings.entranceLimit)
+            forsaken.push_back(&job);
+    }
+    for (ShardJob* const job : forsaken)
+        endJob(*job, JobState::Cancelled, "its entrance no longer asks after it");
     for (const auto& entry : m_open) {
         ShardJob& job = *entry.second;
         if (job.keptEnds.empty() || now - job.keptEnds.front().seenAt < m_settings.progressDelay)
--- a/modules/rattanroad_shards/jobs/ShardDispatcher.h
+++ b/modules/rattanroad_shards/jobs/ShardDispatcher.h
@@ -41,6 +41,13 @@
         std::chrono::milliseconds progressDelay { 700 };
         /** Ended jobs stay known for this long. */
         std::chrono::seconds retention { 130 };
+        /** A best-effort job that its entrance has not asked after for this long is stopped: its caller may submit it to
+            another host 1.3 s after the connection broke. */
+        std::chrono::milliseconds entranceLimit { 1000 };
+        /** The jobs of a shard that was lost longer ago are not handed over: their callers have turned elsewhere. */
+        std::chrono::milliseconds handoverLimit { 600 };
+        /** New best-effort jobs are announced for this long, as single messages may be lost. */
+        std::chrono::milliseconds announceTime { 650 };
         /** Callers submit a best-effort job again within a few seconds, or not at all. */
         std::chrono::seconds bestEffortRetention { 6 };
         /** A target whose entry is gone is forgotten after this time: entries that lapsed with the store are back
@@ -50,7 +57,7 @@
             it stops what it does not know. */
         std::chrono::milliseconds handoverWait { 80 };
         /** Interval of the checks that no event triggers. */
-        std::chrono::milliseconds sweepInterval { 200 };
+        std::chrono::milliseconds sweepInterval { 100 };
         /** Pause before a task that a target could not read starts again. */
         std::chrono::milliseconds malformedPause { 200 };
         /** A job whose expected wait is this many times its objective is refused: later it would be of no use. */
@@ -99,8 +106,8 @@
 
     /** Returns the load, for the hosts that choose among shards. */
     protocol::ShardLoad load() const;
-    /** Returns the best-effort jobs that were taken in since the last call. */
-    std::vector<JobId> takeNewJobs();
+    /** Returns the best-effort jobs that were taken in recently. */
+    std::vector<JobId> newJobs();
 
 private:
     void readRecords(const std::string& after);
@@ -169,7 +176,8 @@
     std::map<JobId, ShardJob*> m_open;
     std::map<JobId, std::vector<SubmitReply>> m_submitReplies;
     std::uint64_t m_lastKeptEnd { 0 };
-    std::vector<JobId> m_newJobs;
+    std::vector<std::pair<TimePoint, JobId>> m_newJobs;
+    TimePoint m_lostAt { TimePoint::min() };
 };
 
 }
--- a/modules/rattanroad_shards/jobs/ShardJob.h
+++ b/modules/rattanroad_shards/jobs/ShardJob.h
@@ -54,6 +54,8 @@
     std::vector<KeptEnd> keptEnds;
     /** Host that took the job in from its caller. */
     std::string entranceAddress;
+    /** When that host last asked after the job. */
+    TimePoint askedAt;
     /** The record of the end is in the store. */
     bool isEndStored { false };
     std::vector<std::function<void()>> onEndStored;
