--- a/apps/rattanroadd/fleet/FleetHost.h
+++ b/apps/rattanroadd/fleet/FleetHost.h
@@ -1,7 +1,8 @@
 #pragma once
 
+#include "rattanroad_core/failure/Failure.h"
+#include "rattanroad_core/identifiers/Identifiers.h"
 #include "rattanroad_core/time/Clock.h"
-#include "rattanroad_shards/rattanroad_shards.h"
 #include "settings/Settings.h"
 
 #include <memory>
--- a/modules/rattanroad_network/telemetry/StateLog.cpp
+++ b/modules/rattanroad_network/telemetry/StateLog.cpp
@@ -20,7 +20,7 @@
         m_logger.flush_on(spdlog::level::info);
     }
 
-    void write(const char* event, Fields fields)
+    void write(const char* event, const Fields& fields)
     {
         nlohmann::ordered_json line { { "time", rfc3339(m_clock.wallNow()) }, { "host", m_host }, { "event", event } };
         for (const auto& field : fields)
@@ -49,7 +49,7 @@
 
 StateLog::~StateLog() = default;
 
-void StateLog::write(const char* event, Fields fields) { m_impl->write(event, fields); }
+void StateLog::write(const char* event, const Fields& fields) { m_impl->write(event, fields); }
 
 std::string rfc3339(std::chrono::system_clock::time_point time)
 {
--- a/modules/rattanroad_network/telemetry/StateLog.h
+++ b/modules/rattanroad_network/telemetry/StateLog.h
@@ -1,10 +1,10 @@
 #pragma once
 
 #include <chrono>
-#include <initializer_list>
 #include <memory>
 #include <string>
 #include <utility>
+#include <vector>
 
 namespace rattanroad {
 
@@ -15,7 +15,7 @@
 */
 class StateLog {
 public:
-    using Fields = std::initializer_list<std::pair<const char*, std::string>>;
+    using Fields = std::vector<std::pair<const char*, std::string>>;
 
     /** @p file is empty for the standard error stream. */
     StateLog(const Clock& clock, std::string host, const std::string& file);
@@ -23,7 +23,7 @@
     StateLog(const StateLog&) = delete;
     StateLog& operator=(const StateLog&) = delete;
 
-    void write(const char* event, Fields fields);
+    void write(const char* event, const Fields& fields);
 
 private:
     class Impl;
--- a/modules/rattanroad_shards/entrance/JobEntrance.cpp
+++ b/modules/rattanroad_shards/entrance/JobEntrance.cpp
@@ -39,10 +39,15 @@
 std::uint64_t JobEntrance::submit(
     const protocol::PlacedJob& job, std::chrono::milliseconds wait, SubmitReply reply)
 {
+    if (!m_isTaking) {
+        m_hooks.log("job_refused", JobId(job.id()), "this host is about to stop");
+        reply(EntranceVerdict::Refused, m_settings.unavailableRetry);
+        return 0;
+    }
     const TimePoint now = m_clock.now();
     const auto limit = wait.count() > 0 ? wait : m_settings.defaultWait;
     const std::uint64_t id = ++m_lastRequest;
-    m_submissions[id] = { job, now, now + limit, std::move(reply), ShardId(), 0, 0 };
+    m_submissions[id] = { job, now, now + limit, std::move(reply), ShardId(), 0, now, 0 };
     if (job.best_effort())
         m_awaited.emplace(JobId(job.id()), id);
     trySubmit(id);
@@ -56,6 +61,8 @@
         return;
     const Submission& submission = found->second;
     const JobId job(submission.job.id());
+    m_hooks.log("job_abandoned", job,
+        m_clock.now() >= submission.deadline ? "its caller's time is over" : "its caller has gone");
     if (submission.job.best_effort() && submission.unresolved > 0) {
         ShardDispatcher* const local = m_hooks.local(submission.shard);
         const std::string* const address = holderAddress(submission.shard);
@@ -141,8 +148,13 @@
 {
     // Runs of one task in two shards could overlap.
     const auto placed = m_places.find(JobId(submission.job.id()));
-    if (submission.job.best_effort() && placed != m_places.end())
-        return placed->second.shard;
+    const bool isSilent = m_clock.now() - submission.takenAt >= m_settings.moveAfter;
+    if (submission.job.best_effort() && !isSilent) {
+        if (submission.unresolved > 0)
+            return submission.shard;
+        if (placed != m_places.end())
+            return placed->second.shard;
+    }
     return chooseShard(submission.job);
 }
 
@@ -217,8 +229,10 @@
     if (found == m_submissions.end())
         return;
     Submission& submission = found->second;
-    if (verdict == SubmitVerdict::Accepted && submission.job.best_effort())
+    if (verdict == SubmitVerdict::Accepted && submission.job.best_effort()) {
+        submission.takenAt = m_clock.now();
         return;
+    }
     if (verdict == SubmitVerdict::Accepted) {
         remember(JobId(submission.job.id()), submission.shard, JobState::Queued);
         finishSubmission(id, EntranceVerdict::Accepted, {});
@@ -475,7 +489,7 @@
         return;
     case protocol::Envelope::kShardSubmitReply: {
         const protocol::ShardSubmitReply& reply = message.shard_submit_reply();
-        if (reply.verdict() <= static_cast<unsigned>(SubmitVerdict::NotHolder))
+        if (reply.verdict() <= static_cast<unsigned>(SubmitVerdict::Unsettled))
             takeVerdict(reply.request() / attemptsPerRequest, reply.request() % attemptsPerRequest,
                 static_cast<SubmitVerdict>(reply.verdict()), std::chrono::milliseconds(reply.retry_after_ms()));
         return;
--- a/modules/rattanroad_shards/entrance/JobEntrance.h
+++ b/modules/rattanroad_shards/entrance/JobEntrance.h
@@ -48,6 +48,9 @@
         std::chrono::milliseconds dataCost { 60 };
         /** Cost of a shard all of whose room is taken, as a wait. */
         std::chrono::milliseconds fullCost { 60 };
+        /** A best-effort job whose holder was silent for this long runs nowhere: the holder has stopped it, or its
+            leases have ended, and messages on the way are lost after 3 s. */
+        std::chrono::milliseconds moveAfter { 3600 };
         /** States of jobs that are kept in memory. */
         std::size_t maximumStates { 20000 };
         /** Best-effort jobs of other hosts are remembered for this long: callers submit again after 1.3 s. */
@@ -74,6 +77,8 @@
 
     /** Hands a job in. Returns a number for abandon(). */
     std::uint64_t submit(const protocol::PlacedJob& job, std::chrono::milliseconds wait, SubmitReply reply);
+    /** Refuses all jobs from now on. */
+    void stopTaking() { m_isTaking = false; }
     /** The caller has gone. A best-effort job is then stopped. */
     void abandon(std::uint64_t submission);
     void query(const JobId& job, std::chrono::milliseconds wait, StateReply reply);
@@ -98,6 +103,8 @@
         SubmitReply reply;
         ShardId shard;
         std::uint64_t attempt { 0 };
+        /** When the holder last said that it has the job. */
+        TimePoint takenAt;
         /** Messages after which the job may be stored. */
         std::uint32_t unresolved { 0 };
     };
@@ -164,6 +171,7 @@
     std::vector<std::pair<TimePoint, JobId>> m_placeOrder;
     std::multimap<JobId, std::uint64_t> m_awaited;
     std::uint64_t m_lastRequest { 0 };
+    bool m_isTaking { true };
 };
 
 }
--- a/modules/rattanroad_shards/holding/HostLease.cpp
+++ b/modules/rattanroad_shards/holding/HostLease.cpp
@@ -79,7 +79,7 @@
 void HostLease::lose()
 {
     m_lease = KeyLease(0);
-    m_validUntil = TimePoint::min();
+    m_validUntil = longAgo;
     grant();
     m_hooks.lost();
 }
--- a/modules/rattanroad_shards/holding/HostLease.h
+++ b/modules/rattanroad_shards/holding/HostLease.h
@@ -51,7 +51,7 @@
     const Clock& m_clock;
     Hooks m_hooks;
     KeyLease m_lease;
-    TimePoint m_validUntil { TimePoint::min() };
+    TimePoint m_validUntil { longAgo };
     /** Rises with each grant, so that answers about an earlier lease are ignored. */
     std::uint64_t m_round { 0 };
 };
--- a/modules/rattanroad_shards/jobs/ShardDispatcher.cpp
+++ b/modules/rattanroad_shards/jobs/ShardDispatcher.cpp
@@ -31,7 +31,6 @@
 void ShardDispatcher::begin(const ShardElection::Holding& holding)
 {
     m_holding = holding;
-    ++m_round;
     m_writer.begin(holding.token, holding.isContinued && m_isLoaded);
     if (holding.isContinued && m_isLoaded) {
         for (const auto& entry : m_sessions)
@@ -39,6 +38,7 @@
         scheduleSoon();
         return;
     }
+    ++m_round;
     m_isLoaded = false;
     m_areSessionsOpen = false;
     m_heldSince = m_clock.now();
@@ -325,17 +325,19 @@
 
 void ShardDispatcher::submitBestEffort(std::unique_ptr<ShardJob> job, bool isResent, const SubmitReply& reply)
 {
-    const JobId id = job->id;
-    job->isStored = true;
     // An earlier holder may have left a run on a target that has not answered yet.
-    const bool isUncertain = isResent && !areAllTargetsReady();
-    for (auto& phase : job->phases) {
-        for (ShardTask& task : phase)
-            task.isUncertain = isUncertain;
+    if (isResent && !areAllTargetsReady()) {
+        reply(SubmitVerdict::Unsettled, {});
+        return;
     }
+    const JobId id = job->id;
+    job->isStored = true;
     m_open[id] = job.get();
     m_jobs[id] = std::move(job);
     m_newJobs.emplace_back(m_clock.now(), id);
+    m_hooks.log("job_taken", id,
+        "shard " + m_settings.shard.value() + " for " + m_open[id]->entranceAddress
+            + (isResent ? ", sent again" : ""));
     reply(SubmitVerdict::Accepted, {});
     scheduleSoon();
 }
@@ -363,6 +365,7 @@
         ShardJob& job = *m_jobs[id];
         job.isStored = true;
         m_open[id] = &job;
+        m_hooks.log("job_stored", id, "shard " + m_settings.shard.value() + " for " + job.entranceAddress);
         scheduleSoon();
     } else {
         m_jobs.erase(id);
@@ -507,8 +510,11 @@
     job.state = state;
     job.endedAt = m_clock.now();
     m_open.erase(job.id);
-    if (state != JobState::Done)
-        m_hooks.log(state == JobState::Failed ? "job_failed" : "job_cancelled", job.id, reason);
+    const auto took = std::chrono::duration_cast<std::chrono::milliseconds>(*job.endedAt - job.receivedAt);
+    const char* const event = state == JobState::Done ? "job_done"
+        : state == JobState::Failed                   ? "job_failed"
+                                                      : "job_cancelled";
+    m_hooks.log(event, job.id, "after " + std::to_string(took.count()) + " ms" + (reason.empty() ? "" : ": ") + reason);
     stopRuns(job);
     // The targets keep the ends until the record is stored, so a later holder comes to the same state.
     if (state != JobState::Cancelled)
@@ -637,6 +643,9 @@
 void ShardDispatcher::placeJob(ShardJob& job)
 {
     const TimePoint now = m_clock.now();
+    // After a pause of this process its caller may have turned to another host.
+    if (job.description.best_effort() && now - job.askedAt >= m_settings.entranceLimit)
+        return;
     for (std::size_t phase = 0; phase < job.phases.size(); ++phase) {
         if (!job.isPhaseDue(phase))
             continue;
--- a/modules/rattanroad_shards/jobs/ShardDispatcher.h
+++ b/modules/rattanroad_shards/jobs/ShardDispatcher.h
@@ -18,6 +18,7 @@
     Accepted, ///< The job's record is in the store.
     Refused, ///< The job never runs.
     NotHolder, ///< Nothing was done with the job here.
+    Unsettled, ///< An earlier holder may have left a run of the job on a target that does not answer; not taken.
 };
 
 /** Holds one shard: accepts its jobs, runs their tasks on its targets and records how the jobs end.
@@ -168,7 +169,7 @@
     bool m_isScheduleDue { false };
     TimePoint m_heldSince;
     TimePoint m_followedSince;
-    TimePoint m_lastUnlisted { TimePoint::min() };
+    TimePoint m_lastUnlisted { longAgo };
     std::map<TargetId, TargetReport> m_reports;
     std::map<TargetId, std::unique_ptr<TargetSession>> m_sessions;
     std::map<JobId, std::unique_ptr<ShardJob>> m_jobs;
@@ -177,7 +178,7 @@
     std::map<JobId, std::vector<SubmitReply>> m_submitReplies;
     std::uint64_t m_lastKeptEnd { 0 };
     std::vector<std::pair<TimePoint, JobId>> m_newJobs;
-    TimePoint m_lostAt { TimePoint::min() };
+    TimePoint m_lostAt { longAgo };
 };
 
 }
--- a/modules/rattanroad_shards/jobs/ShardJob.h
+++ b/modules/rattanroad_shards/jobs/ShardJob.h
@@ -22,7 +22,7 @@
     /** When the present run was ordered; absent for one that an earlier holder started. */
     std::optional<TimePoint> startedAt;
     /** No earlier start, after a refusal. */
-    TimePoint notBefore { TimePoint::min() };
+    TimePoint notBefore { longAgo };
     /** May still run under an earlier holder, so that no new run may begin yet. */
     bool isUncertain { false };
     std::string savedProgress;
--- /dev/null
+++ b/modules/rattanroad_shards/node/ShardNode.cpp
@@ -0,0 +1,418 @@
+#include "rattanroad_shards/node/ShardNode.h"
+
+#include "rattanroad_shards/holding/StoreKeys.h"
+
+namespace rattanroad::shards {
+
+class ShardNode::Impl {
+public:
+    Impl(Settings settings, KeyValueStore store, TargetCalls targets, Timers timers, const Clock& clock, Hooks hooks)
+        : m_settings(std::move(settings))
+        , m_store(std::move(store))
+        , m_targetCalls(std::move(targets))
+        , m_timers(std::move(timers))
+        , m_clock(clock)
+        , m_hooks(std::move(hooks))
+        , m_lease(m_settings.lease, m_store, m_timers, clock,
+              { [this] { leaseGranted(); }, [this] { leaseLost(); } })
+        , m_configuration({ m_settings.configurationKey }, m_store, m_timers, clock, configurationHooks())
+        , m_targetList({ m_settings.targetPrefix }, m_store, m_timers, clock, targetHooks())
+        , m_fleetList({ storekeys::fleetPrefix }, m_store, m_timers, clock, fleetHooks())
+        , m_entrance(entranceSettings(), m_store, m_fleet, m_timers, clock, entranceHooks())
+    {
+        makeShards();
+    }
+
+    void start()
+    {
+        m_configuration.start();
+        m_targetList.start();
+        m_fleetList.start();
+        m_lease.start();
+        sendLoads();
+        openLinks();
+        reviewElections();
+    }
+
+    void drain()
+    {
+        m_isDraining = true;
+        m_timers.after(m_settings.drainTakeTime, [this] { m_entrance.stopTaking(); });
+        registerHost();
+        for (auto& entry : m_shards) {
+            entry.second.election->setCandidate(false);
+            entry.second.election->release();
+        }
+    }
+
+    void received(const protocol::Envelope& message)
+    {
+        m_heard[message.from_host()] = m_clock.now();
+        noticePause();
+        if (message.has_shard_submit() && m_clock.now() - m_resumedAt < m_settings.pauseBacklog)
+            return;
+        if (message.has_shard_load()) {
+            // A host that is cut off from the store sees here that it was replaced.
+            const auto shard = m_shards.find(ShardId(message.shard_load().shard()));
+            const auto& holding = shard == m_shards.end() ? std::nullopt : shard->second.election->holding();
+            if (holding && message.shard_load().generation() > holding->generation.value())
+                shard->second.election->displaced();
+        } else if (message.has_shard_handover()) {
+            const auto shard = m_shards.find(ShardId(message.shard_handover().shard()));
+            if (shard != m_shards.end())
+                shard->second.dispatcher->handoverReceived(message.shard_handover());
+            return;
+        }
+        m_entrance.received(message);
+    }
+
+    JobEntrance& entrance() { return m_entrance; }
+    const QueueTable* queues() const { return m_queues ? &*m_queues : nullptr; }
+    bool isReady() const { return m_queues && !m_isDraining && m_entrance.canServe(); }
+
+    ShardDispatcher* dispatcher(const ShardId& shard)
+    {
+        const auto found = m_shards.find(shard);
+        const bool isHeld = found != m_shards.end() && found->second.dispatcher->isHolding();
+        return isHeld ? found->second.dispatcher.get() : nullptr;
+    }
+
+private:
+    struct Shard {
+        std::unique_ptr<ShardDispatcher> dispatcher;
+        std::unique_ptr<ShardElection> election;
+    };
+
+    void makeShards()
+    {
+        for (const FailureDomainId& domain : m_settings.failureDomains) {
+            const ShardId shard(domain.value());
+            Shard& made = m_shards[shard];
+            ShardDispatcher::Settings settings;
+            settings.shard = shard;
+            ShardDispatcher::Hooks hooks;
+            hooks.jobEnded = [this](const ShardJob& job) { announceEnd(job); };
+            hooks.keyChanged = [this, shard] { m_shards[shard].election->keyChanged(); };
+            hooks.displaced = [this, shard] { m_shards[shard].election->displaced(); };
+            hooks.log = [this](const char* event, const JobId& job, const std::string& detail) {
+                m_hooks.log(event, { { "job", job.value() }, { "detail", detail } });
+            };
+            made.dispatcher = std::make_unique<ShardDispatcher>(
+                settings, m_store, m_targetCalls, m_timers, m_clock, std::move(hooks));
+            ShardElection::Hooks electionHooks;
+            electionHooks.acquired = [this, shard](const ShardElection::Holding& holding) {
+                m_hooks.log("shard_acquired",
+                    { { "shard", shard.value() }, { "token", std::to_string(holding.token.value()) },
+                        { "generation", std::to_string(holding.generation.value()) },
+                        { "continued", holding.isContinued ? "true" : "false" } });
+                m_targetList.watchNow();
+                m_shards[shard].dispatcher->begin(holding);
+            };
+            electionHooks.lost = [this, shard](const char* reason) {
+                m_hooks.log("shard_lost", { { "shard", shard.value() }, { "reason", reason } });
+                m_shards[shard].dispatcher->end();
+            };
+            made.election = std::make_unique<ShardElection>(electionSettings(shard, domain), m_store, m_lease, m_fleet,
+                m_timers, m_clock, std::move(electionHooks));
+        }
+    }
+
+    ShardElection::Settings electionSettings(const ShardId& shard, const FailureDomainId& domain) const
+    {
+        ShardElection::Settings settings;
+        settings.shard = shard;
+        settings.preferredDomain = domain;
+        settings.self = m_settings.host;
+        settings.incarnation = m_settings.incarnation;
+        settings.address = m_settings.address;
+        settings.selfDomain = m_settings.failureDomain;
+        return settings;
+    }
+
+    JobEntrance::Settings entranceSettings() const
+    {
+        JobEntrance::Settings settings;
+        settings.self = m_settings.host;
+        settings.incarnation = m_settings.incarnation;
+        settings.failureDomain = m_settings.failureDomain;
+        settings.address = m_settings.address;
+        for (const FailureDomainId& domain : m_settings.failureDomains)
+            settings.shards.emplace_back(domain.value());
+        return settings;
+    }
+
+    JobEntrance::Hooks entranceHooks()
+    {
+        JobEntrance::Hooks hooks;
+        hooks.send = m_hooks.send;
+        hooks.local = [this](const ShardId& shard) { return dispatcher(shard); };
+        hooks.log = [this](const char* event, const JobId& job, const std::string& detail) {
+            m_hooks.log(event, { { "job", job.value() }, { "detail", detail } });
+        };
+        return hooks;
+    }
+
+    PrefixFollower::Hooks configurationHooks()
+    {
+        PrefixFollower::Hooks hooks;
+        hooks.written = [this](const StoredItem& item) {
+            if (item.key != m_settings.configurationKey)
+                return;
+            auto queues = m_hooks.readConfiguration(item.value);
+            if (!queues || (m_queues && queues->version <= m_queues->version)) {
+                m_hooks.log("configuration_ignored", { { "revision", std::to_string(item.revision.value()) } });
+                return;
+            }
+            m_queues = std::move(queues);
+            m_hooks.log("configuration_in_force", { { "version", std::to_string(m_queues->version) },
+                                                      { "queues", std::to_string(m_queues->entries.size()) } });
+        };
+        hooks.removed = [](const std::string&) {};
+        hooks.interrupted = [this] { storeInterrupted(); };
+        return hooks;
+    }
+
+    PrefixFollower::Hooks targetHooks()
+    {
+        PrefixFollower::Hooks hooks;
+        hooks.written = [this](const StoredItem& item) {
+            const std::string id = item.key.substr(m_settings.targetPrefix.size());
+            const auto report = m_hooks.readTarget(id, item.value);
+            if (!report) {
+                m_hooks.log("target_ignored", { { "target", id } });
+                return;
+            }
+            const auto shard = m_shards.find(ShardId(report->failureDomain.value()));
+            if (shard == m_shards.end())
+                return;
+            m_shardByTarget[report->id] = shard->first;
+            shard->second.dispatcher->targetListed(*report);
+        };
+        hooks.removed = [this](const std::string& key) {
+            const TargetId id(key.substr(m_settings.targetPrefix.size()));
+            const auto shard = m_shardByTarget.find(id);
+            if (shard == m_shardByTarget.end())
+                return;
+            m_shards[shard->second].dispatcher->targetUnlisted(id);
+            m_shardByTarget.erase(shard);
+        };
+        hooks.pause = [this]() -> Duration {
+            for (const auto& entry : m_shards) {
+                if (entry.second.election->isHeld())
+                    return m_settings.targetListPause;
+            }
+            return m_settings.idleTargetListPause;
+        };
+        return hooks;
+    }
+
+    PrefixFollower::Hooks fleetHooks()
+    {
+        PrefixFollower::Hooks hooks;
+        hooks.written = [this](const StoredItem& item) {
+            const auto shard = m_fleet.written(item);
+            if (!shard || !m_shards.count(*shard))
+                return;
+            m_shards[*shard].election->review();
+            handOver(*shard);
+        };
+        hooks.removed = [this](const std::string& key) {
+            const auto shard = m_fleet.removed(key);
+            if (shard && m_shards.count(*shard))
+                m_shards[*shard].election->review();
+            // The store takes keys away without a word to the lease's owner.
+            if (key == storekeys::host(m_settings.host) && m_isRegistered)
+                m_lease.replace();
+        };
+        hooks.interrupted = [this] { storeInterrupted(); };
+        return hooks;
+    }
+
+    void storeInterrupted()
+    {
+        if (m_clock.now() - m_lastInterruptionLog < m_settings.interruptionLogInterval)
+            return;
+        m_lastInterruptionLog = m_clock.now();
+        m_hooks.log("store_interrupted", {});
+    }
+
+    void leaseGranted()
+    {
+        m_hooks.log("lease_granted", {});
+        registerHost();
+    }
+
+    void leaseLost()
+    {
+        m_isRegistered = false;
+        m_hooks.log("lease_lost", {});
+        for (auto& entry : m_shards)
+            entry.second.election->leaseLost();
+    }
+
+    void registerHost()
+    {
+        if (!m_lease.isValid())
+            return;
+        protocol::HostRecord record;
+        record.set_incarnation(m_settings.incarnation.value());
+        record.set_address(m_settings.address);
+        record.set_failure_domain(m_settings.failureDomain.value());
+        record.set_draining(m_isDraining);
+        KeyTransaction transaction;
+        transaction.writes.push_back(
+            { storekeys::host(m_settings.host), record.SerializeAsString(), m_lease.lease() });
+        m_store.transact(transaction, [this, lease = m_lease.lease()](const TransactionReply& reply) {
+            if (lease != m_lease.lease())
+                return;
+            if (reply.ending == StoreEnding::Done)
+                m_isRegistered = true;
+            else
+                m_timers.after(m_settings.electionInterval, [this] { registerHost(); });
+        });
+    }
+
+    void reviewElections()
+    {
+        // Without the other hosts' keys every host would be first.
+        if (m_fleetList.isSynchronized() && m_isRegistered) {
+            for (auto& entry : m_shards)
+                entry.second.election->review();
+        }
+        m_timers.after(m_settings.electionInterval, [this] { reviewElections(); });
+    }
+
+    /** Sends the jobs of a shard that this host gave up to the new holder. */
+    void handOver(const ShardId& shard)
+    {
+        const ShardHolder* const holder = m_fleet.holder(shard);
+        if (m_shards[shard].election->isHeld() || !holder || holder->host == m_settings.host)
+            return;
+        protocol::Envelope message = envelope();
+        *message.mutable_shard_handover() = m_shards[shard].dispatcher->takeHandover();
+        if (message.shard_handover().jobs_size() > 0)
+            m_hooks.send(holder->address, message);
+    }
+
+    protocol::Envelope envelope() const
+    {
+        protocol::Envelope envelope;
+        envelope.set_version(protocol::protocolVersion);
+        envelope.set_from_host(m_settings.address);
+        envelope.set_from_incarnation(m_settings.incarnation.value());
+        return envelope;
+    }
+
+    void noticePause()
+    {
+        const TimePoint now = m_clock.now();
+        if (now > m_lastTick && now - m_lastTick > m_settings.pauseLimit)
+            m_resumedAt = now;
+    }
+
+    void sendLoads()
+    {
+        noticePause();
+        m_lastTick = m_clock.now();
+        for (const auto& entry : m_shards) {
+            if (!entry.second.dispatcher->isHolding())
+                continue;
+            protocol::Envelope message = envelope();
+            *message.mutable_shard_load() = entry.second.dispatcher->load();
+            message.mutable_shard_load()->set_address(m_settings.address);
+            for (const JobId& job : entry.second.dispatcher->newJobs())
+                message.mutable_shard_load()->add_new_jobs(job.value());
+            m_entrance.loadReceived(message.shard_load());
+            for (const std::string& address : peers())
+                m_hooks.send(address, message);
+        }
+        m_timers.after(m_settings.loadInterval, [this] { sendLoads(); });
+    }
+
+    /** Returns the addresses of the hosts in the store and of those that the store has lost but that still send. */
+    std::set<std::string> peers()
+    {
+        std::set<std::string> addresses;
+        for (const auto& host : m_fleet.hosts())
+            addresses.insert(host.second.address);
+        for (auto heard = m_heard.begin(); heard != m_heard.end();) {
+            if (m_clock.now() - heard->second < m_settings.heardLimit)
+                addresses.insert((heard++)->first);
+            else
+                heard = m_heard.erase(heard);
+        }
+        addresses.erase(m_settings.address);
+        return addresses;
+    }
+
+    void openLinks()
+    {
+        for (const std::string& address : peers())
+            m_hooks.send(address, envelope());
+        m_timers.after(m_settings.linkInterval, [this] { openLinks(); });
+    }
+
+    void announceEnd(const ShardJob& job)
+    {
+        if (job.entranceAddress.empty())
+            return;
+        if (job.entranceAddress == m_settings.address) {
+            m_entrance.jobEnded(job.id, job.state);
+            return;
+        }
+        protocol::Envelope message = envelope();
+        message.mutable_shard_job_reply()->set_id(job.id.value());
+        message.mutable_shard_job_reply()->set_known(true);
+        message.mutable_shard_job_reply()->set_state(static_cast<std::uint32_t>(job.state));
+        m_hooks.send(job.entranceAddress, message);
+    }
+
+    const Settings m_settings;
+    KeyValueStore m_store;
+    TargetCalls m_targetCalls;
+    Timers m_timers;
+    const Clock& m_clock;
+    Hooks m_hooks;
+    HostLease m_lease;
+    FleetView m_fleet;
+    std::map<ShardId, Shard> m_shards;
+    std::map<TargetId, ShardId> m_shardByTarget;
+    std::optional<QueueTable> m_queues;
+    PrefixFollower m_configuration;
+    PrefixFollower m_targetList;
+    PrefixFollower m_fleetList;
+    JobEntrance m_entrance;
+    /** When messages of other hosts last came, by address. */
+    std::map<std::string, TimePoint> m_heard;
+    /** When the timer of the loads last ran. */
+    TimePoint m_lastTick { TimePoint::max() };
+    TimePoint m_resumedAt { longAgo };
+    bool m_isRegistered { false };
+    bool m_isDraining { false };
+    TimePoint m_lastInterruptionLog { longAgo };
+};
+
+ShardNode::ShardNode(Settings settings, KeyValueStore store, TargetCalls targets, Timers timers, const Clock& clock,
+    Hooks hooks)
+    : m_impl(std::make_unique<Impl>(std::move(settings), std::move(store), std::move(targets), std::move(timers), clock,
+        std::move(hooks)))
+{
+}
+
+ShardNode::~ShardNode() = default;
+
+void ShardNode::start() { m_impl->start(); }
+
+void ShardNode::drain() { m_impl->drain(); }
+
+void ShardNode::received(const protocol::Envelope& message) { m_impl->received(message); }
+
+JobEntrance& ShardNode::entrance() { return m_impl->entrance(); }
+
+const QueueTable* ShardNode::queues() const { return m_impl->queues(); }
+
+bool ShardNode::isReady() const { return m_impl->isReady(); }
+
+ShardDispatcher* ShardNode::dispatcher(const ShardId& shard) { return m_impl->dispatcher(shard); }
+
+}
--- a/modules/rattanroad_shards/store/PrefixFollower.h
+++ b/modules/rattanroad_shards/store/PrefixFollower.h
@@ -68,7 +68,7 @@
     /** A pause is under way; rises with each, so that an ended one does nothing. */
     std::uint64_t m_pause { 0 };
     bool m_isPausing { false };
-    TimePoint m_lastAnswer { TimePoint::min() };
+    TimePoint m_lastAnswer { longAgo };
 };
 
 }
--- a/modules/rattanroad_shards/targets/TargetSession.cpp
+++ b/modules/rattanroad_shards/targets/TargetSession.cpp
@@ -243,7 +243,19 @@
     m_lastEnd = 0;
     m_acknowledged = 0;
     m_forgettable.clear();
-    interruptAll();
+    std::vector<TaskName> ended;
+    for (auto& entry : m_runs) {
+        Run& run = entry.second;
+        if (run.state == Run::State::Running) {
+            ended.push_back(entry.first);
+        } else if (run.state == Run::State::Stopping) {
+            // Its start may be on the way, and the new life has not seen the stop.
+            run.confirmedAt.reset();
+            sendStop(entry.first, run.attempt);
+        }
+        // A start without a reply may have reached the new life.
+    }
+    interrupt(ended);
     // The new life knows nothing of stopped attempts, and would run a start that arrives late.
     for (const UnansweredStart& start : m_unanswered) {
         if (m_clock.now() - start.sentAt < m_settings.lateOrderLimit)
@@ -307,12 +319,17 @@
         if (!listed.count(entry.first) && run.confirmedAt && *run.confirmedAt < sentAt)
             gone.push_back(entry.first);
     }
-    for (const TaskName& task : gone) {
+    interrupt(gone);
+}
+
+void TargetSession::interrupt(const std::vector<TaskName>& tasks)
+{
+    for (const TaskName& task : tasks) {
         const Run run = m_runs[task];
         removeRun(task);
         m_hooks.ended(*this, { 0, task, run.attempt, RunEnding::Interrupted, run.savedProgress });
     }
-    if (!gone.empty())
+    if (!tasks.empty())
         m_hooks.roomChanged();
 }
 
@@ -326,14 +343,10 @@
 
 void TargetSession::interruptAll()
 {
-    std::map<TaskName, Run> runs;
-    runs.swap(m_runs);
-    m_used = {};
-    for (const auto& entry : runs)
-        m_hooks.ended(
-            *this, { 0, entry.first, entry.second.attempt, RunEnding::Interrupted, entry.second.savedProgress });
-    if (!runs.empty())
-        m_hooks.roomChanged();
+    std::vector<TaskName> tasks;
+    for (const auto& entry : m_runs)
+        tasks.push_back(entry.first);
+    interrupt(tasks);
 }
 
 void TargetSession::checkLease()
--- a/modules/rattanroad_shards/targets/TargetSession.h
+++ b/modules/rattanroad_shards/targets/TargetSession.h
@@ -116,6 +116,7 @@
     void sendStop(const TaskName& task, std::uint32_t attempt);
     void takeStop(const TaskName& task, std::uint32_t attempt, const TargetReply& reply);
     void removeRun(const TaskName& task);
+    void interrupt(const std::vector<TaskName>& tasks);
     void interruptAll();
     void checkLease();
     std::uint64_t leaseEnd(std::chrono::milliseconds length) const;
@@ -138,10 +139,10 @@
     /** The target's clock at m_clockAt. */
     std::optional<std::uint64_t> m_targetClockMs;
     TimePoint m_clockAt;
-    TimePoint m_lastAnswer { TimePoint::min() };
+    TimePoint m_lastAnswer { longAgo };
     /** Own time by which everything on the target has ended unless the lease is renewed. */
     TimePoint m_leaseEnd;
-    TimePoint m_noWorkUntil { TimePoint::min() };
+    TimePoint m_noWorkUntil { longAgo };
     std::uint64_t m_lastEnd { 0 };
     std::uint64_t m_acknowledged { 0 };
     /** Ends above m_acknowledged that need not be kept. */
--- a/modules/rattanroad_shards/types/ShardTypes.h
+++ b/modules/rattanroad_shards/types/ShardTypes.h
@@ -25,6 +25,9 @@
 /** Counts the changes of a shard's holder. */
 using Generation = StrongType<std::uint64_t, struct GenerationTag>;
 
+/** Before everything that a process has seen; unlike TimePoint::min(), differences to it do not overflow. */
+constexpr TimePoint longAgo { -std::chrono::hours(10000) };
+
 /** Room on a target, or the part of it that one task takes. */
 struct Resources {
     std::uint32_t millicores { 0 };
--- /dev/null
+++ b/tests/emulator/EmulatedFleet.cpp
@@ -0,0 +1,321 @@
+#include "emulator/EmulatedFleet.h"
+
+#include <algorithm>
+
+namespace rattanroad::emulator {
+
+using namespace shards;
+using namespace std::chrono_literals;
+
+namespace {
+    constexpr auto linkLatency = 1ms;
+    constexpr auto callerLatency = 3ms;
+    constexpr auto callerWait = 1500ms;
+    constexpr auto resendPause = 1300ms;
+    const std::string service = "quotes";
+}
+
+EmulatedFleet::EmulatedFleet(Settings settings)
+    : m_settings(std::move(settings))
+    , m_queue(m_clock)
+    , m_store(m_queue)
+    , m_targets(m_queue)
+{
+    for (const std::string& domain : m_settings.domains) {
+        for (int i = 0; i < m_settings.hostsPerDomain; ++i)
+            m_hosts[HostId(domain + "-" + std::to_string(i))].domain = domain;
+        for (int i = 0; i < m_settings.targetsPerDomain; ++i) {
+            TargetReport report;
+            report.id = TargetId("target-" + domain + "-" + std::to_string(i));
+            report.service = ServiceId(service);
+            report.failureDomain = FailureDomainId(domain);
+            report.address = report.id.value();
+            report.capacity = m_settings.capacity;
+            report.labels = { "a", "rack-" + domain };
+            report.bornMs = 1;
+            m_targets.add(report);
+            m_store.put("servers/" + report.id.value(), report.id.value());
+        }
+    }
+    m_store.put("config", "1");
+}
+
+std::function<void()> EmulatedFleet::inProcess(const HostId& id, std::function<void()> action)
+{
+    return [this, id, isAlive = m_hosts[id].isAlive, action = std::move(action)] {
+        if (!*isAlive)
+            return;
+        if (m_hosts[id].isPaused)
+            m_hosts[id].waiting.push_back(action);
+        else
+            action();
+    };
+}
+
+namespace {
+    /** Returns a call whose callback runs through @p wrap. */
+    template <typename Wrap, typename Reply>
+    std::function<void(const Reply&)> wrapped(const Wrap& wrap, std::function<void(const Reply&)> callback)
+    {
+        return [wrap, callback = std::move(callback)](const Reply& reply) {
+            wrap([callback, reply] { callback(reply); })();
+        };
+    }
+}
+
+KeyValueStore EmulatedFleet::storeCalls(const HostId& id)
+{
+    const KeyValueStore calls = m_store.callsOf(id);
+    const auto wrap = [this, id, isAlive = m_hosts[id].isAlive](std::function<void()> action) -> std::function<void()> {
+        if (!*isAlive)
+            return [] {};
+        return inProcess(id, std::move(action));
+    };
+    KeyValueStore store;
+    store.read = [=](const auto& key, auto callback) { calls.read(key, wrapped(wrap, callback)); };
+    store.readPage = [=](const auto& prefix, const auto& after, auto callback) {
+        calls.readPage(prefix, after, wrapped(wrap, callback));
+    };
+    store.watch = [=](const auto& prefix, auto after, auto wait, auto callback) {
+        calls.watch(prefix, after, wait, wrapped(wrap, callback));
+    };
+    store.transact = [=](const auto& transaction, auto callback) {
+        calls.transact(transaction, wrapped(wrap, callback));
+    };
+    store.grantLease = [=](auto timeToLive, auto callback) { calls.grantLease(timeToLive, wrapped(wrap, callback)); };
+    store.renewLease = [=](auto lease, auto callback) { calls.renewLease(lease, wrapped(wrap, callback)); };
+    return store;
+}
+
+TargetCalls EmulatedFleet::targetCalls(const HostId& id)
+{
+    const TargetCalls calls = m_targets.callsOf(id);
+    const auto wrap = [this, id, isAlive = m_hosts[id].isAlive](std::function<void()> action) -> std::function<void()> {
+        if (!*isAlive)
+            return [] {};
+        return inProcess(id, std::move(action));
+    };
+    TargetCalls targets;
+    targets.start = [=](const auto& order, auto callback) { calls.start(order, wrapped(wrap, callback)); };
+    targets.stop = [=](const auto& order, auto callback) { calls.stop(order, wrapped(wrap, callback)); };
+    targets.hold = [=](const auto& order, auto callback) { calls.hold(order, wrapped(wrap, callback)); };
+    return targets;
+}
+
+void EmulatedFleet::start(const HostId& id)
+{
+    Host& host = m_hosts[id];
+    if (host.node)
+        return;
+    host.isAlive = std::make_shared<bool>(true);
+    host.isPaused = false;
+    host.waiting.clear();
+    host.incarnation = ++m_lastIncarnation;
+    ShardNode::Settings settings;
+    settings.host = id;
+    settings.incarnation = Incarnation(host.incarnation);
+    settings.failureDomain = FailureDomainId(host.domain);
+    settings.address = id.value();
+    for (const std::string& domain : m_settings.domains)
+        settings.failureDomains.emplace_back(domain);
+    settings.configurationKey = "config";
+    settings.targetPrefix = "servers/";
+    Timers timers { [this, id, isAlive = host.isAlive](Duration delay, std::function<void()> action) {
+        if (*isAlive)
+            m_queue.after(delay, inProcess(id, std::move(action)));
+    } };
+    ShardNode::Hooks hooks;
+    hooks.send = [this, id](const std::string& address, const protocol::Envelope& message) {
+        send(id, address, message);
+    };
+    hooks.log = [this, id](const char* event, const ShardNode::LogFields& fields) {
+        std::string line = id.value() + " " + event;
+        for (const auto& field : fields)
+            line += std::string(" ") + field.first + "=" + field.second;
+        note(line);
+    };
+    hooks.readTarget = [this](const std::string& target, const std::string&) -> std::optional<TargetReport> {
+        const auto found = m_targets.reports().find(TargetId(target));
+        return found == m_targets.reports().end() ? std::nullopt : std::optional<TargetReport>(found->second);
+    };
+    hooks.readConfiguration = [](const std::string& text) -> std::optional<QueueTable> {
+        QueueTable table;
+        table.version = std::stoull(text);
+        return table;
+    };
+    host.node = std::make_unique<ShardNode>(
+        std::move(settings), storeCalls(id), targetCalls(id), std::move(timers), m_clock, std::move(hooks));
+    host.node->start();
+}
+
+void EmulatedFleet::startAll()
+{
+    for (auto& host : m_hosts)
+        start(host.first);
+    runUntil(
+        [this] {
+            return std::all_of(m_hosts.begin(), m_hosts.end(), [](auto& host) { return host.second.node->isReady(); });
+        },
+        10s);
+    run(1s);
+}
+
+void EmulatedFleet::note(const std::string& text)
+{
+    const auto passed = std::chrono::duration_cast<std::chrono::milliseconds>(m_clock.now() - VirtualClock().now());
+    m_log.push_back(std::to_string(passed.count()) + " " + text);
+}
+
+bool EmulatedFleet::runUntil(const std::function<bool()>& isDone, Duration limit)
+{
+    const TimePoint end = m_clock.now() + limit;
+    while (!isDone()) {
+        if (m_clock.now() >= end)
+            return false;
+        m_queue.runUntil(std::min(end, m_clock.now() + 5ms));
+    }
+    return true;
+}
+
+std::vector<HostId> EmulatedFleet::hosts() const
+{
+    std::vector<HostId> hosts;
+    for (const auto& host : m_hosts)
+        hosts.push_back(host.first);
+    return hosts;
+}
+
+bool EmulatedFleet::isUp(const HostId& id) const { return m_hosts.at(id).node != nullptr; }
+
+ShardNode& EmulatedFleet::node(const HostId& id) { return *m_hosts[id].node; }
+
+HostId EmulatedFleet::holderOf(const std::string& domain)
+{
+    for (auto& host : m_hosts) {
+        if (host.second.node && host.second.node->dispatcher(ShardId(domain)))
+            return host.first;
+    }
+    return HostId();
+}
+
+void EmulatedFleet::kill(const HostId& id)
+{
+    Host& host = m_hosts[id];
+    if (!host.node)
+        return;
+    *host.isAlive = false;
+    std::vector<Call*> open;
+    open.swap(host.open);
+    host.node.reset();
+    for (Call* const call : open)
+        connectionBroken(call);
+}
+
+void EmulatedFleet::pause(const HostId& id) { m_hosts[id].isPaused = true; }
+
+void EmulatedFleet::resume(const HostId& id)
+{
+    Host& host = m_hosts[id];
+    host.isPaused = false;
+    std::vector<std::function<void()>> waiting;
+    waiting.swap(host.waiting);
+    for (auto& action : waiting)
+        m_queue.after(0ms, inProcess(id, std::move(action)));
+}
+
+void EmulatedFleet::cut(const HostId& id)
+{
+    m_hosts[id].isCut = true;
+    m_store.faults.cut.insert(id);
+    for (const auto& target : m_targets.reports())
+        m_targets.faults.cut.insert({ id, target.first });
+}
+
+void EmulatedFleet::heal(const HostId& id)
+{
+    m_hosts[id].isCut = false;
+    m_store.faults.cut.erase(id);
+    for (const auto& target : m_targets.reports())
+        m_targets.faults.cut.erase({ id, target.first });
+}
+
+void EmulatedFleet::send(const HostId& from, const std::string& address, const protocol::Envelope& message)
+{
+    const HostId to(address);
+    const auto found = m_hosts.find(to);
+    if (found == m_hosts.end() || !found->second.node || found->second.isCut || m_hosts[from].isCut)
+        return;
+    m_queue.after(linkLatency, inProcess(to, [this, to, message] { m_hosts[to].node->received(message); }));
+}
+
+EmulatedFleet::Call& EmulatedFleet::submit(const HostId& host, const std::string& job, std::uint32_t tasks,
+    std::chrono::milliseconds duration, bool isBestEffort, bool fails)
+{
+    Call call;
+    call.job = JobId(job);
+    call.sentAt = m_clock.now();
+    call.description.set_id(job);
+    call.description.set_best_effort(isBestEffort);
+    call.description.set_payload(taskPayload(duration, { 14000, 64, 0 }, fails));
+    protocol::PhaseDescription* const phase = call.description.add_phases();
+    phase->set_count(tasks);
+    phase->set_millicores(14000);
+    phase->set_memory_mb(64);
+    phase->set_estimated_ms(static_cast<std::uint32_t>(duration.count()));
+    protocol::QueueRule* const rule = call.description.mutable_rule();
+    rule->set_queue("queue");
+    rule->set_service(service);
+    rule->set_maximum_attempts(3);
+    rule->set_stretch(1.6);
+    rule->set_target_duration_ms(60);
+    m_calls.push_back(call);
+    resend(m_calls.back(), host);
+    return m_calls.back();
+}
+
+void EmulatedFleet::resend(Call& call, const HostId& id)
+{
+    Host& host = m_hosts[id];
+    ++call.attempts;
+    call.host = id;
+    if (!host.node) {
+        connectionBroken(&call);
+        return;
+    }
+    host.open.push_back(&call);
+    m_queue.after(callerLatency, inProcess(id, [this, id, pointer = &call] {
+        m_hosts[id].node->entrance().submit(
+            pointer->description, callerWait, [this, id, pointer](EntranceVerdict verdict, std::chrono::milliseconds) {
+                auto& open = m_hosts[id].open;
+                open.erase(std::remove(open.begin(), open.end(), pointer), open.end());
+                pointer->verdicts.push_back(verdict);
+                pointer->answeredAt = m_clock.now();
+                if (verdict == EntranceVerdict::Unknown)
+                    connectionBroken(pointer);
+            });
+    }));
+}
+
+void EmulatedFleet::connectionBroken(Call* call)
+{
+    if (call->attempts >= 3)
+        return;
+    m_queue.after(resendPause, [this, call] {
+        for (const auto& host : m_hosts) {
+            if (host.second.node && host.first != call->host) {
+                resend(*call, host.first);
+                return;
+            }
+        }
+    });
+}
+
+std::size_t EmulatedFleet::starts(const std::string& job) const
+{
+    std::size_t starts = 0;
+    for (const auto& entry : m_targets.runs())
+        starts += entry.first.job.value() == job ? entry.second.size() : 0;
+    return starts;
+}
+
+}
--- /dev/null
+++ b/tests/emulator/EmulatedStore.cpp
@@ -0,0 +1,303 @@
+#include "emulator/EmulatedStore.h"
+
+#include <algorithm>
+
+namespace rattanroad::emulator {
+
+using namespace shards;
+using namespace std::chrono_literals;
+
+namespace {
+    constexpr auto callLimit = 450ms;
+    constexpr auto lateBy = 3s;
+    constexpr auto leaseCheckInterval = 20ms;
+
+    bool startsWith(const std::string& text, const std::string& prefix)
+    {
+        return text.compare(0, prefix.size(), prefix) == 0;
+    }
+}
+
+EmulatedStore::EmulatedStore(EventQueue& queue)
+    : m_queue(queue)
+{
+    expireLeases();
+}
+
+void EmulatedStore::call(
+    const HostId& host, std::function<void()> action, std::function<void(StoreEnding)> lost)
+{
+    if (faults.refused.count(host)) {
+        m_queue.after(faults.latency, [lost] { lost(StoreEnding::Refused); });
+        return;
+    }
+    if (faults.isDown || faults.cut.count(host)) {
+        m_queue.after(callLimit, [lost] { lost(StoreEnding::Unknown); });
+        return;
+    }
+    m_queue.after(faults.latency, std::move(action));
+}
+
+KeyValueStore EmulatedStore::callsOf(const HostId& host)
+{
+    KeyValueStore store;
+    store.read = [this, host](const std::string& key, std::function<void(const ReadReply&)> callback) {
+        call(
+            host,
+            [this, key, callback] {
+                const auto found = m_items.find(key);
+                if (found == m_items.end())
+                    callback({ StoreEnding::Absent, {}, false, KeyRevision(m_revision) });
+                else
+                    callback({ StoreEnding::Done, { { key, found->second.value, KeyRevision(found->second.revision) } },
+                        false, KeyRevision(m_revision) });
+            },
+            [callback](StoreEnding ending) { callback({ ending, {}, false, KeyRevision(0) }); });
+    };
+    store.readPage = [this, host](const std::string& prefix, const std::string& after,
+                         std::function<void(const ReadReply&)> callback) {
+        call(
+            host,
+            [this, prefix, after, callback] {
+                constexpr std::size_t pageSize = 20;
+                ReadReply reply { StoreEnding::Done, {}, false, KeyRevision(m_revision) };
+                for (auto item = m_items.upper_bound(std::max(prefix, after)); item != m_items.end(); ++item) {
+                    if (!startsWith(item->first, prefix))
+                        break;
+                    if (reply.items.size() == pageSize) {
+                        reply.hasMore = true;
+                        break;
+                    }
+                    reply.items.push_back({ item->first, item->second.value, KeyRevision(item->second.revision) });
+                }
+                const auto exact = m_items.find(prefix);
+                if (after.empty() && exact != m_items.end())
+                    reply.items.push_back({ prefix, exact->second.value, KeyRevision(exact->second.revision) });
+                callback(reply);
+            },
+            [callback](StoreEnding ending) { callback({ ending, {}, false, KeyRevision(0) }); });
+    };
+    store.watch = [this, host](const std::string& prefix, KeyRevision after, std::chrono::milliseconds wait,
+                      std::function<void(const WatchReply&)> callback) {
+        call(
+            host,
+            [this, host, prefix, after, wait, callback] {
+                auto waiter = std::make_shared<Waiter>(Waiter { prefix, after.value(), [this, host, callback](
+                    const WatchReply& reply) {
+                    const bool isLost = faults.isDown || faults.cut.count(host) || faults.refused.count(host);
+                    callback(isLost ? WatchReply {} : reply);
+                } });
+                if (answer(*waiter, false))
+                    return;
+                m_waiters.push_back(waiter);
+                m_queue.after(wait, [this, waiter] { answer(*waiter, true); });
+            },
+            [callback](StoreEnding ending) { callback({ ending, {}, KeyRevision(0) }); });
+    };
+    store.transact = [this, host](const KeyTransaction& transaction,
+                         std::function<void(const TransactionReply&)> callback) {
+        ++m_transactions;
+        const auto lost = [callback](StoreEnding ending) { callback({ ending, KeyRevision(0), {} }); };
+        call(
+            host,
+            [this, transaction, callback, lost] {
+                if (faults.lateTransactions > 0) {
+                    --faults.lateTransactions;
+                    m_queue.after(lateBy, [this, transaction] { execute(transaction); });
+                    m_queue.after(callLimit, [lost] { lost(StoreEnding::Unknown); });
+                    return;
+                }
+                const TransactionReply reply = execute(transaction);
+                if (faults.repliesToLose > 0) {
+                    --faults.repliesToLose;
+                    m_queue.after(callLimit, [lost] { lost(StoreEnding::Unknown); });
+                    return;
+                }
+                callback(reply);
+            },
+            lost);
+    };
+    store.grantLease = [this, host](std::chrono::milliseconds timeToLive,
+                           std::function<void(const LeaseReply&)> callback) {
+        call(
+            host,
+            [this, timeToLive, callback] {
+                m_leases[++m_lastLease] = { timeToLive, m_queue.now() + timeToLive };
+                callback({ StoreEnding::Done, KeyLease(m_lastLease), timeToLive });
+            },
+            [callback](StoreEnding ending) { callback({ ending, KeyLease(0), Duration(0) }); });
+    };
+    store.renewLease = [this, host](KeyLease lease, std::function<void(const LeaseReply&)> callback) {
+        call(
+            host,
+            [this, lease, callback] {
+                const auto found = m_leases.find(lease.value());
+                if (found == m_leases.end()) {
+                    callback({ StoreEnding::Absent, lease, Duration(0) });
+                    return;
+                }
+                found->second.end = m_queue.now() + found->second.timeToLive;
+                callback({ StoreEnding::Done, lease, found->second.timeToLive });
+            },
+            [callback](StoreEnding ending) { callback({ ending, KeyLease(0), Duration(0) }); });
+    };
+    return store;
+}
+
+TransactionReply EmulatedStore::execute(const KeyTransaction& transaction)
+{
+    TransactionReply reply;
+    bool doConditionsHold = true;
+    for (const auto& condition : transaction.conditions) {
+        const auto found = m_items.find(condition.key);
+        const std::uint64_t revision = found == m_items.end() ? 0 : found->second.revision;
+        doConditionsHold = doConditionsHold && revision == condition.revision.value();
+        if (found != m_items.end())
+            reply.current.push_back({ condition.key, found->second.value, KeyRevision(revision) });
+    }
+    if (!doConditionsHold) {
+        reply.ending = StoreEnding::ConditionFailed;
+        return reply;
+    }
+    for (const auto& write : transaction.writes) {
+        if (write.lease.value() != 0 && !m_leases.count(write.lease.value())) {
+            reply.ending = StoreEnding::Absent;
+            return reply;
+        }
+    }
+    ++m_revision;
+    for (const auto& write : transaction.writes)
+        writeItem(write.key, write.value, write.lease.value());
+    for (const std::string& key : transaction.removals)
+        removeItem(key);
+    notify();
+    reply.ending = StoreEnding::Done;
+    reply.revision = KeyRevision(m_revision);
+    return reply;
+}
+
+void EmulatedStore::writeItem(const std::string& key, const std::string& value, std::uint64_t lease)
+{
+    m_items[key] = { value, m_revision, lease };
+    m_history.push_back({ { key, value, KeyRevision(m_revision) }, false });
+}
+
+void EmulatedStore::removeItem(const std::string& key)
+{
+    if (m_items.erase(key) != 0)
+        m_history.push_back({ { key, "", KeyRevision(m_revision) }, true });
+}
+
+void EmulatedStore::put(const std::string& key, const std::string& value)
+{
+    ++m_revision;
+    writeItem(key, value, 0);
+    notify();
+}
+
+void EmulatedStore::remove(const std::string& key)
+{
+    ++m_revision;
+    removeItem(key);
+    notify();
+}
+
+void EmulatedStore::revoke(const std::string& keyOfLease)
+{
+    const auto found = m_items.find(keyOfLease);
+    if (found == m_items.end())
+        return;
+    const std::uint64_t lease = found->second.lease;
+    std::vector<std::string> keys;
+    for (const auto& item : m_items) {
+        if (item.second.lease == lease)
+            keys.push_back(item.first);
+    }
+    for (const std::string& key : keys)
+        remove(key);
+}
+
+void EmulatedStore::compact()
+{
+    m_history.clear();
+    m_compactedTo = m_revision;
+    const auto waiters = m_waiters;
+    for (const auto& waiter : waiters) {
+        if (!waiter->isDone) {
+            waiter->isDone = true;
+            waiter->callback({ StoreEnding::HistoryGone, {}, KeyRevision(0) });
+        }
+    }
+    m_waiters.clear();
+}
+
+void EmulatedStore::notify()
+{
+    const auto waiters = m_waiters;
+    for (const auto& waiter : waiters)
+        answer(*waiter, false);
+    m_waiters.erase(std::remove_if(m_waiters.begin(), m_waiters.end(), [](const auto& w) { return w->isDone; }),
+        m_waiters.end());
+}
+
+bool EmulatedStore::answer(Waiter& waiter, bool isLast)
+{
+    if (waiter.isDone)
+        return true;
+    if (waiter.after < m_compactedTo) {
+        waiter.isDone = true;
+        waiter.callback({ StoreEnding::HistoryGone, {}, KeyRevision(0) });
+        return true;
+    }
+    WatchReply reply { StoreEnding::Done, {}, KeyRevision(m_revision) };
+    for (const KeyChange& change : m_history) {
+        if (change.item.revision.value() > waiter.after && startsWith(change.item.key, waiter.prefix))
+            reply.changes.push_back(change);
+    }
+    if (reply.changes.empty() && !isLast)
+        return false;
+    waiter.isDone = true;
+    // Never inside the write that caused it.
+    m_queue.after(std::chrono::microseconds(500), [callback = waiter.callback, reply] { callback(reply); });
+    return true;
+}
+
+void EmulatedStore::expireLeases()
+{
+    std::vector<std::uint64_t> ended;
+    for (auto& lease : m_leases) {
+        if (faults.isDown && !faults.doLeasesLapse)
+            lease.second.end += leaseCheckInterval;
+        else if (lease.second.end <= m_queue.now())
+            ended.push_back(lease.first);
+    }
+    for (const std::uint64_t lease : ended) {
+        m_leases.erase(lease);
+        std::vector<std::string> keys;
+        for (const auto& item : m_items) {
+            if (item.second.lease == lease)
+                keys.push_back(item.first);
+        }
+        for (const std::string& key : keys)
+            remove(key);
+    }
+    m_queue.after(leaseCheckInterval, [this] { expireLeases(); });
+}
+
+std::optional<std::string> EmulatedStore::value(const std::string& key) const
+{
+    const auto found = m_items.find(key);
+    return found == m_items.end() ? std::nullopt : std::optional<std::string>(found->second.value);
+}
+
+std::vector<std::string> EmulatedStore::keys(const std::string& prefix) const
+{
+    std::vector<std::string> keys;
+    for (const auto& item : m_items) {
+        if (startsWith(item.first, prefix))
+            keys.push_back(item.first);
+    }
+    return keys;
+}
+
+}
--- /dev/null
+++ b/tests/shards/RecoveryTests.cpp
@@ -0,0 +1,292 @@
+#include "emulator/EmulatedFleet.h"
+
+#include <catch2/catch.hpp>
+
+using namespace rattanroad;
+using namespace rattanroad::emulator;
+using namespace rattanroad::shards;
+using namespace std::chrono_literals;
+
+namespace {
+
+bool isDone(const EmulatedFleet::Call& call)
+{
+    return !call.verdicts.empty() && call.verdicts.back() == EntranceVerdict::Done;
+}
+
+/** Shows the hosts' log with the next assertion that fails. */
+void showLog(const EmulatedFleet& fleet)
+{
+    for (const std::string& line : fleet.log())
+        UNSCOPED_INFO(line);
+}
+
+void requireNoViolations(EmulatedFleet& fleet)
+{
+    showLog(fleet);
+    for (const std::string& violation : fleet.targets().violations())
+        UNSCOPED_INFO(violation);
+    REQUIRE(fleet.targets().violations().empty());
+    showLog(fleet);
+}
+
+HostId otherThan(EmulatedFleet& fleet, const HostId& host)
+{
+    for (const HostId& other : fleet.hosts()) {
+        if (other != host && fleet.isUp(other))
+            return other;
+    }
+    return HostId();
+}
+
+std::optional<JobState> stateOf(EmulatedFleet& fleet, const HostId& host, const std::string& job)
+{
+    std::optional<JobState> seen;
+    fleet.node(host).entrance().query(JobId(job), 1000ms, [&seen](JobEntrance::Knowledge knowledge, JobState state) {
+        if (knowledge == JobEntrance::Knowledge::Known)
+            seen = state;
+    });
+    fleet.run(1200ms);
+    return seen;
+}
+
+}
+
+TEST_CASE("a best-effort job is answered when it ends")
+{
+    EmulatedFleet fleet;
+    fleet.startAll();
+    auto& call = fleet.submit(fleet.hosts().front(), "a", 4, 60ms, true);
+    fleet.run(1s);
+    requireNoViolations(fleet);
+    REQUIRE(isDone(call));
+    REQUIRE(std::chrono::duration_cast<std::chrono::milliseconds>(call.answeredAt - call.sentAt).count() < 90);
+    REQUIRE(fleet.starts("a") == 4);
+    REQUIRE(fleet.store().keys("rattanroad/job/").empty());
+}
+
+TEST_CASE("a stored job is accepted, runs once and is shown as done")
+{
+    EmulatedFleet fleet;
+    fleet.startAll();
+    auto& call = fleet.submit(fleet.hosts().front(), "a", 4, 60ms, false);
+    fleet.run(1s);
+    REQUIRE(call.verdicts == std::vector<EntranceVerdict> { EntranceVerdict::Accepted });
+    REQUIRE(fleet.starts("a") == 4);
+    REQUIRE(stateOf(fleet, fleet.hosts().back(), "a") == JobState::Done);
+    requireNoViolations(fleet);
+}
+
+TEST_CASE("a task that always fails ends its job after the allowed attempts")
+{
+    EmulatedFleet fleet;
+    fleet.startAll();
+    auto& call = fleet.submit(fleet.hosts().front(), "a", 1, 20ms, true, true);
+    fleet.run(1s);
+    REQUIRE(call.verdicts == std::vector<EntranceVerdict> { EntranceVerdict::Failed });
+    REQUIRE(fleet.starts("a") == 3);
+}
+
+TEST_CASE("runs go on when a draining holder gives its shard up")
+{
+    EmulatedFleet fleet;
+    fleet.startAll();
+    const HostId holder = fleet.holderOf("north");
+    const HostId entrance = otherThan(fleet, holder);
+    auto& call = fleet.submit(entrance, "a", 3, 900ms, true);
+    fleet.run(300ms);
+    for (const std::string domain : { "north", "south" })
+        fleet.node(fleet.holderOf(domain)).drain();
+    fleet.run(2s);
+    requireNoViolations(fleet);
+    REQUIRE(isDone(call));
+    REQUIRE(fleet.starts("a") == 3);
+}
+
+TEST_CASE("a new holder starts a job again only when the run of the earlier holder has ended")
+{
+    EmulatedFleet fleet;
+    fleet.startAll();
+    auto& call = fleet.submit(fleet.hosts().front(), "a", 2, 900ms, true);
+    fleet.run(200ms);
+    // Killed without a word: the lease ends, another host takes the shard, the caller's entrance asks again.
+    for (const std::string domain : { "north", "south" }) {
+        const HostId holder = fleet.holderOf(domain);
+        if (holder != fleet.hosts().front())
+            fleet.kill(holder);
+    }
+    fleet.run(6s);
+    requireNoViolations(fleet);
+    REQUIRE(!call.verdicts.empty());
+}
+
+TEST_CASE("a host that was cut off does not hand over jobs that it lost long ago")
+{
+    EmulatedFleet fleet;
+    fleet.startAll();
+    const HostId holder = fleet.holderOf("north");
+    fleet.submit(holder, "a", 2, 900ms, true);
+    fleet.run(100ms);
+    fleet.cut(holder);
+    fleet.run(4s);
+    const std::size_t before = fleet.starts("a");
+    fleet.heal(holder);
+    fleet.run(3s);
+    requireNoViolations(fleet);
+    REQUIRE(fleet.starts("a") == before);
+}
+
+TEST_CASE("a job ends before its caller turns to another host when its entrance dies")
+{
+    EmulatedFleet fleet;
+    fleet.startAll();
+    const HostId holder = fleet.holderOf("north");
+    const HostId other = fleet.holderOf("south");
+    HostId entrance;
+    for (const HostId& host : fleet.hosts()) {
+        if (host != holder && host != other)
+            entrance = host;
+    }
+    fleet.submit(entrance, "a", 2, 3s, true);
+    fleet.run(100ms);
+    REQUIRE(fleet.targets().running() == 2);
+    fleet.kill(entrance);
+    fleet.run(1200ms);
+    REQUIRE(fleet.targets().running() == 0);
+    fleet.run(3s);
+    requireNoViolations(fleet);
+}
+
+TEST_CASE("best-effort jobs are served while the store is away")
+{
+    EmulatedFleet fleet;
+    fleet.startAll();
+    const bool doLeasesLapse = GENERATE(false, true);
+    fleet.store().faults.doLeasesLapse = doLeasesLapse;
+    fleet.store().faults.isDown = true;
+    fleet.run(3s);
+    auto& during = fleet.submit(fleet.hosts().front(), "a", 2, 100ms, true);
+    auto& stored = fleet.submit(fleet.hosts().front(), "b", 2, 100ms, false);
+    fleet.run(2s);
+    REQUIRE(isDone(during));
+    REQUIRE((stored.verdicts.empty() || stored.verdicts.back() != EntranceVerdict::Accepted));
+    fleet.store().faults.isDown = false;
+    fleet.run(3s);
+    auto& after = fleet.submit(fleet.hosts().back(), "c", 2, 100ms, false);
+    fleet.run(1s);
+    REQUIRE(after.verdicts.back() == EntranceVerdict::Accepted);
+    requireNoViolations(fleet);
+}
+
+TEST_CASE("an accepted job runs after all hosts lose power right after the answer")
+{
+    EmulatedFleet fleet;
+    fleet.startAll();
+    auto& call = fleet.submit(fleet.hosts().front(), "a", 3, 400ms, false);
+    REQUIRE(fleet.runUntil([&call] { return !call.verdicts.empty(); }, 1s));
+    REQUIRE(call.verdicts.back() == EntranceVerdict::Accepted);
+    for (const HostId& host : fleet.hosts())
+        fleet.kill(host);
+    fleet.run(1500ms);
+    for (const HostId& host : fleet.hosts())
+        fleet.start(host);
+    fleet.run(20s);
+    requireNoViolations(fleet);
+    REQUIRE(stateOf(fleet, fleet.hosts().front(), "a") == JobState::Done);
+}
+
+TEST_CASE("a job whose commit went unanswered is accepted once")
+{
+    EmulatedFleet fleet;
+    fleet.startAll();
+    SECTION("carried out") { fleet.store().faults.repliesToLose = 1; }
+    SECTION("carried out late") { fleet.store().faults.lateTransactions = 1; }
+    auto& call = fleet.submit(fleet.hosts().front(), "a", 2, 100ms, false);
+    fleet.run(6s);
+    requireNoViolations(fleet);
+    REQUIRE(call.verdicts.back() == EntranceVerdict::Accepted);
+    REQUIRE(fleet.starts("a") == 2);
+    REQUIRE(stateOf(fleet, fleet.hosts().back(), "a") == JobState::Done);
+}
+
+TEST_CASE("a holder that was paused past its lease gives no orders beside its successor")
+{
+    EmulatedFleet fleet;
+    fleet.startAll();
+    const HostId holder = fleet.holderOf("north");
+    for (int i = 0; i < 8; ++i)
+        fleet.submit(holder, "a" + std::to_string(i), 2, 700ms, i % 2 == 0);
+    fleet.run(100ms);
+    fleet.pause(holder);
+    fleet.run(4s);
+    fleet.resume(holder);
+    fleet.run(20s);
+    requireNoViolations(fleet);
+    for (int i = 1; i < 8; i += 2)
+        REQUIRE(stateOf(fleet, otherThan(fleet, holder), "a" + std::to_string(i)) == JobState::Done);
+}
+
+TEST_CASE("a start without an answer does no harm when it is carried out late")
+{
+    EmulatedFleet fleet;
+    fleet.startAll();
+    const bool isLate = GENERATE(true, false);
+    (isLate ? fleet.targets().faults.lateStarts : fleet.targets().faults.startRepliesToLose) = 2;
+    auto& call = fleet.submit(fleet.hosts().front(), "a", 2, 300ms, true);
+    fleet.run(8s);
+    requireNoViolations(fleet);
+    REQUIRE(isDone(call));
+}
+
+TEST_CASE("a target that was restarted gets the interrupted tasks again")
+{
+    EmulatedFleet fleet;
+    fleet.startAll();
+    auto& call = fleet.submit(fleet.hosts().front(), "a", 4, 500ms, true);
+    fleet.run(100ms);
+    for (const auto& report : std::map<TargetId, TargetReport>(fleet.targets().reports()))
+        fleet.targets().restart(report.first);
+    fleet.run(2s);
+    requireNoViolations(fleet);
+    REQUIRE(isDone(call));
+}
+
+TEST_CASE("a holder whose keys the store takes away goes on")
+{
+    EmulatedFleet fleet;
+    fleet.startAll();
+    auto& call = fleet.submit(fleet.hosts().front(), "a", 4, 600ms, true);
+    fleet.run(50ms);
+    for (const std::string domain : { "north", "south" })
+        fleet.store().revoke("rattanroad/fleet/shard/" + domain);
+    fleet.store().compact();
+    fleet.run(2s);
+    requireNoViolations(fleet);
+    REQUIRE(isDone(call));
+    auto& next = fleet.submit(fleet.hosts().back(), "b", 2, 100ms, false);
+    fleet.run(1s);
+    REQUIRE(next.verdicts.back() == EntranceVerdict::Accepted);
+}
+
+TEST_CASE("a cancelled job starts nothing more and its cancel outlives its holder")
+{
+    EmulatedFleet fleet;
+    fleet.startAll();
+    fleet.submit(fleet.hosts().front(), "a", 2, 3s, false);
+    fleet.run(200ms);
+    bool isAcknowledged = false;
+    fleet.node(fleet.hosts().back()).entrance().cancel(JobId("a"), 1500ms, [&](JobEntrance::Knowledge known, JobState) {
+        isAcknowledged = known == JobEntrance::Knowledge::Known;
+    });
+    REQUIRE(fleet.runUntil([&] { return isAcknowledged; }, 1s));
+    for (const HostId& host : fleet.hosts())
+        fleet.kill(host);
+    fleet.run(1s);
+    for (const HostId& host : fleet.hosts())
+        fleet.start(host);
+    fleet.run(18s);
+    REQUIRE(fleet.targets().running() == 0);
+    REQUIRE(fleet.starts("a") == 2);
+    REQUIRE(stateOf(fleet, fleet.hosts().front(), "a") == JobState::Cancelled);
+    requireNoViolations(fleet);
+}
--- /dev/null
+++ b/tests/shards/SeededRunTests.cpp
@@ -0,0 +1,180 @@
+#include "emulator/EmulatedFleet.h"
+#include "rattanroad_core/random/PcgRandomSource.h"
+
+#include <catch2/catch.hpp>
+
+using namespace rattanroad;
+using namespace rattanroad::emulator;
+using namespace rattanroad::shards;
+using namespace std::chrono_literals;
+
+namespace {
+
+/** Faults at random moments of 20 s, all of them over by the end, while jobs come in. */
+class SeededRun {
+public:
+    explicit SeededRun(std::uint64_t seed)
+        : m_random(seed)
+    {
+    }
+
+    void play()
+    {
+        m_fleet.startAll();
+        for (int i = 0; i < 250; ++i) {
+            m_fleet.queue().after(
+                std::chrono::milliseconds(m_random.below(20000)), [this, i] { submit("job-" + std::to_string(i)); });
+        }
+        for (int i = 0; i < 8; ++i)
+            m_fleet.queue().after(std::chrono::milliseconds(m_random.below(15000)), [this] { injectFault(); });
+        m_fleet.run(45s);
+    }
+
+    EmulatedFleet& fleet() { return m_fleet; }
+
+private:
+    HostId anyHost()
+    {
+        const auto hosts = m_fleet.hosts();
+        return hosts[m_random.below(hosts.size())];
+    }
+
+    TargetId anyTarget()
+    {
+        auto target = m_fleet.targets().reports().begin();
+        std::advance(target, static_cast<std::ptrdiff_t>(m_random.below(m_fleet.targets().reports().size())));
+        return target->first;
+    }
+
+    void submit(const std::string& job)
+    {
+        const auto duration = std::chrono::milliseconds(30 + m_random.below(m_random.below(4) == 0 ? 1500 : 200));
+        m_fleet.submit(anyHost(), job, 1 + static_cast<std::uint32_t>(m_random.below(3)), duration,
+            m_random.below(3) != 0, m_random.below(40) == 0);
+    }
+
+    void later(std::function<void()> action)
+    {
+        m_fleet.queue().after(std::chrono::milliseconds(200 + m_random.below(5000)), std::move(action));
+    }
+
+    void injectFault()
+    {
+        const HostId host = anyHost();
+        const TargetId target = anyTarget();
+        auto& store = m_fleet.store().faults;
+        auto& targets = m_fleet.targets().faults;
+        const std::uint64_t kind = m_random.below(12);
+        m_fleet.note("fault " + std::to_string(kind) + " host " + host.value() + " target " + target.value());
+        switch (kind) {
+        case 0:
+            m_fleet.kill(host);
+            later([this, host] { m_fleet.start(host); });
+            return;
+        case 1:
+            m_fleet.pause(host);
+            later([this, host] { m_fleet.resume(host); });
+            return;
+        case 2:
+            m_fleet.cut(host);
+            later([this, host] { m_fleet.heal(host); });
+            return;
+        case 3:
+            store.doLeasesLapse = m_random.below(2) == 0;
+            store.isDown = true;
+            later([&store] { store.isDown = false; });
+            return;
+        case 4:
+            store.latency = 150ms;
+            later([&store] { store.latency = 4ms; });
+            return;
+        case 5:
+            store.repliesToLose += 10;
+            return;
+        case 6:
+            store.lateTransactions += 5;
+            return;
+        case 7:
+            store.refused.insert(host);
+            later([&store, host] { store.refused.erase(host); });
+            return;
+        case 8:
+            targets.lateStarts += 8;
+            return;
+        case 9:
+            m_fleet.targets().restart(target);
+            return;
+        case 10:
+            targets.silent.insert(target);
+            later([&targets, target] { targets.silent.erase(target); });
+            return;
+        default:
+            m_fleet.store().revoke("rattanroad/fleet/host/" + host.value());
+            m_fleet.store().compact();
+            return;
+        }
+    }
+
+    PcgRandomSource m_random;
+    EmulatedFleet m_fleet;
+};
+
+std::int64_t milliseconds(TimePoint time)
+{
+    return std::chrono::duration_cast<std::chrono::milliseconds>(time - VirtualClock().now()).count();
+}
+
+/** Returns what is wrong at the end of a run, or an empty text. */
+std::string faultOf(EmulatedFleet& fleet)
+{
+    if (!fleet.targets().violations().empty())
+        return fleet.targets().violations().front();
+    if (fleet.targets().running() != 0)
+        return "something still runs";
+    for (const auto& call : fleet.calls()) {
+        bool isAccepted = false;
+        bool isRefused = !call.verdicts.empty();
+        for (const EntranceVerdict verdict : call.verdicts) {
+            isAccepted = isAccepted || verdict == EntranceVerdict::Accepted;
+            isRefused = isRefused && verdict == EntranceVerdict::Refused;
+        }
+        const bool wasStarted = fleet.starts(call.job.value()) != 0;
+        if (isRefused && wasStarted && call.attempts == static_cast<int>(call.verdicts.size()))
+            return call.job.value() + " was refused and has run";
+        if (!isAccepted)
+            continue;
+        const auto value = fleet.store().value("rattanroad/job/" + call.job.value());
+        protocol::JobRecord record;
+        if (!value || !record.ParseFromString(*value))
+            return call.job.value() + " was accepted and is not known";
+        if (!hasEnded(static_cast<JobState>(record.state())))
+            return call.job.value() + " was accepted and has not ended";
+    }
+    return "";
+}
+
+}
+
+TEST_CASE("random faults break no promise")
+{
+    // CTest's limit for the program allows about 400 of them.
+    const std::uint64_t first = 1;
+    const std::uint64_t count = 150;
+    for (std::uint64_t seed = first; seed < first + count; ++seed) {
+        SeededRun run(seed);
+        run.play();
+        const std::string fault = faultOf(run.fleet());
+        if (!fault.empty()) {
+            for (const std::string& line : run.fleet().log())
+                UNSCOPED_INFO(line);
+            for (const auto& task : run.fleet().targets().runs()) {
+                for (const auto& one : task.second)
+                    UNSCOPED_INFO(task.first.job.value() << "." << task.first.index << " attempt " << one.attempt << " on "
+                                                         << one.target.value() << " from " << milliseconds(one.startedAt)
+                                                         << " to " << milliseconds(one.endedAt) << " " << one.ending);
+            }
+        }
+        INFO("seed " << seed);
+        REQUIRE(fault == "");
+    }
+}
