--- a/apps/rattanroadd/fleet/FleetHost.cpp
+++ b/apps/rattanroadd/fleet/FleetHost.cpp
@@ -104,9 +104,8 @@
         hooks.send = [this](const std::string& address, const protocol::Envelope& envelope) {
             m_link.send(address, envelope);
         };
-        hooks.log = [this](const char* event, const shards::ShardNode::LogFields& fields) {
-            m_log.write(event, fields);
-        };
+        hooks.log
+            = [this](const char* event, const shards::ShardNode::LogFields& fields) { m_log.write(event, fields); };
         hooks.readTarget = &adapter::parseTargetEntry;
         hooks.readConfiguration = &adapter::parseConfiguration;
         return hooks;
--- a/modules/rattanroad_shards/entrance/JobEntrance.cpp
+++ b/modules/rattanroad_shards/entrance/JobEntrance.cpp
@@ -36,8 +36,7 @@
     return envelope;
 }
 
-std::uint64_t JobEntrance::submit(
-    const protocol::PlacedJob& job, std::chrono::milliseconds wait, SubmitReply reply)
+std::uint64_t JobEntrance::submit(const protocol::PlacedJob& job, std::chrono::milliseconds wait, SubmitReply reply)
 {
     if (!m_isTaking) {
         m_hooks.log("job_refused", JobId(job.id()), "this host is about to stop");
@@ -115,13 +114,15 @@
         const auto entry = m_submissions.find(id);
         return entry != m_submissions.end() && entry->second.attempt == attempt;
     };
-    m_timers.after(std::min<Duration>(m_settings.replyTimeout, submission.deadline - now), [this, id, attempt, isCurrent] {
-        if (!isCurrent())
-            return;
-        if (!m_submissions[id].job.best_effort())
-            m_hooks.log("submit_unanswered", JobId(m_submissions[id].job.id()), "shard " + m_submissions[id].shard.value());
-        trySubmit(id);
-    });
+    m_timers.after(
+        std::min<Duration>(m_settings.replyTimeout, submission.deadline - now), [this, id, attempt, isCurrent] {
+            if (!isCurrent())
+                return;
+            if (!m_submissions[id].job.best_effort())
+                m_hooks.log(
+                    "submit_unanswered", JobId(m_submissions[id].job.id()), "shard " + m_submissions[id].shard.value());
+            trySubmit(id);
+        });
     ++submission.unresolved;
     std::uint64_t wanted = 0;
     for (const protocol::PhaseDescription& phase : submission.job.phases())
@@ -199,8 +200,8 @@
         };
         double cost = load.backlog_ms();
         const auto total = static_cast<double>(load.total_millicores());
-        const auto used = total - static_cast<double>(load.free_millicores())
-            + static_cast<double>(seen->second.handedOut);
+        const auto used
+            = total - static_cast<double>(load.free_millicores()) + static_cast<double>(seen->second.handedOut);
         cost += static_cast<double>(m_settings.fullCost.count()) * used / total;
         if (shard.value() != m_settings.failureDomain.value())
             cost += static_cast<double>(m_settings.remoteCost.count());
@@ -250,8 +251,7 @@
     m_timers.after(m_settings.retryPause, [this, id] { trySubmit(id); });
 }
 
-void JobEntrance::finishSubmission(
-    std::uint64_t id, EntranceVerdict verdict, std::chrono::milliseconds retryAfter)
+void JobEntrance::finishSubmission(std::uint64_t id, EntranceVerdict verdict, std::chrono::milliseconds retryAfter)
 {
     const SubmitReply reply = std::move(m_submissions[id].reply);
     const auto awaited = m_awaited.equal_range(JobId(m_submissions[id].job.id()));
@@ -298,8 +298,8 @@
     if (m_clock.now() >= question.deadline) {
         // The record tells that the job exists; only its end may be newer.
         const bool hasState = question.storedState && !question.isCancel;
-        finishQuestion(id, hasState ? Knowledge::Known : Knowledge::Unavailable,
-            question.storedState.value_or(JobState::Queued));
+        finishQuestion(
+            id, hasState ? Knowledge::Known : Knowledge::Unavailable, question.storedState.value_or(JobState::Queued));
         return;
     }
     const auto seen = m_states.find(question.job);
@@ -376,8 +376,7 @@
 void JobEntrance::takeAnswer(std::uint64_t id, std::uint64_t attempt, bool isKnown, JobState state)
 {
     const auto found = m_questions.find(id);
-    if (found == m_questions.end()
-        || found->second.attempt % attemptsPerRequest != attempt % attemptsPerRequest)
+    if (found == m_questions.end() || found->second.attempt % attemptsPerRequest != attempt % attemptsPerRequest)
         return;
     Question& question = found->second;
     if (isKnown) {
@@ -529,8 +528,7 @@
         reply(SubmitVerdict::NotHolder, {});
         return;
     }
-    local->submit(
-        body.job(), std::chrono::milliseconds(body.waited_ms()), body.resent(), message.from_host(), reply);
+    local->submit(body.job(), std::chrono::milliseconds(body.waited_ms()), body.resent(), message.from_host(), reply);
 }
 
 void JobEntrance::answerQuestion(const protocol::Envelope& message)
--- a/modules/rattanroad_shards/holding/ShardElection.cpp
+++ b/modules/rattanroad_shards/holding/ShardElection.cpp
@@ -87,10 +87,10 @@
 bool ShardElection::shouldGiveWay()
 {
     const bool isPreferred = m_settings.selfDomain == m_settings.preferredDomain;
-    const bool hasBetter = !isPreferred
-        && std::any_of(m_fleet.hosts().begin(), m_fleet.hosts().end(), [this](const auto& entry) {
-               return entry.second.failureDomain == m_settings.preferredDomain && !entry.second.isDraining;
-           });
+    const bool hasBetter
+        = !isPreferred && std::any_of(m_fleet.hosts().begin(), m_fleet.hosts().end(), [this](const auto& entry) {
+              return entry.second.failureDomain == m_settings.preferredDomain && !entry.second.isDraining;
+          });
     if (!hasBetter) {
         m_betterHostSince.reset();
         return false;
@@ -147,8 +147,7 @@
     transaction.conditions.push_back(
         { storekeys::holder(m_settings.shard), holder ? KeyRevision(holder->token.value()) : KeyRevision(0) });
     transaction.conditions.push_back({ storekeys::generation(m_settings.shard), generationRevision });
-    transaction.writes.push_back(
-        { storekeys::holder(m_settings.shard), record.SerializeAsString(), m_lease.lease() });
+    transaction.writes.push_back({ storekeys::holder(m_settings.shard), record.SerializeAsString(), m_lease.lease() });
     if (!isContinued)
         transaction.writes.push_back(
             { storekeys::generation(m_settings.shard), std::to_string(generation.value()), KeyLease(0) });
--- a/modules/rattanroad_shards/jobs/ShardDispatcher.cpp
+++ b/modules/rattanroad_shards/jobs/ShardDispatcher.cpp
@@ -12,8 +12,8 @@
     constexpr std::uint32_t attemptsPerGeneration = 1000;
 }
 
-ShardDispatcher::ShardDispatcher(Settings settings, KeyValueStore& store, TargetCalls& targets, Timers timers,
-    const Clock& clock, Hooks hooks)
+ShardDispatcher::ShardDispatcher(
+    Settings settings, KeyValueStore& store, TargetCalls& targets, Timers timers, const Clock& clock, Hooks hooks)
     : m_settings(std::move(settings))
     , m_store(store)
     , m_targetCalls(targets)
@@ -336,8 +336,7 @@
     m_jobs[id] = std::move(job);
     m_newJobs.emplace_back(m_clock.now(), id);
     m_hooks.log("job_taken", id,
-        "shard " + m_settings.shard.value() + " for " + m_open[id]->entranceAddress
-            + (isResent ? ", sent again" : ""));
+        "shard " + m_settings.shard.value() + " for " + m_open[id]->entranceAddress + (isResent ? ", sent again" : ""));
     reply(SubmitVerdict::Accepted, {});
     scheduleSoon();
 }
@@ -354,8 +353,7 @@
     return jobs;
 }
 
-void ShardDispatcher::acceptanceKnown(
-    const JobId& id, RecordWriter::Acceptance acceptance, const StoredItem& existing)
+void ShardDispatcher::acceptanceKnown(const JobId& id, RecordWriter::Acceptance acceptance, const StoredItem& existing)
 {
     std::vector<SubmitReply> replies;
     replies.swap(m_submitReplies[id]);
@@ -384,7 +382,7 @@
     return found->second->state;
 }
 
-void ShardDispatcher::cancel(const JobId& id, StateReply reply)
+void ShardDispatcher::cancel(const JobId& id, const StateReply& reply)
 {
     const auto found = m_jobs.find(id);
     if (found == m_jobs.end() || !found->second->isStored) {
@@ -478,8 +476,7 @@
         return std::nullopt;
     ShardJob& job = *found->second;
     task->attempt = std::max(task->attempt, running.attempt);
-    const bool isWanted
-        = !hasEnded(job.state) && task->state == ShardTask::State::Waiting && task->isUncertain;
+    const bool isWanted = !hasEnded(job.state) && task->state == ShardTask::State::Waiting && task->isUncertain;
     if (!isWanted)
         return std::nullopt;
     task->state = ShardTask::State::Placed;
@@ -550,8 +547,7 @@
             const ShardTask& task = job.phases[phase][index];
             const auto session = m_sessions.find(task.target);
             if (task.state == ShardTask::State::Placed && session != m_sessions.end())
-                session->second->stop(
-                    { job.id, static_cast<std::uint32_t>(phase), static_cast<std::uint32_t>(index) });
+                session->second->stop({ job.id, static_cast<std::uint32_t>(phase), static_cast<std::uint32_t>(index) });
         }
     }
 }
@@ -674,10 +670,8 @@
             continue;
         std::uint32_t samePhase = 0;
         if (wanted.maximumPerTarget != 0) {
-            samePhase = static_cast<std::uint32_t>(
-                std::count_if(session.runs().begin(), session.runs().end(), [&name](const auto& run) {
-                    return run.first.job == name.job && run.first.phase == name.phase;
-                }));
+            samePhase = static_cast<std::uint32_t>(std::count_if(session.runs().begin(), session.runs().end(),
+                [&name](const auto& run) { return run.first.job == name.job && run.first.phase == name.phase; }));
         }
         targets.push_back({ &session.report(), session.free(), m_speeds.factor(session.report()), samePhase });
         sessions.push_back(&session);
@@ -845,9 +839,8 @@
 
 bool ShardDispatcher::areAllTargetsReady() const
 {
-    return !m_sessions.empty() && std::all_of(m_sessions.begin(), m_sessions.end(), [](const auto& entry) {
-        return entry.second->isReady();
-    });
+    return !m_sessions.empty()
+        && std::all_of(m_sessions.begin(), m_sessions.end(), [](const auto& entry) { return entry.second->isReady(); });
 }
 
 void ShardDispatcher::sweepTargets()
--- a/modules/rattanroad_shards/jobs/ShardDispatcher.h
+++ b/modules/rattanroad_shards/jobs/ShardDispatcher.h
@@ -42,8 +42,8 @@
         std::chrono::milliseconds progressDelay { 700 };
         /** Ended jobs stay known for this long. */
         std::chrono::seconds retention { 130 };
-        /** A best-effort job that its entrance has not asked after for this long is stopped: its caller may submit it to
-            another host 1.3 s after the connection broke. */
+        /** A best-effort job that its entrance has not asked after for this long is stopped: its caller may submit it
+           to another host 1.3 s after the connection broke. */
         std::chrono::milliseconds entranceLimit { 1000 };
         /** The jobs of a shard that was lost longer ago are not handed over: their callers have turned elsewhere. */
         std::chrono::milliseconds handoverLimit { 600 };
@@ -79,8 +79,8 @@
     using SubmitReply = std::function<void(SubmitVerdict, std::chrono::milliseconds retryAfter)>;
     using StateReply = std::function<void(bool isKnown, JobState)>;
 
-    ShardDispatcher(Settings settings, KeyValueStore& store, TargetCalls& targets, Timers timers, const Clock& clock,
-        Hooks hooks);
+    ShardDispatcher(
+        Settings settings, KeyValueStore& store, TargetCalls& targets, Timers timers, const Clock& clock, Hooks hooks);
     ShardDispatcher(const ShardDispatcher&) = delete;
     ShardDispatcher& operator=(const ShardDispatcher&) = delete;
 
@@ -103,7 +103,7 @@
     /** Returns the state of a job, or nothing when it is not in memory here. */
     std::optional<JobState> state(const JobId& job) const;
     /** Cancels a job; @p reply follows when the record is stored, or at once for a job that is unknown or ended. */
-    void cancel(const JobId& job, StateReply reply);
+    void cancel(const JobId& job, const StateReply& reply);
 
     /** Returns the load, for the hosts that choose among shards. */
     protocol::ShardLoad load() const;
--- a/modules/rattanroad_shards/node/ShardNode.cpp
+++ b/modules/rattanroad_shards/node/ShardNode.cpp
@@ -13,8 +13,7 @@
         , m_timers(std::move(timers))
         , m_clock(clock)
         , m_hooks(std::move(hooks))
-        , m_lease(m_settings.lease, m_store, m_timers, clock,
-              { [this] { leaseGranted(); }, [this] { leaseLost(); } })
+        , m_lease(m_settings.lease, m_store, m_timers, clock, { [this] { leaseGranted(); }, [this] { leaseLost(); } })
         , m_configuration({ m_settings.configurationKey }, m_store, m_timers, clock, configurationHooks())
         , m_targetList({ m_settings.targetPrefix }, m_store, m_timers, clock, targetHooks())
         , m_fleetList({ storekeys::fleetPrefix }, m_store, m_timers, clock, fleetHooks())
@@ -164,8 +163,9 @@
                 return;
             }
             m_queues = std::move(queues);
-            m_hooks.log("configuration_in_force", { { "version", std::to_string(m_queues->version) },
-                                                      { "queues", std::to_string(m_queues->entries.size()) } });
+            m_hooks.log("configuration_in_force",
+                { { "version", std::to_string(m_queues->version) },
+                    { "queues", std::to_string(m_queues->entries.size()) } });
         };
         hooks.removed = [](const std::string&) {};
         hooks.interrupted = [this] { storeInterrupted(); };
@@ -260,8 +260,7 @@
         record.set_failure_domain(m_settings.failureDomain.value());
         record.set_draining(m_isDraining);
         KeyTransaction transaction;
-        transaction.writes.push_back(
-            { storekeys::host(m_settings.host), record.SerializeAsString(), m_lease.lease() });
+        transaction.writes.push_back({ storekeys::host(m_settings.host), record.SerializeAsString(), m_lease.lease() });
         m_store.transact(transaction, [this, lease = m_lease.lease()](const TransactionReply& reply) {
             if (lease != m_lease.lease())
                 return;
@@ -392,10 +391,10 @@
     TimePoint m_lastInterruptionLog { longAgo };
 };
 
-ShardNode::ShardNode(Settings settings, KeyValueStore store, TargetCalls targets, Timers timers, const Clock& clock,
-    Hooks hooks)
-    : m_impl(std::make_unique<Impl>(std::move(settings), std::move(store), std::move(targets), std::move(timers), clock,
-        std::move(hooks)))
+ShardNode::ShardNode(
+    Settings settings, KeyValueStore store, TargetCalls targets, Timers timers, const Clock& clock, Hooks hooks)
+    : m_impl(std::make_unique<Impl>(
+        std::move(settings), std::move(store), std::move(targets), std::move(timers), clock, std::move(hooks)))
 {
 }
 
--- a/modules/rattanroad_shards/node/ShardNode.h
+++ b/modules/rattanroad_shards/node/ShardNode.h
@@ -61,8 +61,8 @@
         std::function<std::optional<QueueTable>(const std::string& value)> readConfiguration;
     };
 
-    ShardNode(Settings settings, KeyValueStore store, TargetCalls targets, Timers timers, const Clock& clock,
-        Hooks hooks);
+    ShardNode(
+        Settings settings, KeyValueStore store, TargetCalls targets, Timers timers, const Clock& clock, Hooks hooks);
     ~ShardNode();
     ShardNode(const ShardNode&) = delete;
     ShardNode& operator=(const ShardNode&) = delete;
--- a/modules/rattanroad_shards/placing/TaskPlacer.cpp
+++ b/modules/rattanroad_shards/placing/TaskPlacer.cpp
@@ -14,8 +14,7 @@
 std::chrono::milliseconds TaskPlacer::predict(const PlacingTask& task, const PlacingTarget& target) const
 {
     const auto& labels = target.report->labels;
-    const bool isNear
-        = task.dataRack.empty() || std::find(labels.begin(), labels.end(), task.dataRack) != labels.end();
+    const bool isNear = task.dataRack.empty() || std::find(labels.begin(), labels.end(), task.dataRack) != labels.end();
     const double factor = target.factor * (isNear ? 1 : m_settings.remotePenalty);
     return std::chrono::milliseconds(static_cast<std::int64_t>(static_cast<double>(task.estimate.count()) * factor));
 }
--- a/modules/rattanroad_shards/store/PrefixFollower.cpp
+++ b/modules/rattanroad_shards/store/PrefixFollower.cpp
@@ -4,8 +4,7 @@
 
 namespace rattanroad::shards {
 
-PrefixFollower::PrefixFollower(
-    Settings settings, KeyValueStore& store, Timers timers, const Clock& clock, Hooks hooks)
+PrefixFollower::PrefixFollower(Settings settings, KeyValueStore& store, Timers timers, const Clock& clock, Hooks hooks)
     : m_settings(std::move(settings))
     , m_store(store)
     , m_timers(std::move(timers))
@@ -65,8 +64,8 @@
 
 void PrefixFollower::watch()
 {
-    m_store.watch(m_settings.prefix, m_watchedTo, m_settings.watchWait,
-        [this](const WatchReply& reply) { takeChanges(reply); });
+    m_store.watch(
+        m_settings.prefix, m_watchedTo, m_settings.watchWait, [this](const WatchReply& reply) { takeChanges(reply); });
 }
 
 void PrefixFollower::watchAfterPause()
--- a/modules/rattanroad_shards/store/RecordWriter.cpp
+++ b/modules/rattanroad_shards/store/RecordWriter.cpp
@@ -121,8 +121,8 @@
     for (const Sent& one : sent)
         m_entries[one.key].isInFlight = false;
     const auto currentOf = [&reply](const std::string& key) -> const StoredItem* {
-        const auto found = std::find_if(reply.current.begin(), reply.current.end(),
-            [&key](const StoredItem& item) { return item.key == key; });
+        const auto found = std::find_if(
+            reply.current.begin(), reply.current.end(), [&key](const StoredItem& item) { return item.key == key; });
         return found == reply.current.end() ? nullptr : &*found;
     };
     Duration pause(0);
--- a/modules/rattanroad_shards/targets/TargetSession.cpp
+++ b/modules/rattanroad_shards/targets/TargetSession.cpp
@@ -66,8 +66,8 @@
     m_leaseEnd = std::max(m_leaseEnd, m_clock.now() + longest + m_settings.holdPause);
 }
 
-void TargetSession::start(const TaskName& task, std::uint32_t attempt, const std::string& payload,
-    Resources resources, std::chrono::milliseconds predicted, const std::string& savedProgress)
+void TargetSession::start(const TaskName& task, std::uint32_t attempt, const std::string& payload, Resources resources,
+    std::chrono::milliseconds predicted, const std::string& savedProgress)
 {
     assert(canStart() && !m_runs.count(task));
     const TimePoint now = m_clock.now();
--- a/tests/adapter/AdapterTests.cpp
+++ b/tests/adapter/AdapterTests.cpp
@@ -12,7 +12,8 @@
     const shards::TaskName task { shards::JobId("5c0e7a21d94b36f8"), 1, 17 };
     REQUIRE(taskText(task) == "5c0e7a21d94b36f8.0.1.17");
     REQUIRE(parseTask("5c0e7a21d94b36f8.0.1.17") == task);
-    for (const char* const malformed : { "", "5c0e", "5c0e.0.1", "5c0e.0.1.", "5c0e.0.1.x", "5c0e.0.1.2.3", "5c0e.4.1.2" })
+    for (const char* const malformed :
+        { "", "5c0e", "5c0e.0.1", "5c0e.0.1.", "5c0e.0.1.x", "5c0e.0.1.2.3", "5c0e.4.1.2" })
         REQUIRE(!parseTask(malformed));
 }
 
--- a/tests/emulator/EmulatedFleet.cpp
+++ b/tests/emulator/EmulatedFleet.cpp
@@ -57,9 +57,8 @@
     template <typename Wrap, typename Reply>
     std::function<void(const Reply&)> wrapped(const Wrap& wrap, std::function<void(const Reply&)> callback)
     {
-        return [wrap, callback = std::move(callback)](const Reply& reply) {
-            wrap([callback, reply] { callback(reply); })();
-        };
+        return [wrap, callback = std::move(callback)](
+                   const Reply& reply) { wrap([callback, reply] { callback(reply); })(); };
     }
 }
 
@@ -79,9 +78,8 @@
     store.watch = [=](const auto& prefix, auto after, auto wait, auto callback) {
         calls.watch(prefix, after, wait, wrapped(wrap, callback));
     };
-    store.transact = [=](const auto& transaction, auto callback) {
-        calls.transact(transaction, wrapped(wrap, callback));
-    };
+    store.transact
+        = [=](const auto& transaction, auto callback) { calls.transact(transaction, wrapped(wrap, callback)); };
     store.grantLease = [=](auto timeToLive, auto callback) { calls.grantLease(timeToLive, wrapped(wrap, callback)); };
     store.renewLease = [=](auto lease, auto callback) { calls.renewLease(lease, wrapped(wrap, callback)); };
     return store;
@@ -125,9 +123,8 @@
             m_queue.after(delay, inProcess(id, std::move(action)));
     } };
     ShardNode::Hooks hooks;
-    hooks.send = [this, id](const std::string& address, const protocol::Envelope& message) {
-        send(id, address, message);
-    };
+    hooks.send
+        = [this, id](const std::string& address, const protocol::Envelope& message) { send(id, address, message); };
     hooks.log = [this, id](const char* event, const ShardNode::LogFields& fields) {
         std::string line = id.value() + " " + event;
         for (const auto& field : fields)
--- a/tests/emulator/EmulatedStore.cpp
+++ b/tests/emulator/EmulatedStore.cpp
@@ -24,8 +24,7 @@
     expireLeases();
 }
 
-void EmulatedStore::call(
-    const HostId& host, std::function<void()> action, std::function<void(StoreEnding)> lost)
+void EmulatedStore::call(const HostId& host, std::function<void()> action, const std::function<void(StoreEnding)>& lost)
 {
     if (faults.refused.count(host)) {
         m_queue.after(faults.latency, [lost] { lost(StoreEnding::Refused); });
@@ -41,7 +40,7 @@
 KeyValueStore EmulatedStore::callsOf(const HostId& host)
 {
     KeyValueStore store;
-    store.read = [this, host](const std::string& key, std::function<void(const ReadReply&)> callback) {
+    store.read = [this, host](const std::string& key, const std::function<void(const ReadReply&)>& callback) {
         call(
             host,
             [this, key, callback] {
@@ -52,10 +51,12 @@
                     callback({ StoreEnding::Done, { { key, found->second.value, KeyRevision(found->second.revision) } },
                         false, KeyRevision(m_revision) });
             },
-            [callback](StoreEnding ending) { callback({ ending, {}, false, KeyRevision(0) }); });
+            [callback](StoreEnding ending) {
+                callback({ ending, {}, false, KeyRevision(0) });
+            });
     };
     store.readPage = [this, host](const std::string& prefix, const std::string& after,
-                         std::function<void(const ReadReply&)> callback) {
+                         const std::function<void(const ReadReply&)>& callback) {
         call(
             host,
             [this, prefix, after, callback] {
@@ -75,27 +76,31 @@
                     reply.items.push_back({ prefix, exact->second.value, KeyRevision(exact->second.revision) });
                 callback(reply);
             },
-            [callback](StoreEnding ending) { callback({ ending, {}, false, KeyRevision(0) }); });
+            [callback](StoreEnding ending) {
+                callback({ ending, {}, false, KeyRevision(0) });
+            });
     };
     store.watch = [this, host](const std::string& prefix, KeyRevision after, std::chrono::milliseconds wait,
-                      std::function<void(const WatchReply&)> callback) {
+                      const std::function<void(const WatchReply&)>& callback) {
         call(
             host,
             [this, host, prefix, after, wait, callback] {
-                auto waiter = std::make_shared<Waiter>(Waiter { prefix, after.value(), [this, host, callback](
-                    const WatchReply& reply) {
-                    const bool isLost = faults.isDown || faults.cut.count(host) || faults.refused.count(host);
-                    callback(isLost ? WatchReply {} : reply);
-                } });
+                auto waiter = std::make_shared<Waiter>(Waiter {
+                    prefix, after.value(), [this, host, callback](const WatchReply& reply) {
+                        const bool isLost = faults.isDown || faults.cut.count(host) || faults.refused.count(host);
+                        callback(isLost ? WatchReply {} : reply);
+                    } });
                 if (answer(*waiter, false))
                     return;
                 m_waiters.push_back(waiter);
                 m_queue.after(wait, [this, waiter] { answer(*waiter, true); });
             },
-            [callback](StoreEnding ending) { callback({ ending, {}, KeyRevision(0) }); });
+            [callback](StoreEnding ending) {
+                callback({ ending, {}, KeyRevision(0) });
+            });
     };
     store.transact = [this, host](const KeyTransaction& transaction,
-                         std::function<void(const TransactionReply&)> callback) {
+                         const std::function<void(const TransactionReply&)>& callback) {
         ++m_transactions;
         const auto lost = [callback](StoreEnding ending) { callback({ ending, KeyRevision(0), {} }); };
         call(
@@ -117,17 +122,19 @@
             },
             lost);
     };
-    store.grantLease = [this, host](std::chrono::milliseconds timeToLive,
-                           std::function<void(const LeaseReply&)> callback) {
-        call(
-            host,
-            [this, timeToLive, callback] {
-                m_leases[++m_lastLease] = { timeToLive, m_queue.now() + timeToLive };
-                callback({ StoreEnding::Done, KeyLease(m_lastLease), timeToLive });
-            },
-            [callback](StoreEnding ending) { callback({ ending, KeyLease(0), Duration(0) }); });
-    };
-    store.renewLease = [this, host](KeyLease lease, std::function<void(const LeaseReply&)> callback) {
+    store.grantLease
+        = [this, host](std::chrono::milliseconds timeToLive, const std::function<void(const LeaseReply&)>& callback) {
+              call(
+                  host,
+                  [this, timeToLive, callback] {
+                      m_leases[++m_lastLease] = { timeToLive, m_queue.now() + timeToLive };
+                      callback({ StoreEnding::Done, KeyLease(m_lastLease), timeToLive });
+                  },
+                  [callback](StoreEnding ending) {
+                      callback({ ending, KeyLease(0), Duration(0) });
+                  });
+          };
+    store.renewLease = [this, host](KeyLease lease, const std::function<void(const LeaseReply&)>& callback) {
         call(
             host,
             [this, lease, callback] {
@@ -139,7 +146,9 @@
                 found->second.end = m_queue.now() + found->second.timeToLive;
                 callback({ StoreEnding::Done, lease, found->second.timeToLive });
             },
-            [callback](StoreEnding ending) { callback({ ending, KeyLease(0), Duration(0) }); });
+            [callback](StoreEnding ending) {
+                callback({ ending, KeyLease(0), Duration(0) });
+            });
     };
     return store;
 }
@@ -236,8 +245,8 @@
     const auto waiters = m_waiters;
     for (const auto& waiter : waiters)
         answer(*waiter, false);
-    m_waiters.erase(std::remove_if(m_waiters.begin(), m_waiters.end(), [](const auto& w) { return w->isDone; }),
-        m_waiters.end());
+    m_waiters.erase(
+        std::remove_if(m_waiters.begin(), m_waiters.end(), [](const auto& w) { return w->isDone; }), m_waiters.end());
 }
 
 bool EmulatedStore::answer(Waiter& waiter, bool isLast)
--- a/tests/emulator/EmulatedTargets.cpp
+++ b/tests/emulator/EmulatedTargets.cpp
@@ -72,7 +72,7 @@
 TargetCalls EmulatedTargets::callsOf(const HostId& host)
 {
     TargetCalls calls;
-    calls.start = [this, host](const StartOrder& order, std::function<void(const TargetReply&)> callback) {
+    calls.start = [this, host](const StartOrder& order, const std::function<void(const TargetReply&)>& callback) {
         m_queue.after(latency, [this, host, order, callback] {
             const auto unanswered = [this, callback] { m_queue.after(callLimit, [callback] { callback({}); }); };
             if (!isReachable(host, order.target)) {
@@ -92,7 +92,7 @@
             }
         });
     };
-    calls.stop = [this, host](const StopOrder& order, std::function<void(const TargetReply&)> callback) {
+    calls.stop = [this, host](const StopOrder& order, const std::function<void(const TargetReply&)>& callback) {
         m_queue.after(latency, [this, host, order, callback] {
             if (!isReachable(host, order.target)) {
                 m_queue.after(callLimit, [callback] { callback({}); });
@@ -115,11 +115,10 @@
                         end(order.target, order.task, RunEnding::Interrupted, "stopped");
                 });
             }
-            m_queue.after(
-                latency, [answer = reply(order.target, TargetEnding::Done), callback] { callback(answer); });
+            m_queue.after(latency, [answer = reply(order.target, TargetEnding::Done), callback] { callback(answer); });
         });
     };
-    calls.hold = [this, host](const HoldOrder& order, std::function<void(const HoldReply&)> callback) {
+    calls.hold = [this, host](const HoldOrder& order, const std::function<void(const HoldReply&)>& callback) {
         m_queue.after(latency, [this, host, order, callback] {
             if (!isReachable(host, order.target)) {
                 m_queue.after(callLimit, [callback] { callback({}); });
--- a/tests/shards/SeededRunTests.cpp
+++ b/tests/shards/SeededRunTests.cpp
@@ -169,12 +169,13 @@
                 UNSCOPED_INFO(line);
             for (const auto& task : run.fleet().targets().runs()) {
                 for (const auto& one : task.second)
-                    UNSCOPED_INFO(task.first.job.value() << "." << task.first.index << " attempt " << one.attempt << " on "
-                                                         << one.target.value() << " from " << milliseconds(one.startedAt)
-                                                         << " to " << milliseconds(one.endedAt) << " " << one.ending);
+                    UNSCOPED_INFO(task.first.job.value()
+                        << "." << task.first.index << " attempt " << one.attempt << " on " << one.target.value()
+                        << " from " << milliseconds(one.startedAt) << " to " << milliseconds(one.endedAt) << " "
+                        << one.ending);
             }
         }
-        INFO("seed " << seed);
-        REQUIRE(fault == "");
+        INFO("seed " << seed << ": " << fault);
+        REQUIRE(fault.empty());
     }
 }
