Hold a shard until its key is gone; let jobs wait for a shard

A holder now serves until the store has removed its key, and a job waits for a shard for half of the time to its objective. Two new cases on the emulator; they were not run against the earlier code.

--- a/apps/rattanroadd/fleet/FleetHost.cpp
+++ b/apps/rattanroadd/fleet/FleetHost.cpp
@@ -114,7 +114,7 @@
     void pollDrain()
     {
         const Duration passed = m_clock.now() - m_drainStartedAt;
-        const bool isIdle = m_server.openRequests() == 0 && passed >= drainNotice;
+        const bool isIdle = m_server.openRequests() == 0 && !m_node.isHolding() && passed >= drainNotice;
         if (isIdle || passed >= drainLimit) {
             m_log.write("stopped", { { "open_requests", std::to_string(m_server.openRequests()) } });
             m_loop.stop();
--- a/modules/rattanroad_shards/entrance/JobEntrance.cpp
+++ b/modules/rattanroad_shards/entrance/JobEntrance.cpp
@@ -1,6 +1,7 @@
 #include "rattanroad_shards/entrance/JobEntrance.h"
 
 #include "rattanroad_shards/holding/StoreKeys.h"
+#include "rattanroad_shards/jobs/JobMath.h"
 
 #include <algorithm>
 
@@ -95,7 +96,8 @@
     const std::optional<ShardId> shard = shardFor(submission);
     const std::string* const address = shard ? holderAddress(*shard) : nullptr;
     if (!shard || (!address && !m_hooks.local(*shard))) {
-        if (submission.unresolved == 0) {
+        const auto patience = std::chrono::duration_cast<Duration>(objectiveOf(submission.job) * m_settings.waitShare);
+        if (submission.unresolved == 0 && now - submission.startedAt >= patience) {
             m_hooks.log("job_refused", JobId(submission.job.id()), "no shard can take jobs");
             finishSubmission(id, EntranceVerdict::Refused, m_settings.unavailableRetry);
             return;
--- a/modules/rattanroad_shards/entrance/JobEntrance.h
+++ b/modules/rattanroad_shards/entrance/JobEntrance.h
@@ -42,6 +42,9 @@
         std::chrono::milliseconds defaultWait { 1500 };
         /** Advised wait when no shard can take jobs. */
         std::chrono::milliseconds unavailableRetry { 500 };
+        /** Without a shard, a job waits for one for this share of the time to its objective: a holder is replaced
+           within tenths of a second. */
+        double waitShare { 0.5 };
         /** Cost of another failure domain, as a wait. */
         std::chrono::milliseconds remoteCost { 10 };
         /** Cost of a shard without the rack that holds the data: about the run time of a short task. */
--- a/modules/rattanroad_shards/holding/ShardElection.cpp
+++ b/modules/rattanroad_shards/holding/ShardElection.cpp
@@ -195,22 +195,20 @@
 
 void ShardElection::release()
 {
-    if (!m_holding)
+    if (!m_holding || m_isReleasing)
         return;
-    const FencingToken token = m_holding->token;
-    lose("given up for another host");
-    removeKey(token);
-}
-
-void ShardElection::removeKey(FencingToken token)
-{
+    m_isReleasing = true;
     KeyTransaction transaction;
-    transaction.conditions.push_back({ storekeys::holder(m_settings.shard), KeyRevision(token.value()) });
+    transaction.conditions.push_back({ storekeys::holder(m_settings.shard), KeyRevision(m_holding->token.value()) });
     transaction.removals.push_back(storekeys::holder(m_settings.shard));
-    m_store.transact(transaction, [this, token](const TransactionReply& reply) {
-        // Nobody else can hold the shard while the key stays and the lease is renewed.
-        if (reply.ending == StoreEnding::Refused || reply.ending == StoreEnding::Unknown)
-            m_timers.after(m_settings.attemptSpacing, [this, token] { removeKey(token); });
+    m_store.transact(transaction, [this](const TransactionReply& reply) {
+        m_isReleasing = false;
+        if (reply.ending == StoreEnding::Done) {
+            lose("given up for another host");
+            return;
+        }
+        // Until the key is gone nobody else can hold the shard, so its jobs are served here.
+        m_timers.after(m_settings.attemptSpacing, [this] { release(); });
     });
 }
 
--- a/modules/rattanroad_shards/holding/ShardElection.h
+++ b/modules/rattanroad_shards/holding/ShardElection.h
@@ -56,7 +56,7 @@
     void keyChanged();
     /** Another host has been seen to hold the shard. */
     void displaced();
-    /** Gives the shard up for another host. */
+    /** Gives the shard up for another host. Goes on holding it until the store has removed the key. */
     void release();
     /** Takes part in elections or not; a host that drains doesn't. */
     void setCandidate(bool isCandidate) { m_isCandidate = isCandidate; }
@@ -74,7 +74,6 @@
     void attempt();
     void write(const ReadReply& generationKey);
     void takeReply(const TransactionReply& reply, Generation generation, bool isContinued);
-    void removeKey(FencingToken token);
     void lose(const char* reason);
 
     Settings m_settings;
@@ -91,6 +90,7 @@
     bool m_isAttempting { false };
     bool m_isAttemptDue { false };
     bool m_isCandidate { true };
+    bool m_isReleasing { false };
     std::optional<TimePoint> m_betterHostSince;
 };
 
--- a/modules/rattanroad_shards/node/ShardNode.cpp
+++ b/modules/rattanroad_shards/node/ShardNode.cpp
@@ -2,6 +2,9 @@
 
 #include "rattanroad_shards/holding/StoreKeys.h"
 
+#include <algorithm>
+#include <set>
+
 namespace rattanroad::shards {
 
 class ShardNode::Impl {
@@ -67,6 +70,12 @@
 
     JobEntrance& entrance() { return m_entrance; }
     const QueueTable* queues() const { return m_queues ? &*m_queues : nullptr; }
+    bool isHolding() const
+    {
+        return std::any_of(
+            m_shards.begin(), m_shards.end(), [](const auto& entry) { return entry.second.election->isHeld(); });
+    }
+
     bool isReady() const { return m_queues && !m_isDraining && m_entrance.canServe(); }
 
     ShardDispatcher* dispatcher(const ShardId& shard)
@@ -197,11 +206,7 @@
             m_shardByTarget.erase(shard);
         };
         hooks.pause = [this]() -> Duration {
-            for (const auto& entry : m_shards) {
-                if (entry.second.election->isHeld())
-                    return m_settings.targetListPause;
-            }
-            return m_settings.idleTargetListPause;
+            return isHolding() ? m_settings.targetListPause : m_settings.idleTargetListPause;
         };
         return hooks;
     }
@@ -410,6 +415,8 @@
 
 const QueueTable* ShardNode::queues() const { return m_impl->queues(); }
 
+bool ShardNode::isHolding() const { return m_impl->isHolding(); }
+
 bool ShardNode::isReady() const { return m_impl->isReady(); }
 
 ShardDispatcher* ShardNode::dispatcher(const ShardId& shard) { return m_impl->dispatcher(shard); }
--- a/modules/rattanroad_shards/node/ShardNode.h
+++ b/modules/rattanroad_shards/node/ShardNode.h
@@ -77,6 +77,8 @@
     JobEntrance& entrance();
     /** Returns the queues in force, or null before the first configuration. */
     const QueueTable* queues() const;
+    /** Returns whether this host holds a shard. */
+    bool isHolding() const;
     /** Returns whether callers should be sent here. */
     bool isReady() const;
     /** Returns the dispatcher of a shard that this host holds, or null. */
--- a/tests/shards/RecoveryTests.cpp
+++ b/tests/shards/RecoveryTests.cpp
@@ -290,3 +290,37 @@
     REQUIRE(stateOf(fleet, fleet.hosts().front(), "a") == JobState::Cancelled);
     requireNoViolations(fleet);
 }
+
+TEST_CASE("a draining holder serves its shard until another host can take it")
+{
+    EmulatedFleet fleet;
+    fleet.startAll();
+    const HostId holder = fleet.holderOf("north");
+    fleet.store().faults.isDown = true;
+    fleet.run(200ms);
+    fleet.node(holder).drain();
+    fleet.run(500ms);
+    auto& call = fleet.submit(otherThan(fleet, holder), "a", 3, 100ms, true);
+    fleet.run(1s);
+    REQUIRE(isDone(call));
+    REQUIRE(fleet.holderOf("north") == holder);
+    fleet.store().faults.isDown = false;
+    fleet.run(3s);
+    REQUIRE(fleet.holderOf("north") != holder);
+    REQUIRE(fleet.holderOf("north") != HostId());
+    requireNoViolations(fleet);
+}
+
+TEST_CASE("a job that finds no shard waits for one as long as it can be in time")
+{
+    EmulatedFleet fleet;
+    for (const HostId& host : fleet.hosts())
+        fleet.start(host);
+    fleet.run(100ms);
+    auto& patient = fleet.submit(fleet.hosts().front(), "a", 2, 500ms, true);
+    auto& urgent = fleet.submit(fleet.hosts().front(), "b", 2, 5ms, true);
+    fleet.run(2s);
+    REQUIRE(isDone(patient));
+    REQUIRE(urgent.verdicts == std::vector<EntranceVerdict> { EntranceVerdict::Refused });
+    requireNoViolations(fleet);
+}
