Bound the log of a host, write it to standard output, add 'rattanroad explain'

Cause: the platform collects standard output, a line a job decision was unlimited, and nothing read one job's way out of several hosts' logs. Test: one case of the command.

--- a/apps/rattanroad/CommandLine.cpp
+++ b/apps/rattanroad/CommandLine.cpp
@@ -2,6 +2,7 @@
 
 #include "rattanroad/commands/ConfigurationCommands.h"
 #include "rattanroad/commands/DocumentCommands.h"
+#include "rattanroad/commands/ExplainCommand.h"
 #include "rattanroad/commands/HostCommands.h"
 #include "rattanroad/commands/JobCommands.h"
 
@@ -35,6 +36,8 @@
         std::size_t idCount { 1 };
         JobCommands::Submission submission;
         std::string jobId;
+        std::string explainedJob;
+        std::vector<std::string> logFiles;
     };
 
     /** Returns a reason when @p text cannot be sent as the value of a header. */
@@ -146,7 +149,13 @@
             history->add_option("--limit", m_options.limit, "Number of changes to list")->capture_default_str();
         }
 
-        void addHostCommands() { app.add_subcommand("status", "Print the status of the given servers"); }
+        void addHostCommands()
+        {
+            app.add_subcommand("status", "Print the status of the given servers");
+            auto* explain = app.add_subcommand("explain", "Print the way of one job from the logs of entry hosts");
+            explain->add_option("job", m_options.explainedJob, "Name of the job")->required();
+            explain->add_option("logs", m_options.logFiles, "Log files, or - for standard input")->required();
+        }
 
         void addJobCommands()
         {
@@ -202,6 +211,8 @@
                 return ConfigurationCommands(m_context, m_reporter, m_servers).history(m_options.limit);
             if (command == "status")
                 return HostCommands(m_reporter, m_servers).status();
+            if (command == "explain")
+                return ExplainCommand(m_reporter, m_context).explain(m_options.explainedJob, m_options.logFiles);
             return runJobCommand(command);
         }
 
--- a/apps/rattanroadd/fleet/FleetHost.cpp
+++ b/apps/rattanroadd/fleet/FleetHost.cpp
@@ -19,6 +19,8 @@
     /** Connections to targets are kept through the pauses of a calm day; a new one costs a round trip. */
     constexpr std::chrono::milliseconds connectionIdleLimit { 20000 };
     constexpr std::chrono::milliseconds connectTimeout { 250 };
+    /** Four lines a job at the share of one host of today's load, with room for a burst. */
+    constexpr std::size_t jobLinesPerSecond = 400;
 
     HttpClient::Settings clientSettings()
     {
@@ -105,12 +107,31 @@
             m_link.send(address, envelope);
         };
         hooks.log
-            = [this](const char* event, const shards::ShardNode::LogFields& fields) { m_log.write(event, fields); };
+            = [this](const char* event, const shards::ShardNode::LogFields& fields) { writeBounded(event, fields); };
         hooks.readTarget = &adapter::parseTargetEntry;
         hooks.readConfiguration = &adapter::parseConfiguration;
         return hooks;
     }
 
+    /** Lines about jobs are limited; what was left out is counted in a line of its own. */
+    void writeBounded(const char* event, const StateLog::Fields& fields)
+    {
+        const bool isAboutJob = !fields.empty() && std::string_view(fields.front().first) == "job";
+        if (!isAboutJob) {
+            m_log.write(event, fields);
+            return;
+        }
+        const TimePoint now = m_clock.now();
+        if (now - m_logSecond >= std::chrono::seconds(1)) {
+            if (m_jobLines > jobLinesPerSecond)
+                m_log.write("lines_left_out", { { "count", std::to_string(m_jobLines - jobLinesPerSecond) } });
+            m_logSecond = now;
+            m_jobLines = 0;
+        }
+        if (++m_jobLines <= jobLinesPerSecond)
+            m_log.write(event, fields);
+    }
+
     void pollDrain()
     {
         const Duration passed = m_clock.now() - m_drainStartedAt;
@@ -138,6 +159,9 @@
     HttpServer m_readiness;
     bool m_isDraining { false };
     TimePoint m_drainStartedAt;
+    /** Begin of the second in which m_jobLines are counted. */
+    TimePoint m_logSecond;
+    std::size_t m_jobLines { 0 };
 };
 
 FleetHost::FleetHost(const Settings& settings, Clock& clock, Incarnation incarnation, EventLoop& loop)
--- a/apps/rattanroadd/settings/Settings.h
+++ b/apps/rattanroadd/settings/Settings.h
@@ -47,7 +47,7 @@
     std::string traceFile;
     /** Address that takes POST /v1/traces; empty for none. */
     std::string traceAddress;
-    /** Empty for the standard error stream. */
+    /** Empty for the standard error stream, "-" for the standard output. */
     std::string logFile;
     /** Wait between the failing readiness check and the refusal of new work, for the load balancer to notice. */
     std::chrono::milliseconds drainNotice { 0 };
--- a/modules/rattanroad_network/telemetry/StateLog.cpp
+++ b/modules/rattanroad_network/telemetry/StateLog.cpp
@@ -34,6 +34,8 @@
     {
         if (file.empty())
             return std::make_shared<spdlog::sinks::stderr_sink_st>();
+        if (file == "-")
+            return std::make_shared<spdlog::sinks::stdout_sink_st>();
         return std::make_shared<spdlog::sinks::basic_file_sink_st>(file);
     }
 
--- a/modules/rattanroad_network/telemetry/StateLog.h
+++ b/modules/rattanroad_network/telemetry/StateLog.h
@@ -17,7 +17,7 @@
 public:
     using Fields = std::vector<std::pair<const char*, std::string>>;
 
-    /** @p file is empty for the standard error stream. */
+    /** @p file is empty for the standard error stream and "-" for the standard output. */
     StateLog(const Clock& clock, std::string host, const std::string& file);
     ~StateLog();
     StateLog(const StateLog&) = delete;
--- a/tests/command/CommandTests.cpp
+++ b/tests/command/CommandTests.cpp
@@ -246,3 +246,20 @@
     CHECK(run({ "cancel", firstId.c_str() }) == 0);
     CHECK(run.requests.back().method == "DELETE");
 }
+
+TEST_CASE("explain prints the lines about one job in the order of their time")
+{
+    Run run([](const HttpRequest&) { return answer(500, ""); });
+    run.input.str(
+        R"(10.2 host-b {"time":"2026-12-04T12:00:02.000Z","host":"b","event":"job_done","job":"j1","detail":"after 9 ms"}
+{"time":"2026-12-04T12:00:01.000Z","host":"a","event":"job_taken","job":"j1","detail":"shard x"}
+{"time":"2026-12-04T12:00:01.500Z","host":"a","event":"job_taken","job":"j2","detail":""}
+not a log line {
+{"job":7})");
+    CHECK(run({ "explain", "j1", "-" }) == 0);
+    CHECK(run.output.str()
+        == "2026-12-04T12:00:01.000Z a job_taken: shard x\n2026-12-04T12:00:02.000Z b job_done: after 9 ms\n");
+    run.input.clear();
+    run.input.str("{}");
+    CHECK(run({ "explain", "j1", "-" }) != 0);
+}
