Start nothing again while targets may be missing from the list

A list that was interrupted or is younger than 4 s now counts as incomplete. The new case on the emulator failed before and passes now. Ruled out: the handover (the log shows a resubmission).

--- a/modules/rattanroad_shards/entrance/JobEntrance.cpp
+++ b/modules/rattanroad_shards/entrance/JobEntrance.cpp
@@ -250,7 +250,8 @@
         return;
     }
     ++submission.attempt;
-    m_timers.after(m_settings.retryPause, [this, id] { trySubmit(id); });
+    const bool isUnsettled = verdict == SubmitVerdict::Unsettled;
+    m_timers.after(isUnsettled ? m_settings.unsettledPause : m_settings.retryPause, [this, id] { trySubmit(id); });
 }
 
 void JobEntrance::finishSubmission(std::uint64_t id, EntranceVerdict verdict, std::chrono::milliseconds retryAfter)
--- a/modules/rattanroad_shards/entrance/JobEntrance.h
+++ b/modules/rattanroad_shards/entrance/JobEntrance.h
@@ -34,6 +34,8 @@
         /** Limit of one message and its reply: a store answer, two links, and the batching of records. */
         std::chrono::milliseconds replyTimeout { 300 };
         std::chrono::milliseconds retryPause { 40 };
+        /** A new holder needs tenths of a second at least until no earlier run can be left. */
+        std::chrono::milliseconds unsettledPause { 150 };
         /** Loads are sent ten times a second; a holder that is silent for longer may be gone. */
         std::chrono::milliseconds loadLimit { 450 };
         /** A state that was seen this recently is given without asking again. */
--- a/modules/rattanroad_shards/jobs/ShardDispatcher.cpp
+++ b/modules/rattanroad_shards/jobs/ShardDispatcher.cpp
@@ -23,7 +23,7 @@
     , m_writer({ storekeys::holder(m_settings.shard) }, store, m_timers, { [this] { m_hooks.keyChanged(); } })
     , m_placer(m_settings.placing)
     , m_heldSince(clock.now())
-    , m_followedSince(clock.now())
+    , m_listGapAt(clock.now())
 {
     sweep();
 }
@@ -238,10 +238,11 @@
 void ShardDispatcher::targetUnlisted(const TargetId& target)
 {
     m_reports.erase(target);
-    m_lastUnlisted = m_clock.now();
     const auto session = m_sessions.find(target);
     if (session != m_sessions.end())
         session->second->setListed(false);
+    else
+        m_listGapAt = m_clock.now();
 }
 
 void ShardDispatcher::openSession(const TargetReport& report)
@@ -326,7 +327,7 @@
 void ShardDispatcher::submitBestEffort(std::unique_ptr<ShardJob> job, bool isResent, const SubmitReply& reply)
 {
     // An earlier holder may have left a run on a target that has not answered yet.
-    if (isResent && !areAllTargetsReady()) {
+    if (isResent && !areTargetsSettled()) {
         reply(SubmitVerdict::Unsettled, {});
         return;
     }
@@ -806,40 +807,34 @@
 {
     if (!m_isLoaded)
         return;
-    if (areAllTargetsReady()) {
-        for (const auto& entry : m_open) {
-            if (!entry.second->description.best_effort())
-                continue;
-            for (auto& phase : entry.second->phases) {
-                for (ShardTask& task : phase)
-                    task.isUncertain = false;
-            }
-        }
+    const bool isSettled = areTargetsSettled();
+    for (const auto& entry : m_open) {
+        if (isSettled && entry.second->description.best_effort())
+            clearUncertainty(*entry.second);
     }
-    if (!m_isRecovering)
-        return;
-    const TimePoint now = m_clock.now();
-    const bool areAllReady = areAllTargetsReady();
-    // A target that is missing from the list may run something all the same.
-    const bool isListSettled
-        = now - m_followedSince >= m_settings.listSettled && now - m_lastUnlisted >= m_settings.listSettled;
-    const bool isLimitOver = now - m_heldSince >= m_settings.earlierHolderLimit;
-    if (!isLimitOver && !(areAllReady && isListSettled && !m_sessions.empty()))
+    const bool isLimitOver = m_clock.now() - m_heldSince >= m_settings.earlierHolderLimit;
+    if (!m_isRecovering || (!isSettled && !isLimitOver))
         return;
     m_isRecovering = false;
-    for (const auto& entry : m_open) {
-        for (auto& phase : entry.second->phases) {
-            for (ShardTask& task : phase)
-                task.isUncertain = false;
-        }
-    }
+    for (const auto& entry : m_open)
+        clearUncertainty(*entry.second);
     m_hooks.log("shard_recovered", JobId(), std::to_string(m_open.size()) + " open jobs");
     scheduleSoon();
 }
 
-bool ShardDispatcher::areAllTargetsReady() const
+void ShardDispatcher::clearUncertainty(ShardJob& job)
 {
-    return !m_sessions.empty()
+    for (auto& phase : job.phases) {
+        for (ShardTask& task : phase)
+            task.isUncertain = false;
+    }
+}
+
+bool ShardDispatcher::areTargetsSettled() const
+{
+    // A target that is missing from the list may run something all the same.
+    const bool isListSettled = m_clock.now() - m_listGapAt >= m_settings.listSettled;
+    return isListSettled && !m_sessions.empty()
         && std::all_of(m_sessions.begin(), m_sessions.end(), [](const auto& entry) { return entry.second->isReady(); });
 }
 
--- a/modules/rattanroad_shards/jobs/ShardDispatcher.h
+++ b/modules/rattanroad_shards/jobs/ShardDispatcher.h
@@ -36,7 +36,8 @@
         /** Time after taking the shard until no order of an earlier holder can be in force: a lease of a host, the
             time that it goes on without one, a lease of a target, and the drift of its clock. */
         std::chrono::milliseconds earlierHolderLimit { 13000 };
-        /** Targets that were listed before the hosts began to follow the list may be missing from it. */
+        /** After an interruption, and after the start of this process, targets may be missing from the list: entries
+            that lapsed with the store are back within two seconds, and targets write every 1.5 s. */
         std::chrono::seconds listSettled { 4 };
         /** Ends that are kept for longer are covered by a record of the job's progress. */
         std::chrono::milliseconds progressDelay { 700 };
@@ -96,6 +97,8 @@
 
     void targetListed(const TargetReport& report);
     void targetUnlisted(const TargetId& target);
+    /** The list of targets cannot be followed at the moment. */
+    void targetListInterrupted() { m_listGapAt = m_clock.now(); }
 
     /** Takes a job. @p isResent tells that an earlier holder, or this one, may have started it. */
     void submit(const protocol::PlacedJob& job, std::chrono::milliseconds waited, bool isResent,
@@ -131,7 +134,9 @@
     void stopRuns(ShardJob& job);
     void keepEnd(ShardJob& job, TargetSession& session, std::uint64_t number);
     void endStored(const JobId& id);
-    bool areAllTargetsReady() const;
+    /** Returns whether no run of an earlier holder can be left on a target that is not known or has not answered. */
+    bool areTargetsSettled() const;
+    static void clearUncertainty(ShardJob& job);
     void submitBestEffort(std::unique_ptr<ShardJob> job, bool isResent, const SubmitReply& reply);
     void forgetEnds(ShardJob& job, std::uint64_t lastSequence);
     std::string record(const ShardJob& job) const;
@@ -168,8 +173,8 @@
     bool m_isRecovering { false };
     bool m_isScheduleDue { false };
     TimePoint m_heldSince;
-    TimePoint m_followedSince;
-    TimePoint m_lastUnlisted { longAgo };
+    /** When the list of targets may last have been incomplete. */
+    TimePoint m_listGapAt;
     std::map<TargetId, TargetReport> m_reports;
     std::map<TargetId, std::unique_ptr<TargetSession>> m_sessions;
     std::map<JobId, std::unique_ptr<ShardJob>> m_jobs;
--- a/modules/rattanroad_shards/node/ShardNode.cpp
+++ b/modules/rattanroad_shards/node/ShardNode.cpp
@@ -205,6 +205,11 @@
             m_shards[shard->second].dispatcher->targetUnlisted(id);
             m_shardByTarget.erase(shard);
         };
+        hooks.interrupted = [this] {
+            storeInterrupted();
+            for (auto& entry : m_shards)
+                entry.second.dispatcher->targetListInterrupted();
+        };
         hooks.pause = [this]() -> Duration {
             return isHolding() ? m_settings.targetListPause : m_settings.idleTargetListPause;
         };
--- a/tests/shards/RecoveryTests.cpp
+++ b/tests/shards/RecoveryTests.cpp
@@ -324,3 +324,34 @@
     REQUIRE(urgent.verdicts == std::vector<EntranceVerdict> { EntranceVerdict::Refused });
     requireNoViolations(fleet);
 }
+
+TEST_CASE("a new holder starts no job again while targets may be missing from the list")
+{
+    EmulatedFleet fleet;
+    fleet.startAll();
+    const std::set<HostId> holders { fleet.holderOf("north"), fleet.holderOf("south") };
+    HostId entrance;
+    for (const HostId& host : fleet.hosts()) {
+        if (!holders.count(host))
+            entrance = host;
+    }
+    fleet.store().faults.doLeasesLapse = true;
+    fleet.store().faults.isDown = true;
+    fleet.run(2500ms);
+    fleet.submit(entrance, "a", 2, 1400ms, true);
+    fleet.run(100ms);
+    REQUIRE(fleet.targets().running() == 2);
+    // The entries of the targets lapse with the store and come back later than the holders' keys are taken.
+    const std::vector<std::string> entries = fleet.store().keys("servers/");
+    for (const std::string& entry : entries)
+        fleet.store().remove(entry);
+    const std::string listed = entries.back();
+    fleet.store().put(listed, "");
+    fleet.store().faults.cut = holders;
+    fleet.store().faults.isDown = false;
+    fleet.run(1500ms);
+    for (const std::string& entry : entries)
+        fleet.store().put(entry, "");
+    fleet.run(4s);
+    requireNoViolations(fleet);
+}
