--- a/modules/rattanroad_shards/entrance/JobEntrance.cpp
+++ b/modules/rattanroad_shards/entrance/JobEntrance.cpp
@@ -440,8 +440,10 @@
 
 void JobEntrance::jobEnded(const JobId& job, JobState state)
 {
+    // A cancelled job was given up by its entrance, which has told its caller.
     std::vector<std::uint64_t> submissions;
-    const auto awaited = m_awaited.equal_range(job);
+    const auto awaited
+        = state == JobState::Cancelled ? std::make_pair(m_awaited.end(), m_awaited.end()) : m_awaited.equal_range(job);
     for (auto entry = awaited.first; entry != awaited.second; ++entry)
         submissions.push_back(entry->second);
     for (const std::uint64_t id : submissions)
--- a/modules/rattanroad_shards/jobs/ShardDispatcher.cpp
+++ b/modules/rattanroad_shards/jobs/ShardDispatcher.cpp
@@ -287,6 +287,9 @@
         ShardJob& job = *known->second;
         job.entranceAddress = entranceAddress;
         job.askedAt = m_clock.now();
+        // It was stopped because its entrance was silent, and is wanted after all.
+        if (job.description.best_effort() && job.state == JobState::Cancelled)
+            reopen(job);
         if (job.isStored)
             reply(SubmitVerdict::Accepted, {});
         if (job.description.best_effort() && hasEnded(job.state))
@@ -324,6 +327,22 @@
     });
 }
 
+void ShardDispatcher::reopen(ShardJob& job)
+{
+    job.state = JobState::Queued;
+    job.endedAt.reset();
+    job.isEndStored = false;
+    for (auto& phase : job.phases) {
+        for (ShardTask& task : phase) {
+            if (task.state == ShardTask::State::Placed)
+                task.state = ShardTask::State::Waiting;
+        }
+    }
+    m_open[job.id] = &job;
+    m_hooks.log("job_reopened", job.id, "shard " + m_settings.shard.value() + " for " + job.entranceAddress);
+    scheduleSoon();
+}
+
 void ShardDispatcher::submitBestEffort(std::unique_ptr<ShardJob> job, bool isResent, const SubmitReply& reply)
 {
     // An earlier holder may have left a run on a target that has not answered yet.
--- a/modules/rattanroad_shards/jobs/ShardDispatcher.h
+++ b/modules/rattanroad_shards/jobs/ShardDispatcher.h
@@ -124,6 +124,8 @@
     void openSession(const TargetReport& report);
     TargetSession::Hooks sessionHooks();
 
+    /** Goes on with a best-effort job that was stopped; runs that are being stopped end first. */
+    void reopen(ShardJob& job);
     void acceptanceKnown(const JobId& id, RecordWriter::Acceptance acceptance, const StoredItem& existing);
     void runEnded(TargetSession& session, const EndedTask& end);
     void learn(TargetSession& session, const EndedTask& end);
--- a/tests/shards/RecoveryTests.cpp
+++ b/tests/shards/RecoveryTests.cpp
@@ -355,3 +355,24 @@
     fleet.run(4s);
     requireNoViolations(fleet);
 }
+
+TEST_CASE("a job that was stopped while its entrance was silent is not said to have failed")
+{
+    EmulatedFleet fleet;
+    fleet.startAll();
+    HostId entrance;
+    for (const HostId& host : fleet.hosts()) {
+        if (host != fleet.holderOf("north") && host != fleet.holderOf("south"))
+            entrance = host;
+    }
+    auto& call = fleet.submit(entrance, "a", 2, 1200ms, true);
+    fleet.run(100ms);
+    fleet.pause(entrance);
+    fleet.run(1200ms);
+    REQUIRE(fleet.targets().running() == 0);
+    fleet.resume(entrance);
+    fleet.run(4s);
+    requireNoViolations(fleet);
+    REQUIRE(std::count(call.verdicts.begin(), call.verdicts.end(), EntranceVerdict::Failed) == 0);
+    REQUIRE(isDone(call));
+}
