Learn from runs that take too long, and move each such task once

Cause: a target on which tasks stand still was chosen again and again, as only ended runs taught its speed. Overdue runs now count as samples, and each task is moved once when another target has room. Ruled out: quarantine by failures, as hanging runs report none.

--- a/modules/rattanroad_shards/jobs/ShardDispatcher.cpp
+++ b/modules/rattanroad_shards/jobs/ShardDispatcher.cpp
@@ -816,6 +816,7 @@
     if (isHolding()) {
         sweepRecovery();
         sweepTargets();
+        sweepOverdue();
         sweepJobs();
         scheduleSoon();
     }
@@ -868,6 +869,49 @@
     }
 }
 
+void ShardDispatcher::sweepOverdue()
+{
+    const TimePoint now = m_clock.now();
+    for (const auto& entry : m_sessions) {
+        TargetSession& session = *entry.second;
+        std::vector<TaskName> overdue;
+        for (const auto& run : session.runs()) {
+            const bool isRunning = run.second.state == TargetSession::Run::State::Running;
+            const auto limit = std::chrono::duration_cast<Duration>(run.second.predicted * m_settings.overdueFactor)
+                + m_settings.overdueSlack;
+            if (isRunning && run.second.predicted.count() > 0 && now - run.second.startedAt > limit)
+                overdue.push_back(run.first);
+        }
+        for (const TaskName& name : overdue)
+            takeOverdue(session, name);
+    }
+}
+
+void ShardDispatcher::takeOverdue(TargetSession& session, const TaskName& name)
+{
+    const auto found = m_jobs.find(name.job);
+    ShardTask* const task = found == m_jobs.end() ? nullptr : found->second->task(name);
+    if (!task || task->state != ShardTask::State::Placed || task->target != session.report().id || !task->startedAt)
+        return;
+    const PlacingTask wanted = placingTask(*found->second, name.phase);
+    const auto base = m_placer.predict(wanted, { &session.report(), {}, 1, 0 });
+    const std::chrono::duration<double, std::milli> taken = m_clock.now() - *task->startedAt;
+    if (base.count() > 0)
+        m_speeds.add(session.report(), taken.count() / static_cast<double>(base.count()));
+    const bool hasRoom = std::any_of(m_sessions.begin(), m_sessions.end(), [&](const auto& entry) {
+        return entry.second.get() != &session && entry.second->canStart()
+            && TaskPlacer::isEligible(wanted, entry.second->report())
+            && wanted.resources.fitsInto(entry.second->free());
+    });
+    if (task->wasMoved || !hasRoom)
+        return;
+    task->wasMoved = true;
+    m_hooks.log("run_overdue", name.job,
+        "task " + std::to_string(name.index) + " on " + session.report().id.value() + " after "
+            + std::to_string(static_cast<int>(taken.count())) + " ms");
+    session.stop(name);
+}
+
 void ShardDispatcher::sweepJobs()
 {
     const TimePoint now = m_clock.now();
--- a/modules/rattanroad_shards/jobs/ShardDispatcher.h
+++ b/modules/rattanroad_shards/jobs/ShardDispatcher.h
@@ -58,6 +58,10 @@
         /** A new holder waits this long for the jobs of the one before, several links long, before it asks the targets:
             it stops what it does not know. */
         std::chrono::milliseconds handoverWait { 80 };
+        /** A run is overdue after this many times its expected time, and a little more. Estimates are off by a few
+            tenths, so less than one run in thirty is overdue on a sound target. */
+        double overdueFactor { 3 };
+        std::chrono::milliseconds overdueSlack { 60 };
         /** Interval of the checks that no event triggers. */
         std::chrono::milliseconds sweepInterval { 100 };
         /** Pause before a task that a target could not read starts again. */
@@ -156,6 +160,9 @@
     void sweep();
     void sweepRecovery();
     void sweepTargets();
+    /** Learns from runs that take too long, and moves each such task once. */
+    void sweepOverdue();
+    void takeOverdue(TargetSession& session, const TaskName& name);
     void sweepJobs();
 
     Settings m_settings;
--- a/modules/rattanroad_shards/jobs/ShardJob.h
+++ b/modules/rattanroad_shards/jobs/ShardJob.h
@@ -26,6 +26,8 @@
     /** May still run under an earlier holder, so that no new run may begin yet. */
     bool isUncertain { false };
     std::string savedProgress;
+    /** A run was stopped because it took far longer than expected; done once, as the task itself may be long. */
+    bool wasMoved { false };
 };
 
 /** An end that a target keeps until the job's record in the store covers it. */
--- a/tests/emulator/EmulatedTargets.cpp
+++ b/tests/emulator/EmulatedTargets.cpp
@@ -212,6 +212,8 @@
     record.push_back({ order.target, order.attempt, now, TimePoint::max(), "" });
     const std::uint64_t serial = ++m_lastSerial;
     target.live[order.task] = { order.attempt, resources, serial, record.size() - 1 };
+    if (faults.hanging.count(order.target))
+        return TargetEnding::Done;
     m_queue.after(std::chrono::milliseconds(duration), [this, order, serial, fails] {
         const auto live = m_targets[order.target].live.find(order.task);
         if (live != m_targets[order.target].live.end() && live->second.serial == serial)
--- a/tests/emulator/EmulatedTargets.h
+++ b/tests/emulator/EmulatedTargets.h
@@ -18,6 +18,8 @@
         /** Targets that no host reaches, and pairs that do not reach each other. */
         std::set<TargetId> silent;
         std::set<std::pair<HostId, TargetId>> cut;
+        /** Tasks on these targets never end by themselves. */
+        std::set<TargetId> hanging;
         /** This many starts are not answered and carried out 3 s later. */
         int lateStarts { 0 };
         /** This many starts are carried out and not answered. */
--- a/tests/shards/RecoveryTests.cpp
+++ b/tests/shards/RecoveryTests.cpp
@@ -376,3 +376,29 @@
     REQUIRE(std::count(call.verdicts.begin(), call.verdicts.end(), EntranceVerdict::Failed) == 0);
     REQUIRE(isDone(call));
 }
+
+TEST_CASE("tasks leave a target on which nothing ends")
+{
+    EmulatedFleet fleet;
+    fleet.startAll();
+    const TargetId north("target-north-0");
+    const TargetId south("target-south-0");
+    fleet.targets().faults.hanging = { north, south };
+    std::size_t done = 0;
+    for (int i = 0; i < 30; ++i) {
+        auto& call
+            = fleet.submit(fleet.hosts()[static_cast<std::size_t>(i) % 4], "a" + std::to_string(i), 2, 60ms, true);
+        fleet.run(400ms);
+        done += isDone(call) && call.answeredAt - call.sentAt < 100ms;
+    }
+    showLog(fleet);
+    std::size_t starts = 0;
+    for (const auto& task : fleet.targets().runs()) {
+        starts += static_cast<std::size_t>(std::count_if(task.second.begin(), task.second.end(),
+            [&](const auto& run) { return run.target == north || run.target == south; }));
+    }
+    // At first each shard learns of its target; afterwards it is used no more while others have room.
+    CHECK(starts <= 8);
+    CHECK(done >= 25);
+    requireNoViolations(fleet);
+}
