--- a/modules/rattanroad_shards/jobs/ShardDispatcher.cpp
+++ b/modules/rattanroad_shards/jobs/ShardDispatcher.cpp
@@ -1,6 +1,7 @@
 #include "rattanroad_shards/jobs/ShardDispatcher.h"
 
 #include "rattanroad_shards/holding/StoreKeys.h"
+#include "rattanroad_shards/jobs/JobCodec.h"
 #include "rattanroad_shards/jobs/JobMath.h"
 
 #include <algorithm>
@@ -99,14 +100,7 @@
     job->acceptedIn = Generation(record.generation());
     job->state = static_cast<JobState>(record.state());
     job->isStored = true;
-    for (const protocol::TaskProgress& progress : record.progress()) {
-        ShardTask* const task = job->task({ id, progress.phase(), progress.index() });
-        if (!task)
-            continue;
-        task->failedRuns = progress.failed_runs();
-        if (progress.done())
-            task->state = ShardTask::State::Done;
-    }
+    readProgress(record, *job);
     for (auto& phase : job->phases) {
         for (ShardTask& task : phase)
             task.isUncertain = true;
@@ -151,22 +145,7 @@
         const ShardJob& job = *entry.second;
         if (!job.description.best_effort() || !isInTime)
             continue;
-        protocol::JobHandover* const added = handover.add_jobs();
-        *added->mutable_job() = job.description;
-        const auto waited = std::chrono::duration_cast<std::chrono::milliseconds>(m_clock.now() - job.receivedAt);
-        added->set_waited_ms(static_cast<std::uint32_t>(waited.count()));
-        added->set_entrance(job.entranceAddress);
-        for (std::size_t phase = 0; phase < job.phases.size(); ++phase) {
-            for (std::size_t index = 0; index < job.phases[phase].size(); ++index) {
-                const ShardTask& task = job.phases[phase][index];
-                protocol::TaskHandover* const state = added->add_tasks();
-                state->set_phase(static_cast<std::uint32_t>(phase));
-                state->set_index(static_cast<std::uint32_t>(index));
-                state->set_done(task.state == ShardTask::State::Done);
-                state->set_attempt(task.attempt);
-                state->set_failed_runs(task.failedRuns);
-            }
-        }
+        *handover.add_jobs() = encodeHandover(job, m_clock.now());
     }
     m_open.clear();
     m_jobs.clear();
@@ -188,15 +167,7 @@
         job->acceptedIn = m_holding->generation;
         job->entranceAddress = handed.entrance();
         job->isStored = true;
-        for (const protocol::TaskHandover& state : handed.tasks()) {
-            ShardTask* const task = job->task({ id, state.phase(), state.index() });
-            if (!task)
-                continue;
-            task->attempt = state.attempt();
-            task->failedRuns = state.failed_runs();
-            task->state = state.done() ? ShardTask::State::Done : ShardTask::State::Waiting;
-            task->isUncertain = !state.done() && state.attempt() > 0;
-        }
+        readHandover(handed, *job);
         m_open[id] = job.get();
         m_jobs[id] = std::move(job);
         m_newJobs.emplace_back(m_clock.now(), id);
@@ -320,7 +291,7 @@
         return;
     }
     m_submitReplies[id].push_back(std::move(reply));
-    const std::string value = record(*job);
+    const std::string value = encodeRecord(*job, m_settings.shard);
     m_jobs[id] = std::move(job);
     m_writer.accept(storekeys::job(id), value, [this, id](RecordWriter::Acceptance acceptance, const StoredItem& item) {
         acceptanceKnown(id, acceptance, item);
@@ -541,7 +512,8 @@
         forgetEnds(job, m_lastKeptEnd);
         return;
     }
-    m_writer.update(storekeys::job(job.id), record(job), [this, id = job.id] { endStored(id); });
+    m_writer.update(
+        storekeys::job(job.id), encodeRecord(job, m_settings.shard), [this, id = job.id] { endStored(id); });
 }
 
 void ShardDispatcher::endStored(const JobId& id)
@@ -595,31 +567,6 @@
     job.keptEnds.swap(later);
 }
 
-std::string ShardDispatcher::record(const ShardJob& job) const
-{
-    protocol::JobRecord record;
-    record.set_shard(m_settings.shard.value());
-    record.set_generation(job.acceptedIn.value());
-    record.set_state(static_cast<std::uint32_t>(hasEnded(job.state) ? job.state : JobState::Queued));
-    if (hasEnded(job.state))
-        return record.SerializeAsString();
-    *record.mutable_job() = job.description;
-    for (std::size_t phase = 0; phase < job.phases.size(); ++phase) {
-        for (std::size_t index = 0; index < job.phases[phase].size(); ++index) {
-            const ShardTask& task = job.phases[phase][index];
-            const bool isDone = task.state == ShardTask::State::Done;
-            if (!isDone && task.failedRuns == 0)
-                continue;
-            protocol::TaskProgress* const progress = record.add_progress();
-            progress->set_phase(static_cast<std::uint32_t>(phase));
-            progress->set_index(static_cast<std::uint32_t>(index));
-            progress->set_done(isDone);
-            progress->set_failed_runs(task.failedRuns);
-        }
-    }
-    return record.SerializeAsString();
-}
-
 void ShardDispatcher::scheduleSoon()
 {
     if (m_isScheduleDue)
@@ -927,11 +874,12 @@
         ShardJob& job = *entry.second;
         if (job.keptEnds.empty() || now - job.keptEnds.front().seenAt < m_settings.progressDelay)
             continue;
-        m_writer.update(storekeys::job(job.id), record(job), [this, id = job.id, covered = m_lastKeptEnd] {
-            const auto found = m_jobs.find(id);
-            if (found != m_jobs.end() && !hasEnded(found->second->state))
-                forgetEnds(*found->second, covered);
-        });
+        m_writer.update(
+            storekeys::job(job.id), encodeRecord(job, m_settings.shard), [this, id = job.id, covered = m_lastKeptEnd] {
+                const auto found = m_jobs.find(id);
+                if (found != m_jobs.end() && !hasEnded(found->second->state))
+                    forgetEnds(*found->second, covered);
+            });
         // Not again before this write can have been answered.
         for (KeptEnd& end : job.keptEnds)
             end.seenAt = now;
--- a/modules/rattanroad_shards/jobs/ShardDispatcher.h
+++ b/modules/rattanroad_shards/jobs/ShardDispatcher.h
@@ -145,7 +145,6 @@
     static void clearUncertainty(ShardJob& job);
     void submitBestEffort(std::unique_ptr<ShardJob> job, bool isResent, const SubmitReply& reply);
     void forgetEnds(ShardJob& job, std::uint64_t lastSequence);
-    std::string record(const ShardJob& job) const;
 
     void scheduleSoon();
     void schedule();
--- a/tests/shards/RecoveryTests.cpp
+++ b/tests/shards/RecoveryTests.cpp
@@ -95,7 +95,7 @@
     const HostId entrance = otherThan(fleet, holder);
     auto& call = fleet.submit(entrance, "a", 3, 900ms, true);
     fleet.run(300ms);
-    for (const std::string domain : { "north", "south" })
+    for (const char* const domain : { "north", "south" })
         fleet.node(fleet.holderOf(domain)).drain();
     fleet.run(2s);
     requireNoViolations(fleet);
@@ -110,7 +110,7 @@
     auto& call = fleet.submit(fleet.hosts().front(), "a", 2, 900ms, true);
     fleet.run(200ms);
     // Killed without a word: the lease ends, another host takes the shard, the caller's entrance asks again.
-    for (const std::string domain : { "north", "south" }) {
+    for (const char* const domain : { "north", "south" }) {
         const HostId holder = fleet.holderOf(domain);
         if (holder != fleet.hosts().front())
             fleet.kill(holder);
@@ -257,8 +257,8 @@
     fleet.startAll();
     auto& call = fleet.submit(fleet.hosts().front(), "a", 4, 600ms, true);
     fleet.run(50ms);
-    for (const std::string domain : { "north", "south" })
-        fleet.store().revoke("rattanroad/fleet/shard/" + domain);
+    for (const char* const domain : { "north", "south" })
+        fleet.store().revoke(std::string("rattanroad/fleet/shard/") + domain);
     fleet.store().compact();
     fleet.run(2s);
     requireNoViolations(fleet);
@@ -345,7 +345,7 @@
     const std::vector<std::string> entries = fleet.store().keys("servers/");
     for (const std::string& entry : entries)
         fleet.store().remove(entry);
-    const std::string listed = entries.back();
+    const std::string& listed = entries.back();
     fleet.store().put(listed, "");
     fleet.store().faults.cut = holders;
     fleet.store().faults.isDown = false;
