--- a/modules/rattanroad_shards/entrance/JobEntrance.cpp
+++ b/modules/rattanroad_shards/entrance/JobEntrance.cpp
@@ -47,7 +47,7 @@
     const TimePoint now = m_clock.now();
     const auto limit = wait.count() > 0 ? wait : m_settings.defaultWait;
     const std::uint64_t id = ++m_lastRequest;
-    m_submissions[id] = { job, now, now + limit, std::move(reply), ShardId(), 0, now, 0 };
+    m_submissions[id] = { job, now, now + limit, std::move(reply), ShardId(), 0, 0 };
     if (job.best_effort())
         m_awaited.emplace(JobId(job.id()), id);
     trySubmit(id);
@@ -150,11 +150,10 @@
 std::optional<ShardId> JobEntrance::shardFor(const Submission& submission) const
 {
     // Runs of one task in two shards could overlap.
-    const auto placed = m_places.find(JobId(submission.job.id()));
-    const bool isSilent = m_clock.now() - submission.takenAt >= m_settings.moveAfter;
-    if (submission.job.best_effort() && !isSilent) {
+    if (submission.job.best_effort()) {
         if (submission.unresolved > 0)
             return submission.shard;
+        const auto placed = m_places.find(JobId(submission.job.id()));
         if (placed != m_places.end())
             return placed->second.shard;
     }
@@ -232,10 +231,8 @@
     if (found == m_submissions.end())
         return;
     Submission& submission = found->second;
-    if (verdict == SubmitVerdict::Accepted && submission.job.best_effort()) {
-        submission.takenAt = m_clock.now();
+    if (verdict == SubmitVerdict::Accepted && submission.job.best_effort())
         return;
-    }
     if (verdict == SubmitVerdict::Accepted) {
         remember(JobId(submission.job.id()), submission.shard, JobState::Queued);
         finishSubmission(id, EntranceVerdict::Accepted, {});
--- a/modules/rattanroad_shards/entrance/JobEntrance.h
+++ b/modules/rattanroad_shards/entrance/JobEntrance.h
@@ -53,13 +53,10 @@
         std::chrono::milliseconds dataCost { 60 };
         /** Cost of a shard all of whose room is taken, as a wait. */
         std::chrono::milliseconds fullCost { 60 };
-        /** A best-effort job whose holder was silent for this long runs nowhere: the holder has stopped it, or its
-            leases have ended, and messages on the way are lost after 3 s. */
-        std::chrono::milliseconds moveAfter { 3600 };
         /** States of jobs that are kept in memory. */
         std::size_t maximumStates { 20000 };
-        /** Best-effort jobs of other hosts are remembered for this long: callers submit again after 1.3 s. */
-        std::chrono::seconds placeLimit { 8 };
+        /** Shards of best-effort jobs are remembered for this long, several times the longest wait of a caller. */
+        std::chrono::seconds placeLimit { 30 };
     };
     struct Hooks {
         std::function<void(const std::string& address, const protocol::Envelope&)> send;
@@ -108,8 +105,6 @@
         SubmitReply reply;
         ShardId shard;
         std::uint64_t attempt { 0 };
-        /** When the holder last said that it has the job. */
-        TimePoint takenAt;
         /** Messages after which the job may be stored. */
         std::uint32_t unresolved { 0 };
     };
--- a/tests/emulator/EmulatedFleet.cpp
+++ b/tests/emulator/EmulatedFleet.cpp
@@ -10,7 +10,6 @@
 namespace {
     constexpr auto linkLatency = 1ms;
     constexpr auto callerLatency = 3ms;
-    constexpr auto callerWait = 1500ms;
     constexpr auto resendPause = 1300ms;
     const std::string service = "quotes";
 }
@@ -281,8 +280,8 @@
     }
     host.open.push_back(&call);
     m_queue.after(callerLatency, inProcess(id, [this, id, pointer = &call] {
-        m_hosts[id].node->entrance().submit(
-            pointer->description, callerWait, [this, id, pointer](EntranceVerdict verdict, std::chrono::milliseconds) {
+        m_hosts[id].node->entrance().submit(pointer->description, m_callerWait,
+            [this, id, pointer](EntranceVerdict verdict, std::chrono::milliseconds) {
                 auto& open = m_hosts[id].open;
                 open.erase(std::remove(open.begin(), open.end(), pointer), open.end());
                 pointer->verdicts.push_back(verdict);
--- a/tests/emulator/EmulatedFleet.h
+++ b/tests/emulator/EmulatedFleet.h
@@ -60,6 +60,8 @@
     /** Sends a job to a host. After a broken connection the caller sends it again to another host 1.3 s later. */
     Call& submit(const HostId& host, const std::string& job, std::uint32_t tasks, std::chrono::milliseconds duration,
         bool isBestEffort, bool fails = false);
+    /** Sets how long callers wait for an answer. */
+    void setCallerWait(std::chrono::milliseconds wait) { m_callerWait = wait; }
     /** Sends a job once more, as a caller that got no answer does. */
     void resend(Call& call, const HostId& host);
 
@@ -103,6 +105,7 @@
     std::deque<Call> m_calls;
     std::vector<std::string> m_log;
     std::uint64_t m_lastIncarnation { 0 };
+    std::chrono::milliseconds m_callerWait { 1500 };
 };
 
 }
--- a/tests/shards/RecoveryTests.cpp
+++ b/tests/shards/RecoveryTests.cpp
@@ -402,3 +402,32 @@
     CHECK(done >= 25);
     requireNoViolations(fleet);
 }
+
+TEST_CASE("a job stays in its shard while its holder is silent")
+{
+    EmulatedFleet fleet;
+    fleet.startAll();
+    const HostId holder = fleet.holderOf("north");
+    const HostId other = fleet.holderOf("south");
+    HostId entrance;
+    for (const HostId& host : fleet.hosts()) {
+        if (host != holder && host != other)
+            entrance = host;
+    }
+    // A caller that waits for long; its entrance hears nothing for several seconds.
+    fleet.setCallerWait(12s);
+    auto& call = fleet.submit(entrance, "a", 2, 900ms, true);
+    fleet.run(100ms);
+    fleet.cut(entrance);
+    fleet.run(3400ms);
+    fleet.heal(entrance);
+    fleet.run(8s);
+    requireNoViolations(fleet);
+    std::set<std::string> shards;
+    for (const auto& task : fleet.targets().runs()) {
+        for (const auto& run : task.second)
+            shards.insert(fleet.targets().reports().at(run.target).failureDomain.value());
+    }
+    REQUIRE(shards.size() == 1);
+    REQUIRE(isDone(call));
+}
