Look a task up in one place; drop what nothing uses

The shard dispatcher looked a run's task up four times and computed the speed sample of a run twice, once for ended and once for overdue runs; both are one function now. The search for a host without a shard stood four times in the tests.

--- a/modules/rattanroad_shards/holding/ShardElection.h
+++ b/modules/rattanroad_shards/holding/ShardElection.h
@@ -62,8 +62,6 @@
     void setCandidate(bool isCandidate) { m_isCandidate = isCandidate; }
 
     bool isHeld() const { return m_holding.has_value(); }
-    /** Returns whether the shard is held without a lease. */
-    bool isUnconfirmed() const { return m_unconfirmedSince.has_value(); }
     const std::optional<Holding>& holding() const { return m_holding; }
 
 private:
--- a/modules/rattanroad_shards/jobs/ShardDispatcher.cpp
+++ b/modules/rattanroad_shards/jobs/ShardDispatcher.cpp
@@ -391,19 +391,21 @@
 
 void ShardDispatcher::runEnded(TargetSession& session, const EndedTask& end)
 {
-    const auto found = m_jobs.find(end.task.job);
-    ShardTask* const task = found == m_jobs.end() ? nullptr : found->second->task(end.task);
+    ShardJob* const found = findJob(end.task.job);
+    ShardTask* const task = found ? found->task(end.task) : nullptr;
     if (!task) {
         session.forgetEnd(session.bornMs(), end.number);
         return;
     }
-    ShardJob& job = *found->second;
+    ShardJob& job = *found;
     if (end.number != 0)
         keepEnd(job, session, end.number);
     if (hasEnded(job.state) || task->state == ShardTask::State::Done)
         return;
     if (end.ending == RunEnding::Done) {
-        learn(session, end);
+        const bool isPresentRun = task->state == ShardTask::State::Placed && task->attempt == end.attempt;
+        if (isPresentRun && task->startedAt)
+            learn(session, placingTask(job, end.task.phase), *task->startedAt);
         taskDone(job, *task, end.task);
         return;
     }
@@ -428,18 +430,18 @@
     }
 }
 
-void ShardDispatcher::learn(TargetSession& session, const EndedTask& end)
+void ShardDispatcher::learn(const TargetSession& session, const PlacingTask& wanted, TimePoint startedAt)
 {
-    const ShardJob& job = *m_jobs[end.task.job];
-    const ShardTask& task = job.phases[end.task.phase][end.task.index];
-    if (task.state != ShardTask::State::Placed || task.attempt != end.attempt || !task.startedAt)
-        return;
-    const PlacingTask wanted = placingTask(job, end.task.phase);
     const auto base = m_placer.predict(wanted, { &session.report(), {}, 1, 0 });
-    if (base.count() <= 0)
-        return;
-    const std::chrono::duration<double, std::milli> took = m_clock.now() - *task.startedAt;
-    m_speeds.add(session.report(), took.count() / static_cast<double>(base.count()));
+    const std::chrono::duration<double, std::milli> taken = m_clock.now() - startedAt;
+    if (base.count() > 0)
+        m_speeds.add(session.report(), taken.count() / static_cast<double>(base.count()));
+}
+
+ShardJob* ShardDispatcher::findJob(const JobId& id) const
+{
+    const auto found = m_jobs.find(id);
+    return found == m_jobs.end() ? nullptr : found->second.get();
 }
 
 void ShardDispatcher::taskDone(ShardJob& job, ShardTask& task, const TaskName& name)
@@ -461,11 +463,11 @@
 
 std::optional<Resources> ShardDispatcher::runFound(TargetSession& session, const RunningTask& running)
 {
-    const auto found = m_jobs.find(running.task.job);
-    ShardTask* const task = found == m_jobs.end() ? nullptr : found->second->task(running.task);
+    ShardJob* const found = findJob(running.task.job);
+    ShardTask* const task = found ? found->task(running.task) : nullptr;
     if (!task)
         return std::nullopt;
-    ShardJob& job = *found->second;
+    ShardJob& job = *found;
     task->attempt = std::max(task->attempt, running.attempt);
     const bool isWanted = !hasEnded(job.state) && task->state == ShardTask::State::Waiting && task->isUncertain;
     if (!isWanted)
@@ -481,8 +483,8 @@
 void ShardDispatcher::startRejected(
     TargetSession& session, const TaskName& name, std::uint32_t attempt, TargetEnding ending)
 {
-    const auto found = m_jobs.find(name.job);
-    ShardTask* const task = found == m_jobs.end() ? nullptr : found->second->task(name);
+    ShardJob* const job = findJob(name.job);
+    ShardTask* const task = job ? job->task(name) : nullptr;
     if (!task || task->state != ShardTask::State::Placed || task->attempt != attempt)
         return;
     task->state = ShardTask::State::Waiting;
@@ -667,10 +669,9 @@
 PlacingTask ShardDispatcher::placingTask(const ShardJob& job, std::size_t phase) const
 {
     const protocol::PhaseDescription& description = job.description.phases(static_cast<int>(phase));
-    const auto left = std::chrono::duration_cast<std::chrono::milliseconds>(job.objective - m_clock.now());
     return { resourcesOf(description), std::chrono::milliseconds(description.estimated_ms()),
         ServiceId(job.description.rule().service()), description.required_label(), description.data_rack(),
-        description.maximum_per_target(), left };
+        description.maximum_per_target() };
 }
 
 std::uint32_t ShardDispatcher::nextAttempt(const ShardJob& job, const ShardTask& task) const
@@ -836,15 +837,12 @@
 
 void ShardDispatcher::takeOverdue(TargetSession& session, const TaskName& name)
 {
-    const auto found = m_jobs.find(name.job);
-    ShardTask* const task = found == m_jobs.end() ? nullptr : found->second->task(name);
+    ShardJob* const job = findJob(name.job);
+    ShardTask* const task = job ? job->task(name) : nullptr;
     if (!task || task->state != ShardTask::State::Placed || task->target != session.report().id || !task->startedAt)
         return;
-    const PlacingTask wanted = placingTask(*found->second, name.phase);
-    const auto base = m_placer.predict(wanted, { &session.report(), {}, 1, 0 });
-    const std::chrono::duration<double, std::milli> taken = m_clock.now() - *task->startedAt;
-    if (base.count() > 0)
-        m_speeds.add(session.report(), taken.count() / static_cast<double>(base.count()));
+    const PlacingTask wanted = placingTask(*job, name.phase);
+    learn(session, wanted, *task->startedAt);
     const bool hasRoom = std::any_of(m_sessions.begin(), m_sessions.end(), [&](const auto& entry) {
         return entry.second.get() != &session && entry.second->canStart()
             && TaskPlacer::isEligible(wanted, entry.second->report())
@@ -855,7 +853,9 @@
     task->wasMoved = true;
     m_hooks.log("run_overdue", name.job,
         "task " + std::to_string(name.index) + " on " + session.report().id.value() + " after "
-            + std::to_string(static_cast<int>(taken.count())) + " ms");
+            + std::to_string(
+                std::chrono::duration_cast<std::chrono::milliseconds>(m_clock.now() - *task->startedAt).count())
+            + " ms");
     session.stop(name);
 }
 
--- a/modules/rattanroad_shards/jobs/ShardDispatcher.h
+++ b/modules/rattanroad_shards/jobs/ShardDispatcher.h
@@ -132,7 +132,10 @@
     void reopen(ShardJob& job);
     void acceptanceKnown(const JobId& id, RecordWriter::Acceptance acceptance, const StoredItem& existing);
     void runEnded(TargetSession& session, const EndedTask& end);
-    void learn(TargetSession& session, const EndedTask& end);
+    /** Takes the time since the start of a run as a sample of its target's speed. */
+    void learn(const TargetSession& session, const PlacingTask& wanted, TimePoint startedAt);
+    /** Returns null for a job that is not in memory. */
+    ShardJob* findJob(const JobId& id) const;
     std::optional<Resources> runFound(TargetSession& session, const RunningTask& running);
     void startRejected(TargetSession& session, const TaskName& task, std::uint32_t attempt, TargetEnding ending);
     void taskDone(ShardJob& job, ShardTask& task, const TaskName& name);
--- a/modules/rattanroad_shards/node/ShardNode.cpp
+++ b/modules/rattanroad_shards/node/ShardNode.cpp
@@ -17,9 +17,9 @@
         , m_clock(clock)
         , m_hooks(std::move(hooks))
         , m_lease(m_settings.lease, m_store, m_timers, clock, { [this] { leaseGranted(); }, [this] { leaseLost(); } })
-        , m_configuration({ m_settings.configurationKey }, m_store, m_timers, clock, configurationHooks())
-        , m_targetList({ m_settings.targetPrefix }, m_store, m_timers, clock, targetHooks())
-        , m_fleetList({ storekeys::fleetPrefix }, m_store, m_timers, clock, fleetHooks())
+        , m_configuration({ m_settings.configurationKey }, m_store, m_timers, configurationHooks())
+        , m_targetList({ m_settings.targetPrefix }, m_store, m_timers, targetHooks())
+        , m_fleetList({ storekeys::fleetPrefix }, m_store, m_timers, fleetHooks())
         , m_entrance(entranceSettings(), m_store, m_fleet, m_timers, clock, entranceHooks())
     {
         makeShards();
--- a/modules/rattanroad_shards/placing/TaskPlacer.h
+++ b/modules/rattanroad_shards/placing/TaskPlacer.h
@@ -27,8 +27,6 @@
     std::string dataRack;
     /** 0 for no limit. */
     std::uint32_t maximumPerTarget { 0 };
-    /** Time left until the job's objective; negative when it has passed. */
-    std::chrono::milliseconds timeLeft { 0 };
 };
 
 struct Placement {
--- a/modules/rattanroad_shards/store/PrefixFollower.cpp
+++ b/modules/rattanroad_shards/store/PrefixFollower.cpp
@@ -4,11 +4,10 @@
 
 namespace rattanroad::shards {
 
-PrefixFollower::PrefixFollower(Settings settings, KeyValueStore& store, Timers timers, const Clock& clock, Hooks hooks)
+PrefixFollower::PrefixFollower(Settings settings, KeyValueStore& store, Timers timers, Hooks hooks)
     : m_settings(std::move(settings))
     , m_store(store)
     , m_timers(std::move(timers))
-    , m_clock(clock)
     , m_hooks(std::move(hooks))
 {
 }
@@ -31,7 +30,6 @@
         readAgainLater();
         return;
     }
-    m_lastAnswer = m_clock.now();
     if (m_readRevision.value() == 0)
         m_readRevision = reply.storeRevision;
     for (const StoredItem& item : reply.items) {
@@ -57,8 +55,6 @@
     m_read.clear();
     m_watchedTo = std::max(m_watchedTo, storeRevision);
     m_isSynchronized = true;
-    if (m_hooks.synchronized)
-        m_hooks.synchronized();
     watch();
 }
 
@@ -102,7 +98,6 @@
         m_timers.after(m_settings.retryPause, [this] { watch(); });
         return;
     }
-    m_lastAnswer = m_clock.now();
     for (const KeyChange& change : reply.changes) {
         if (change.isRemoved)
             takeRemoval(change.item.key, change.item.revision);
--- a/modules/rattanroad_shards/store/PrefixFollower.h
+++ b/modules/rattanroad_shards/store/PrefixFollower.h
@@ -24,15 +24,13 @@
         std::function<void(const StoredItem&)> written;
         /** A key was removed, or is missing from a new reading. */
         std::function<void(const std::string& key)> removed;
-        /** The first reading, or a reading after an interruption, is complete. */
-        std::function<void()> synchronized;
         /** A call failed. */
         std::function<void()> interrupted;
         /** Returns the pause before the next watch, in which changes collect; none when empty. */
         std::function<Duration()> pause;
     };
 
-    PrefixFollower(Settings settings, KeyValueStore& store, Timers timers, const Clock& clock, Hooks hooks);
+    PrefixFollower(Settings settings, KeyValueStore& store, Timers timers, Hooks hooks);
     PrefixFollower(const PrefixFollower&) = delete;
     PrefixFollower& operator=(const PrefixFollower&) = delete;
 
@@ -40,8 +38,6 @@
     /** Ends a pause between two watches. */
     void watchNow();
     bool isSynchronized() const { return m_isSynchronized; }
-    /** Returns when the store last answered. */
-    TimePoint lastAnswer() const { return m_lastAnswer; }
 
 private:
     void readPage(const std::string& after);
@@ -57,7 +53,6 @@
     Settings m_settings;
     KeyValueStore& m_store;
     Timers m_timers;
-    const Clock& m_clock;
     Hooks m_hooks;
     std::map<std::string, KeyRevision> m_known;
     std::map<std::string, KeyRevision> m_read;
@@ -68,7 +63,6 @@
     /** A pause is under way; rises with each, so that an ended one does nothing. */
     std::uint64_t m_pause { 0 };
     bool m_isPausing { false };
-    TimePoint m_lastAnswer { longAgo };
 };
 
 }
--- a/modules/rattanroad_shards/store/RecordWriter.cpp
+++ b/modules/rattanroad_shards/store/RecordWriter.cpp
@@ -64,8 +64,6 @@
     m_entries[key].isRemoval = true;
 }
 
-std::size_t RecordWriter::waiting() const { return m_order.size(); }
-
 void RecordWriter::flushAfter(Duration delay)
 {
     m_timers.after(delay, [this] { flush(); });
--- a/modules/rattanroad_shards/store/RecordWriter.h
+++ b/modules/rattanroad_shards/store/RecordWriter.h
@@ -61,7 +61,6 @@
 
     /** Returns whether the last call failed and none succeeded since. */
     bool isStoreAway() const { return m_isStoreAway; }
-    std::size_t waiting() const;
 
 private:
     struct Entry {
--- a/modules/rattanroad_shards/targets/TargetSession.h
+++ b/modules/rattanroad_shards/targets/TargetSession.h
@@ -97,7 +97,6 @@
     const TargetReport& report() const { return m_report; }
     std::uint64_t bornMs() const { return m_bornMs; }
     const std::map<TaskName, Run>& runs() const { return m_runs; }
-    TimePoint lastAnswer() const { return m_lastAnswer; }
     TimePoint unlistedSince() const { return m_unlistedSince; }
 
 private:
--- a/tests/shards/RecoveryTests.cpp
+++ b/tests/shards/RecoveryTests.cpp
@@ -39,6 +39,16 @@
     return HostId();
 }
 
+HostId hostWithoutShard(EmulatedFleet& fleet)
+{
+    HostId found;
+    for (const HostId& host : fleet.hosts()) {
+        if (host != fleet.holderOf("north") && host != fleet.holderOf("south"))
+            found = host;
+    }
+    return found;
+}
+
 std::optional<JobState> stateOf(EmulatedFleet& fleet, const HostId& host, const std::string& job)
 {
     std::optional<JobState> seen;
@@ -140,13 +150,7 @@
 {
     EmulatedFleet fleet;
     fleet.startAll();
-    const HostId holder = fleet.holderOf("north");
-    const HostId other = fleet.holderOf("south");
-    HostId entrance;
-    for (const HostId& host : fleet.hosts()) {
-        if (host != holder && host != other)
-            entrance = host;
-    }
+    const HostId entrance = hostWithoutShard(fleet);
     fleet.submit(entrance, "a", 2, 3s, true);
     fleet.run(100ms);
     REQUIRE(fleet.targets().running() == 2);
@@ -330,11 +334,7 @@
     EmulatedFleet fleet;
     fleet.startAll();
     const std::set<HostId> holders { fleet.holderOf("north"), fleet.holderOf("south") };
-    HostId entrance;
-    for (const HostId& host : fleet.hosts()) {
-        if (!holders.count(host))
-            entrance = host;
-    }
+    const HostId entrance = hostWithoutShard(fleet);
     fleet.store().faults.doLeasesLapse = true;
     fleet.store().faults.isDown = true;
     fleet.run(2500ms);
@@ -360,11 +360,7 @@
 {
     EmulatedFleet fleet;
     fleet.startAll();
-    HostId entrance;
-    for (const HostId& host : fleet.hosts()) {
-        if (host != fleet.holderOf("north") && host != fleet.holderOf("south"))
-            entrance = host;
-    }
+    const HostId entrance = hostWithoutShard(fleet);
     auto& call = fleet.submit(entrance, "a", 2, 1200ms, true);
     fleet.run(100ms);
     fleet.pause(entrance);
@@ -407,13 +403,7 @@
 {
     EmulatedFleet fleet;
     fleet.startAll();
-    const HostId holder = fleet.holderOf("north");
-    const HostId other = fleet.holderOf("south");
-    HostId entrance;
-    for (const HostId& host : fleet.hosts()) {
-        if (host != holder && host != other)
-            entrance = host;
-    }
+    const HostId entrance = hostWithoutShard(fleet);
     // A caller that waits for long; its entrance hears nothing for several seconds.
     fleet.setCallerWait(12s);
     auto& call = fleet.submit(entrance, "a", 2, 900ms, true);
