Split the shard dispatcher by its jobs

The targets with their sessions, the settled list and the learned speeds are ShardTargets; the jobs in memory are JobBook; starting tasks and taking their ends is TaskRunner; reading the stored records is PageReader.

--- /dev/null
+++ b/modules/rattanroad_shards/jobs/JobBook.cpp
@@ -0,0 +1,124 @@
+#include "rattanroad_shards/jobs/JobBook.h"
+
+#include "rattanroad_shards/jobs/JobMath.h"
+
+#include <algorithm>
+#include <cassert>
+
+namespace rattanroad::shards {
+
+JobBook::JobBook(Settings settings, const Clock& clock)
+    : m_settings(settings)
+    , m_clock(clock)
+{
+}
+
+std::unique_ptr<ShardJob> JobBook::makeJob(
+    const protocol::PlacedJob& description, std::chrono::milliseconds waited) const
+{
+    auto job = std::make_unique<ShardJob>();
+    job->id = JobId(description.id());
+    job->description = description;
+    job->askedAt = m_clock.now();
+    job->receivedAt = job->askedAt - waited;
+    job->objective = job->receivedAt + objectiveOf(description);
+    for (const protocol::PhaseDescription& phase : description.phases())
+        job->phases.emplace_back(phase.count());
+    return job;
+}
+
+ShardJob* JobBook::find(const JobId& job) const
+{
+    const auto found = m_jobs.find(job);
+    return found == m_jobs.end() ? nullptr : found->second.get();
+}
+
+ShardJob& JobBook::add(std::unique_ptr<ShardJob> job)
+{
+    assert(!m_jobs.count(job->id));
+    ShardJob& added = *job;
+    m_jobs[added.id] = std::move(job);
+    return added;
+}
+
+void JobBook::clear()
+{
+    m_open.clear();
+    m_jobs.clear();
+}
+
+std::vector<ShardJob*> JobBook::openJobsInOrder() const
+{
+    std::vector<ShardJob*> jobs;
+    for (const auto& entry : m_open)
+        jobs.push_back(entry.second);
+    const TimePoint now = m_clock.now();
+    std::sort(jobs.begin(), jobs.end(), [now](const ShardJob* left, const ShardJob* right) {
+        const bool isLeftLate = left->objective < now;
+        const bool isRightLate = right->objective < now;
+        if (isLeftLate != isRightLate)
+            return isRightLate;
+        return std::tie(left->objective, left->id) < std::tie(right->objective, right->id);
+    });
+    return jobs;
+}
+
+double JobBook::waitingWork(TimePoint objective) const
+{
+    double work = 0;
+    for (const auto& entry : m_open) {
+        const ShardJob& job = *entry.second;
+        if (job.objective > objective)
+            continue;
+        for (std::size_t phase = 0; phase < job.phases.size(); ++phase) {
+            const protocol::PhaseDescription& description = job.description.phases(static_cast<int>(phase));
+            const auto waiting = std::count_if(job.phases[phase].begin(), job.phases[phase].end(),
+                [](const ShardTask& task) { return task.state == ShardTask::State::Waiting; });
+            work += static_cast<double>(waiting) * description.millicores() * description.estimated_ms();
+        }
+    }
+    return work;
+}
+
+void JobBook::addTo(protocol::ShardLoad& load) const
+{
+    std::map<std::string, std::uint32_t> depths;
+    for (const auto& entry : m_open) {
+        if (entry.second->state == JobState::Queued)
+            ++depths[entry.second->description.rule().queue()];
+    }
+    for (const auto& depth : depths) {
+        protocol::QueueDepth* const added = load.add_depths();
+        added->set_queue(depth.first);
+        added->set_waiting_jobs(depth.second);
+    }
+}
+
+std::vector<JobId> JobBook::expired() const
+{
+    const TimePoint now = m_clock.now();
+    std::vector<JobId> jobs;
+    for (const auto& entry : m_jobs) {
+        const ShardJob& job = *entry.second;
+        if (!job.endedAt)
+            continue;
+        const auto retention = job.description.best_effort() ? m_settings.bestEffortRetention : m_settings.retention;
+        if (now - *job.endedAt >= retention)
+            jobs.push_back(entry.first);
+    }
+    return jobs;
+}
+
+std::vector<JobId> JobBook::announced()
+{
+    const TimePoint oldest = m_clock.now() - m_settings.announceTime;
+    const auto first = std::find_if(
+        m_announced.begin(), m_announced.end(), [oldest](const auto& entry) { return entry.first >= oldest; });
+    m_announced.erase(m_announced.begin(), first);
+    std::vector<JobId> jobs;
+    for (const auto& entry : m_announced)
+        jobs.push_back(entry.second);
+    return jobs;
+}
+
+}
--- a/modules/rattanroad_shards/jobs/JobMath.cpp
+++ b/modules/rattanroad_shards/jobs/JobMath.cpp
@@ -31,4 +31,12 @@
     return { phase.millicores(), phase.memory_mb(), phase.accelerators() };
 }
 
+PlacingTask placingTaskOf(const protocol::PlacedJob& job, std::size_t phase)
+{
+    const protocol::PhaseDescription& description = job.phases(static_cast<int>(phase));
+    return { resourcesOf(description), std::chrono::milliseconds(description.estimated_ms()),
+        ServiceId(job.rule().service()), description.required_label(), description.data_rack(),
+        description.maximum_per_target() };
+}
+
 }
--- a/modules/rattanroad_shards/jobs/JobMath.h
+++ b/modules/rattanroad_shards/jobs/JobMath.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "rattanroad_protocol/rattanroad_protocol.h"
-#include "rattanroad_shards/types/ShardTypes.h"
+#include "rattanroad_shards/placing/TaskPlacer.h"
 
 namespace rattanroad::shards {
 
@@ -11,5 +11,7 @@
 std::chrono::milliseconds objectiveOf(const protocol::PlacedJob& job);
 /** Returns what one task of a phase takes. */
 Resources resourcesOf(const protocol::PhaseDescription& phase);
+/** Returns what the placing of a task of a phase must know. */
+PlacingTask placingTaskOf(const protocol::PlacedJob& job, std::size_t phase);
 
 }
--- a/modules/rattanroad_shards/jobs/ShardJob.h
+++ b/modules/rattanroad_shards/jobs/ShardJob.h
@@ -93,6 +93,14 @@
         }
         return true;
     }
+    /** Tells of all tasks whether a run of an earlier holder may be left. */
+    void setUncertain(bool isUncertain)
+    {
+        for (auto& phase : phases) {
+            for (ShardTask& task : phase)
+                task.isUncertain = isUncertain;
+        }
+    }
 };
 
 }
--- /dev/null
+++ b/modules/rattanroad_shards/targets/ShardTargets.cpp
@@ -0,0 +1,210 @@
+#include "rattanroad_shards/targets/ShardTargets.h"
+
+#include <algorithm>
+#include <set>
+
+namespace rattanroad::shards {
+
+ShardTargets::ShardTargets(
+    Settings settings, TargetCalls& calls, Timers timers, const Clock& clock, TargetSession::Hooks hooks)
+    : m_settings(settings)
+    , m_calls(calls)
+    , m_timers(std::move(timers))
+    , m_clock(clock)
+    , m_hooks(std::move(hooks))
+    , m_placer(settings.placing)
+    , m_listGapAt(clock.now())
+{
+}
+
+void ShardTargets::listed(const TargetReport& report)
+{
+    const auto known = m_reports.find(report.id);
+    if (known != m_reports.end() && known->second.bornMs != report.bornMs)
+        m_speeds.forget(report.id);
+    m_reports[report.id] = report;
+    if (!isOpen() || m_isClosed)
+        return;
+    TargetSession* const present = session(report.id);
+    if (present && present->report().address == report.address)
+        present->setReport(report);
+    else
+        openSession(report);
+}
+
+void ShardTargets::unlisted(const TargetId& target)
+{
+    m_reports.erase(target);
+    TargetSession* const present = session(target);
+    if (present)
+        present->setListed(false);
+    else
+        m_listGapAt = m_clock.now();
+}
+
+void ShardTargets::open(FencingToken token)
+{
+    m_token = token;
+    m_isClosed = false;
+    for (const auto& entry : m_reports)
+        openSession(entry.second);
+}
+
+void ShardTargets::openSession(const TargetReport& report)
+{
+    auto session
+        = std::make_unique<TargetSession>(m_settings.session, report, *m_token, m_calls, m_timers, m_clock, m_hooks);
+    TargetSession& opened = *session;
+    m_sessions[report.id] = std::move(session);
+    opened.open();
+}
+
+void ShardTargets::setToken(FencingToken token)
+{
+    if (isOpen())
+        m_token = token;
+    m_isClosed = false;
+    for (const auto& entry : m_sessions)
+        entry.second->setToken(token);
+}
+
+void ShardTargets::close()
+{
+    m_isClosed = true;
+    for (const auto& entry : m_sessions)
+        entry.second->close();
+}
+
+void ShardTargets::clear()
+{
+    m_token.reset();
+    m_sessions.clear();
+}
+
+TargetSession* ShardTargets::session(const TargetId& target) const
+{
+    const auto found = m_sessions.find(target);
+    return found == m_sessions.end() ? nullptr : found->second.get();
+}
+
+bool ShardTargets::areSettled() const
+{
+    // A target that is missing from the list may run something all the same.
+    const bool isListSettled = m_clock.now() - m_listGapAt >= m_settings.listSettled;
+    return isListSettled && !m_sessions.empty()
+        && std::all_of(m_sessions.begin(), m_sessions.end(), [](const auto& entry) { return entry.second->isReady(); });
+}
+
+bool ShardTargets::hasRun(const TaskName& task) const
+{
+    return std::any_of(m_sessions.begin(), m_sessions.end(),
+        [&task](const auto& entry) { return entry.second->runs().count(task) != 0; });
+}
+
+bool ShardTargets::isEligibleSomewhere(const PlacingTask& task) const
+{
+    return std::any_of(m_reports.begin(), m_reports.end(),
+        [&task](const auto& entry) { return TaskPlacer::isEligible(task, entry.second); });
+}
+
+bool ShardTargets::hasRoomBeside(const TargetSession& session, const PlacingTask& task) const
+{
+    return std::any_of(m_sessions.begin(), m_sessions.end(), [&](const auto& entry) {
+        const TargetSession& other = *entry.second;
+        return &other != &session && other.canStart() && TaskPlacer::isEligible(task, other.report())
+            && task.resources.fitsInto(other.free());
+    });
+}
+
+std::optional<ShardTargets::Choice> ShardTargets::choose(const TaskName& name, const PlacingTask& task) const
+{
+    std::vector<PlacingTarget> targets;
+    std::vector<TargetSession*> sessions;
+    for (const auto& entry : m_sessions) {
+        TargetSession& session = *entry.second;
+        if (!session.canStart())
+            continue;
+        std::uint32_t samePhase = 0;
+        if (task.maximumPerTarget != 0) {
+            samePhase = static_cast<std::uint32_t>(std::count_if(session.runs().begin(), session.runs().end(),
+                [&name](const auto& run) { return run.first.job == name.job && run.first.phase == name.phase; }));
+        }
+        targets.push_back({ &session.report(), session.free(), m_speeds.factor(session.report()), samePhase });
+        sessions.push_back(&session);
+    }
+    const Placement placement = m_placer.choose(task, targets);
+    if (placement.target == targets.size())
+        return std::nullopt;
+    return Choice { sessions[placement.target], placement.predicted };
+}
+
+void ShardTargets::learn(const TargetSession& session, const PlacingTask& task, TimePoint startedAt)
+{
+    const auto base = m_placer.predict(task, { &session.report(), {}, 1, 0 });
+    const std::chrono::duration<double, std::milli> taken = m_clock.now() - startedAt;
+    if (base.count() > 0)
+        m_speeds.add(session.report(), taken.count() / static_cast<double>(base.count()));
+}
+
+std::vector<ShardTargets::OverdueRun> ShardTargets::overdueRuns() const
+{
+    const TimePoint now = m_clock.now();
+    std::vector<OverdueRun> overdue;
+    for (const auto& entry : m_sessions) {
+        for (const auto& run : entry.second->runs()) {
+            const bool isRunning = run.second.state == TargetSession::Run::State::Running;
+            const auto limit = std::chrono::duration_cast<Duration>(run.second.predicted * m_settings.overdueFactor)
+                + m_settings.overdueSlack;
+            if (isRunning && run.second.predicted.count() > 0 && now - run.second.startedAt > limit)
+                overdue.push_back({ entry.second.get(), run.first });
+        }
+    }
+    return overdue;
+}
+
+void ShardTargets::forgetGone()
+{
+    const TimePoint now = m_clock.now();
+    for (auto entry = m_sessions.begin(); entry != m_sessions.end();) {
+        const TargetSession& session = *entry->second;
+        const bool isGone = !session.isListed() && now - session.unlistedSince() >= m_settings.unlistedLimit
+            && session.runs().empty();
+        entry = isGone ? m_sessions.erase(entry) : std::next(entry);
+    }
+}
+
+std::uint64_t ShardTargets::usableMillicores() const
+{
+    std::uint64_t millicores = 0;
+    for (const auto& entry : m_sessions) {
+        if (entry.second->canStart())
+            millicores += entry.second->report().capacity.millicores;
+    }
+    return millicores;
+}
+
+void ShardTargets::addTo(protocol::ShardLoad& load) const
+{
+    std::uint64_t free = 0;
+    std::uint32_t count = 0;
+    std::set<std::string> racks;
+    std::set<std::string> services;
+    for (const auto& entry : m_sessions) {
+        const TargetSession& session = *entry.second;
+        if (!session.canStart())
+            continue;
+        ++count;
+        free += session.free().millicores;
+        racks.insert(session.report().labels.begin(), session.report().labels.end());
+        services.insert(session.report().service.value());
+    }
+    load.set_targets(count);
+    load.set_total_millicores(usableMillicores());
+    load.set_free_millicores(free);
+    for (const std::string& rack : racks)
+        load.add_racks(rack);
+    for (const std::string& service : services)
+        load.add_services(service);
+}
+
+}
