Send unanswered starts again; look sooner at targets that lose orders

A lost hold hid a target's ends for 650 ms, and at ten holds a second and target nearly always one was lost; an unanswered start held its room for 250 ms, was stopped, and waited for the stop and another hold.

Ruled out: lapsed leases (33 of 14036 runs) and room that is overbooked.

Change: an unanswered start is sent again, three times in all, under its attempt, which the target runs once at most; a later sending that finds the attempt ended waits for the listed end. The limit of a call is 120 ms instead of 250 ms and part of the order, so that the adapter holds no limit. For 3 s after a loss a target that still answers is held for 50 ms at a time with a limit of 60 ms.

--- a/apps/rattanroadd/fleet/FleetHost.cpp
+++ b/apps/rattanroadd/fleet/FleetHost.cpp
@@ -54,7 +54,7 @@
         , m_storeHttp(loop, clientSettings())
         , m_targetHttp(loop, clientSettings())
         , m_store(m_storeHttp, { settings.storeAddress })
-        , m_targets(m_targetHttp, {})
+        , m_targets(m_targetHttp)
         , m_link(loop, {}, [this](const protocol::Envelope& envelope) { m_node.received(envelope); })
         , m_node(nodeSettings(settings, incarnation), m_store.calls(), m_targets.calls(), timers(), clock, nodeHooks())
         , m_callers(m_node.entrance(), [this] { return m_node.queues(); })
--- a/modules/rattanroad_shards/entrance/JobEntrance.cpp
+++ b/modules/rattanroad_shards/entrance/JobEntrance.cpp
@@ -1,31 +1,35 @@
 #include "rattanroad_shards/entrance/JobEntrance.h"
 
-#include "rattanroad_shards/holding/StoreKeys.h"
 #include "rattanroad_shards/jobs/JobMath.h"
 
 #include <algorithm>
 
 namespace rattanroad::shards {
 
-namespace {
-    /** Attempts are part of the request number on the wire, so that a late reply is told from the present one. */
-    constexpr std::uint64_t attemptsPerRequest = 256;
-
-    std::uint64_t wireNumber(std::uint64_t id, std::uint64_t attempt)
-    {
-        return id * attemptsPerRequest + attempt % attemptsPerRequest;
-    }
-}
-
 JobEntrance::JobEntrance(
     Settings settings, KeyValueStore& store, const FleetView& fleet, Timers timers, const Clock& clock, Hooks hooks)
     : m_settings(std::move(settings))
-    , m_store(store)
-    , m_fleet(fleet)
     , m_timers(std::move(timers))
     , m_clock(clock)
     , m_hooks(std::move(hooks))
+    , m_loads(m_settings.loads, fleet, clock)
+    , m_questions(m_settings.questions, store, m_loads, m_timers, clock, questionHooks())
+    , m_places(m_settings.places, clock)
+{
+}
+
+JobQuestions::Hooks JobEntrance::questionHooks()
+{
+    JobQuestions::Hooks hooks;
+    hooks.send = m_hooks.send;
+    hooks.local = m_hooks.local;
+    hooks.envelope = [this] { return envelope(); };
+    return hooks;
+}
+
+std::chrono::milliseconds JobEntrance::waitOf(std::chrono::milliseconds asked) const
 {
+    return asked.count() > 0 ? asked : m_settings.defaultWait;
 }
 
 protocol::Envelope JobEntrance::envelope() const
@@ -45,9 +49,8 @@
         return 0;
     }
     const TimePoint now = m_clock.now();
-    const auto limit = wait.count() > 0 ? wait : m_settings.defaultWait;
-    const std::uint64_t id = ++m_lastRequest;
-    m_submissions[id] = { job, now, now + limit, std::move(reply), ShardId(), 0, 0 };
+    const std::uint64_t id = ++m_lastSubmission;
+    m_submissions[id] = { job, now, now + waitOf(wait), std::move(reply), ShardId(), 0, 0 };
     if (job.best_effort())
         m_awaited.emplace(JobId(job.id()), id);
     trySubmit(id);
@@ -65,7 +68,7 @@
         m_clock.now() >= submission.deadline ? "its caller's time is over" : "its caller has gone");
     if (submission.job.best_effort() && submission.unresolved > 0) {
         ShardDispatcher* const local = m_hooks.local(submission.shard);
-        const std::string* const address = holderAddress(submission.shard);
+        const std::string* const address = m_loads.holderAddress(submission.shard);
         if (local) {
             local->cancel(job, [](bool, JobState) {});
         } else if (address) {
@@ -82,151 +85,102 @@
     const auto found = m_submissions.find(id);
     if (found == m_submissions.end())
         return;
-    Submission& submission = found->second;
-    const TimePoint now = m_clock.now();
-    if (now >= submission.deadline) {
-        if (submission.job.best_effort() && submission.unresolved > 0) {
-            abandon(id);
-            return;
-        }
-        finishSubmission(id, submission.unresolved > 0 ? EntranceVerdict::Unknown : EntranceVerdict::Refused,
-            m_settings.unavailableRetry);
+    if (m_clock.now() >= found->second.deadline) {
+        expire(id);
         return;
     }
-    const std::optional<ShardId> shard = shardFor(submission);
-    const std::string* const address = shard ? holderAddress(*shard) : nullptr;
-    if (!shard || (!address && !m_hooks.local(*shard))) {
-        const auto patience = std::chrono::duration_cast<Duration>(objectiveOf(submission.job) * m_settings.waitShare);
-        if (submission.unresolved == 0 && now - submission.startedAt >= patience) {
-            m_hooks.log("job_refused", JobId(submission.job.id()), "no shard can take jobs");
-            finishSubmission(id, EntranceVerdict::Refused, m_settings.unavailableRetry);
-            return;
-        }
-        m_timers.after(m_settings.retryPause, [this, id] { trySubmit(id); });
+    const std::optional<ShardId> shard = shardFor(found->second);
+    const std::string* const address = shard ? m_loads.holderAddress(*shard) : nullptr;
+    if (shard && (address || m_hooks.local(*shard)))
+        sendTo(id, *shard, address);
+    else
+        waitForShard(id);
+}
+
+void JobEntrance::expire(std::uint64_t id)
+{
+    const Submission& submission = m_submissions[id];
+    if (submission.unresolved == 0)
+        finishSubmission(id, EntranceVerdict::Refused, m_settings.unavailableRetry);
+    else if (submission.job.best_effort())
+        abandon(id);
+    else
+        finishSubmission(id, EntranceVerdict::Unknown, m_settings.unavailableRetry);
+}
+
+void JobEntrance::waitForShard(std::uint64_t id)
+{
+    const Submission& submission = m_submissions[id];
+    const auto patience = std::chrono::duration_cast<Duration>(objectiveOf(submission.job) * m_settings.waitShare);
+    if (submission.unresolved == 0 && m_clock.now() - submission.startedAt >= patience) {
+        m_hooks.log("job_refused", JobId(submission.job.id()), "no shard can take jobs");
+        finishSubmission(id, EntranceVerdict::Refused, m_settings.unavailableRetry);
         return;
     }
-    submission.shard = *shard;
-    const bool isResent = submission.unresolved > 0 || m_places.count(JobId(submission.job.id())) != 0;
+    m_timers.after(m_settings.retryPause, [this, id] { trySubmit(id); });
+}
+
+void JobEntrance::sendTo(std::uint64_t id, const ShardId& shard, const std::string* address)
+{
+    Submission& submission = m_submissions[id];
+    const JobId job(submission.job.id());
+    submission.shard = shard;
+    const bool isResent = submission.unresolved > 0 || m_places.shardOf(job);
     if (submission.job.best_effort())
-        place(JobId(submission.job.id()), *shard);
-    const std::uint64_t attempt = ++submission.attempt;
-    const auto waited = std::chrono::duration_cast<std::chrono::milliseconds>(now - submission.startedAt);
-    ShardDispatcher* const local = m_hooks.local(*shard);
-    const auto isCurrent = [this, id, attempt] {
-        const auto entry = m_submissions.find(id);
-        return entry != m_submissions.end() && entry->second.attempt == attempt;
-    };
-    m_timers.after(
-        std::min<Duration>(m_settings.replyTimeout, submission.deadline - now), [this, id, attempt, isCurrent] {
-            if (!isCurrent())
-                return;
-            if (!m_submissions[id].job.best_effort())
-                m_hooks.log(
-                    "submit_unanswered", JobId(m_submissions[id].job.id()), "shard " + m_submissions[id].shard.value());
-            trySubmit(id);
-        });
+        m_places.note(job, shard);
+    ++submission.attempt;
     ++submission.unresolved;
-    std::uint64_t wanted = 0;
-    for (const protocol::PhaseDescription& phase : submission.job.phases())
-        wanted += std::uint64_t { phase.count() } * phase.millicores();
-    m_loads[*shard].handedOut += wanted;
-    if (local) {
+    m_loads.handOut(shard, submission.job);
+    watchReply(id);
+    const RequestNumber number(id, submission.attempt);
+    const auto waited = std::chrono::duration_cast<std::chrono::milliseconds>(m_clock.now() - submission.startedAt);
+    if (ShardDispatcher* const local = m_hooks.local(shard)) {
         local->submit(submission.job, waited, isResent, m_settings.address,
-            [this, id, attempt](SubmitVerdict verdict, std::chrono::milliseconds retryAfter) {
-                takeVerdict(id, attempt, verdict, retryAfter);
+            [this, number](SubmitVerdict verdict, std::chrono::milliseconds retryAfter) {
+                takeVerdict(number, verdict, retryAfter);
             });
         return;
     }
     protocol::Envelope message = envelope();
     protocol::ShardSubmit* const body = message.mutable_shard_submit();
-    body->set_request(wireNumber(id, attempt));
-    body->set_shard(shard->value());
+    body->set_request(number.wire());
+    body->set_shard(shard.value());
     *body->mutable_job() = submission.job;
     body->set_waited_ms(static_cast<std::uint32_t>(waited.count()));
     body->set_resent(isResent);
     m_hooks.send(*address, message);
 }
 
+void JobEntrance::watchReply(std::uint64_t id)
+{
+    const Submission& submission = m_submissions[id];
+    const auto limit = std::min<Duration>(m_settings.replyTimeout, submission.deadline - m_clock.now());
+    m_timers.after(limit, [this, id, attempt = submission.attempt] {
+        const auto entry = m_submissions.find(id);
+        if (entry == m_submissions.end() || entry->second.attempt != attempt)
+            return;
+        const Submission& silent = entry->second;
+        if (!silent.job.best_effort())
+            m_hooks.log("submit_unanswered", JobId(silent.job.id()), "shard " + silent.shard.value());
+        trySubmit(id);
+    });
+}
+
 std::optional<ShardId> JobEntrance::shardFor(const Submission& submission) const
 {
     // Runs of one task in two shards could overlap.
     if (submission.job.best_effort()) {
         if (submission.unresolved > 0)
             return submission.shard;
-        const auto placed = m_places.find(JobId(submission.job.id()));
-        if (placed != m_places.end())
-            return placed->second.shard;
-    }
-    return chooseShard(submission.job);
-}
-
-const std::string* JobEntrance::holderAddress(const ShardId& shard) const
-{
-    const auto seen = m_loads.find(shard);
-    const ShardHolder* const holder = m_fleet.holder(shard);
-    // A host that is cut off from the store learns of a new holder from its load.
-    if (seen != m_loads.end() && (!holder || seen->second.load.generation() >= holder->generation.value()))
-        return &seen->second.load.address();
-    return holder ? &holder->address : nullptr;
-}
-
-void JobEntrance::place(const JobId& job, const ShardId& shard)
-{
-    const TimePoint now = m_clock.now();
-    if (m_places.emplace(job, Place { shard, now }).second)
-        m_placeOrder.emplace_back(now, job);
-    std::size_t expired = 0;
-    while (expired < m_placeOrder.size() && now - m_placeOrder[expired].first >= m_settings.placeLimit)
-        m_places.erase(m_placeOrder[expired++].second);
-    m_placeOrder.erase(m_placeOrder.begin(), m_placeOrder.begin() + static_cast<std::ptrdiff_t>(expired));
-}
-
-std::optional<ShardId> JobEntrance::chooseShard(const protocol::PlacedJob& job) const
-{
-    const TimePoint now = m_clock.now();
-    std::optional<ShardId> best;
-    double bestCost = 0;
-    for (const ShardId& shard : m_settings.shards) {
-        const auto seen = m_loads.find(shard);
-        const bool isFresh = seen != m_loads.end() && now - seen->second.seenAt < m_settings.loadLimit;
-        if (!isFresh || seen->second.load.targets() == 0)
-            continue;
-        const protocol::ShardLoad& load = seen->second.load;
-        const auto& services = load.services();
-        if (std::find(services.begin(), services.end(), job.rule().service()) == services.end())
-            continue;
-        const auto& labels = load.racks();
-        const auto hasLabel = [&labels](const std::string& label) {
-            return label.empty() || std::find(labels.begin(), labels.end(), label) != labels.end();
-        };
-        double cost = load.backlog_ms();
-        const auto total = static_cast<double>(load.total_millicores());
-        const auto used
-            = total - static_cast<double>(load.free_millicores()) + static_cast<double>(seen->second.handedOut);
-        cost += static_cast<double>(m_settings.fullCost.count()) * used / total;
-        if (shard.value() != m_settings.failureDomain.value())
-            cost += static_cast<double>(m_settings.remoteCost.count());
-        bool isPossible = true;
-        bool isNear = true;
-        for (const protocol::PhaseDescription& phase : job.phases()) {
-            isPossible = isPossible && hasLabel(phase.required_label());
-            isNear = isNear && hasLabel(phase.data_rack());
-        }
-        if (!isPossible)
-            continue;
-        if (!isNear)
-            cost += static_cast<double>(m_settings.dataCost.count());
-        if (!best || cost < bestCost) {
-            best = shard;
-            bestCost = cost;
-        }
+        if (const auto placed = m_places.shardOf(JobId(submission.job.id())))
+            return placed;
     }
-    return best;
+    return m_loads.choose(submission.job);
 }
 
-void JobEntrance::takeVerdict(
-    std::uint64_t id, std::uint64_t attempt, SubmitVerdict verdict, std::chrono::milliseconds retryAfter)
+void JobEntrance::takeVerdict(RequestNumber request, SubmitVerdict verdict, std::chrono::milliseconds retryAfter)
 {
+    const std::uint64_t id = request.id();
     const auto found = m_submissions.find(id);
     if (found == m_submissions.end())
         return;
@@ -234,12 +188,12 @@
     if (verdict == SubmitVerdict::Accepted && submission.job.best_effort())
         return;
     if (verdict == SubmitVerdict::Accepted) {
-        remember(JobId(submission.job.id()), submission.shard, JobState::Queued);
+        m_questions.note(JobId(submission.job.id()), submission.shard, JobState::Queued);
         finishSubmission(id, EntranceVerdict::Accepted, {});
         return;
     }
     --submission.unresolved;
-    if (attempt % attemptsPerRequest != submission.attempt % attemptsPerRequest)
+    if (!request.isOfAttempt(submission.attempt))
         return;
     if (verdict == SubmitVerdict::Refused) {
         const bool isCertain = submission.unresolved == 0;
@@ -267,172 +221,12 @@
 
 void JobEntrance::query(const JobId& job, std::chrono::milliseconds wait, StateReply reply)
 {
-    const auto seen = m_states.find(job);
-    if (seen != m_states.end()) {
-        const bool isRecent = m_clock.now() - seen->second.seenAt < m_settings.stateLimit;
-        if (hasEnded(seen->second.state) || isRecent) {
-            reply(Knowledge::Known, seen->second.state);
-            return;
-        }
-    }
-    const std::uint64_t id = ++m_lastRequest;
-    const auto limit = wait.count() > 0 ? wait : m_settings.defaultWait;
-    m_questions[id] = { job, m_clock.now() + limit, std::move(reply), false, false, 0, std::nullopt };
-    ask(id);
+    m_questions.query(job, waitOf(wait), std::move(reply));
 }
 
 void JobEntrance::cancel(const JobId& job, std::chrono::milliseconds wait, StateReply reply)
 {
-    const std::uint64_t id = ++m_lastRequest;
-    const auto limit = wait.count() > 0 ? wait : m_settings.defaultWait;
-    m_questions[id] = { job, m_clock.now() + limit, std::move(reply), true, false, 0, std::nullopt };
-    ask(id);
-}
-
-void JobEntrance::ask(std::uint64_t id)
-{
-    const auto found = m_questions.find(id);
-    if (found == m_questions.end())
-        return;
-    Question& question = found->second;
-    if (m_clock.now() >= question.deadline) {
-        // The record tells that the job exists; only its end may be newer.
-        const bool hasState = question.storedState && !question.isCancel;
-        finishQuestion(
-            id, hasState ? Knowledge::Known : Knowledge::Unavailable, question.storedState.value_or(JobState::Queued));
-        return;
-    }
-    const auto seen = m_states.find(question.job);
-    if (seen != m_states.end())
-        askHolder(id, seen->second.shard);
-    else
-        readRecord(id);
-}
-
-void JobEntrance::askHolder(std::uint64_t id, const ShardId& shard)
-{
-    Question& question = m_questions[id];
-    const std::uint64_t attempt = ++question.attempt;
-    m_timers.after(m_settings.replyTimeout, [this, id, attempt] {
-        const auto entry = m_questions.find(id);
-        if (entry != m_questions.end() && entry->second.attempt == attempt)
-            questionSilent(id, attempt);
-    });
-    ShardDispatcher* const local = m_hooks.local(shard);
-    if (local && question.isCancel) {
-        local->cancel(question.job,
-            [this, id, attempt](bool isKnown, JobState state) { takeAnswer(id, attempt, isKnown, state); });
-        return;
-    }
-    if (local) {
-        const std::optional<JobState> state = local->state(question.job);
-        takeAnswer(id, attempt, state.has_value(), state.value_or(JobState::Queued));
-        return;
-    }
-    const std::string* const address = holderAddress(shard);
-    if (!address)
-        return;
-    protocol::Envelope message = envelope();
-    if (question.isCancel) {
-        message.mutable_shard_cancel()->set_request(wireNumber(id, attempt));
-        message.mutable_shard_cancel()->set_id(question.job.value());
-    } else {
-        message.mutable_shard_query()->set_request(wireNumber(id, attempt));
-        message.mutable_shard_query()->set_id(question.job.value());
-    }
-    m_hooks.send(*address, message);
-}
-
-void JobEntrance::readRecord(std::uint64_t id)
-{
-    const JobId job = m_questions[id].job;
-    m_store.read(storekeys::job(job), [this, id, job](const ReadReply& reply) {
-        const auto found = m_questions.find(id);
-        if (found == m_questions.end())
-            return;
-        Question& question = found->second;
-        if (reply.ending == StoreEnding::Absent) {
-            finishQuestion(id, Knowledge::NoSuchJob, JobState::Queued);
-            return;
-        }
-        protocol::JobRecord record;
-        const bool isRead = reply.ending == StoreEnding::Done && !reply.items.empty()
-            && record.ParseFromString(reply.items.front().value)
-            && record.state() <= static_cast<unsigned>(JobState::Cancelled);
-        if (!isRead) {
-            m_timers.after(m_settings.retryPause, [this, id] { ask(id); });
-            return;
-        }
-        question.wasRead = true;
-        question.storedState = static_cast<JobState>(record.state());
-        remember(job, ShardId(record.shard()), *question.storedState);
-        if (hasEnded(*question.storedState))
-            finishQuestion(id, Knowledge::Known, *question.storedState);
-        else
-            askHolder(id, ShardId(record.shard()));
-    });
-}
-
-void JobEntrance::takeAnswer(std::uint64_t id, std::uint64_t attempt, bool isKnown, JobState state)
-{
-    const auto found = m_questions.find(id);
-    if (found == m_questions.end() || found->second.attempt % attemptsPerRequest != attempt % attemptsPerRequest)
-        return;
-    Question& question = found->second;
-    if (isKnown) {
-        const auto seen = m_states.find(question.job);
-        if (seen != m_states.end())
-            remember(question.job, ShardId(seen->second.shard), state);
-        finishQuestion(id, Knowledge::Known, state);
-        return;
-    }
-    // The holder may be new and still reading its records.
-    if (!question.wasRead) {
-        readRecord(id);
-        return;
-    }
-    questionSilent(id, attempt);
-}
-
-void JobEntrance::questionSilent(std::uint64_t id, std::uint64_t)
-{
-    Question& question = m_questions[id];
-    if (!question.wasRead) {
-        readRecord(id);
-        return;
-    }
-    if (!question.isCancel && question.storedState) {
-        finishQuestion(id, Knowledge::Known, *question.storedState);
-        return;
-    }
-    ++question.attempt;
-    m_timers.after(m_settings.retryPause, [this, id] { ask(id); });
-}
-
-void JobEntrance::finishQuestion(std::uint64_t id, Knowledge knowledge, JobState state)
-{
-    const StateReply reply = std::move(m_questions[id].reply);
-    m_questions.erase(id);
-    reply(knowledge, state);
-}
-
-void JobEntrance::remember(const JobId& job, const ShardId& shard, JobState state)
-{
-    const auto found = m_states.find(job);
-    if (found != m_states.end()) {
-        // A late answer does not take back an end.
-        if (!hasEnded(found->second.state))
-            found->second = { shard, state, m_clock.now() };
-        return;
-    }
-    m_states[job] = { shard, state, m_clock.now() };
-    if (m_stateOrder.size() < m_settings.maximumStates) {
-        m_stateOrder.push_back(job);
-        return;
-    }
-    m_states.erase(m_stateOrder[m_oldestState]);
-    m_stateOrder[m_oldestState] = job;
-    m_oldestState = (m_oldestState + 1) % m_stateOrder.size();
+    m_questions.cancel(job, waitOf(wait), std::move(reply));
 }
 
 void JobEntrance::jobEnded(const JobId& job, JobState state)
@@ -445,37 +239,15 @@
         submissions.push_back(entry->second);
     for (const std::uint64_t id : submissions)
         finishSubmission(id, state == JobState::Done ? EntranceVerdict::Done : EntranceVerdict::Failed, {});
-    const auto found = m_states.find(job);
-    if (found != m_states.end())
-        remember(job, ShardId(found->second.shard), state);
-}
-
-std::uint32_t JobEntrance::waitingJobs(const QueueId& queue) const
-{
-    std::uint32_t waiting = 0;
-    for (const auto& entry : m_loads) {
-        for (const protocol::QueueDepth& depth : entry.second.load.depths())
-            waiting += depth.queue() == queue.value() ? depth.waiting_jobs() : 0;
-    }
-    return waiting;
-}
-
-bool JobEntrance::canServe() const
-{
-    const TimePoint now = m_clock.now();
-    return std::any_of(m_loads.begin(), m_loads.end(), [&](const auto& entry) {
-        return now - entry.second.seenAt < m_settings.loadLimit && entry.second.load.targets() > 0;
-    });
+    m_questions.jobEnded(job, state);
 }
 
 void JobEntrance::loadReceived(const protocol::ShardLoad& load)
 {
-    SeenLoad& seen = m_loads[ShardId(load.shard())];
-    if (load.generation() < seen.load.generation())
+    if (!m_loads.received(load))
         return;
-    seen = { load, m_clock.now(), 0 };
     for (const std::string& job : load.new_jobs())
-        place(JobId(job), ShardId(load.shard()));
+        m_places.note(JobId(job), ShardId(load.shard()));
 }
 
 void JobEntrance::received(const protocol::Envelope& message)
@@ -491,21 +263,13 @@
     case protocol::Envelope::kShardSubmitReply: {
         const protocol::ShardSubmitReply& reply = message.shard_submit_reply();
         if (reply.verdict() <= static_cast<unsigned>(SubmitVerdict::Unsettled))
-            takeVerdict(reply.request() / attemptsPerRequest, reply.request() % attemptsPerRequest,
-                static_cast<SubmitVerdict>(reply.verdict()), std::chrono::milliseconds(reply.retry_after_ms()));
+            takeVerdict(RequestNumber::fromWire(reply.request()), static_cast<SubmitVerdict>(reply.verdict()),
+                std::chrono::milliseconds(reply.retry_after_ms()));
         return;
     }
-    case protocol::Envelope::kShardJobReply: {
-        const protocol::ShardJobReply& reply = message.shard_job_reply();
-        if (reply.state() > static_cast<unsigned>(JobState::Cancelled))
-            return;
-        if (reply.request() == 0)
-            jobEnded(JobId(reply.id()), static_cast<JobState>(reply.state()));
-        else
-            takeAnswer(reply.request() / attemptsPerRequest, reply.request() % attemptsPerRequest, reply.known(),
-                static_cast<JobState>(reply.state()));
+    case protocol::Envelope::kShardJobReply:
+        takeJobReply(message.shard_job_reply());
         return;
-    }
     case protocol::Envelope::kShardLoad:
         loadReceived(message.shard_load());
         return;
@@ -514,6 +278,17 @@
     }
 }
 
+void JobEntrance::takeJobReply(const protocol::ShardJobReply& reply)
+{
+    if (reply.state() > static_cast<unsigned>(JobState::Cancelled))
+        return;
+    const auto state = static_cast<JobState>(reply.state());
+    if (reply.request() == 0)
+        jobEnded(JobId(reply.id()), state);
+    else
+        m_questions.answered(RequestNumber::fromWire(reply.request()), reply.known(), state);
+}
+
 void JobEntrance::answerSubmit(const protocol::Envelope& message)
 {
     const protocol::ShardSubmit& body = message.shard_submit();
@@ -546,7 +321,7 @@
         answer.mutable_shard_job_reply()->set_state(static_cast<std::uint32_t>(state));
         m_hooks.send(address, answer);
     };
-    for (const ShardId& shard : m_settings.shards) {
+    for (const ShardId& shard : m_settings.loads.shards) {
         ShardDispatcher* const local = m_hooks.local(shard);
         const std::optional<JobState> state = local ? local->state(job) : std::nullopt;
         if (!state)
--- /dev/null
+++ b/modules/rattanroad_shards/entrance/RequestNumber.h
@@ -0,0 +1,34 @@
+#pragma once
+
+#include <cstdint>
+
+namespace rattanroad::shards {
+
+/** Number of a request to another host. The attempt is part of it, so that a late reply is told from the present
+    one.
+*/
+class RequestNumber {
+public:
+    RequestNumber(std::uint64_t id, std::uint64_t attempt)
+        : m_id(id)
+        , m_attempt(attempt % attemptsPerRequest)
+    {
+    }
+    static RequestNumber fromWire(std::uint64_t number)
+    {
+        return { number / attemptsPerRequest, number % attemptsPerRequest };
+    }
+
+    std::uint64_t wire() const { return m_id * attemptsPerRequest + m_attempt; }
+    std::uint64_t id() const { return m_id; }
+    bool isOfAttempt(std::uint64_t attempt) const { return m_attempt == attempt % attemptsPerRequest; }
+
+private:
+    /** A reply is at most a few attempts late. */
+    static constexpr std::uint64_t attemptsPerRequest = 256;
+
+    std::uint64_t m_id;
+    std::uint64_t m_attempt;
+};
+
+}
--- a/modules/rattanroad_shards/node/ShardNode.cpp
+++ b/modules/rattanroad_shards/node/ShardNode.cpp
@@ -140,12 +140,11 @@
     JobEntrance::Settings entranceSettings() const
     {
         JobEntrance::Settings settings;
-        settings.self = m_settings.host;
         settings.incarnation = m_settings.incarnation;
-        settings.failureDomain = m_settings.failureDomain;
+        settings.loads.failureDomain = m_settings.failureDomain;
         settings.address = m_settings.address;
         for (const FailureDomainId& domain : m_settings.failureDomains)
-            settings.shards.emplace_back(domain.value());
+            settings.loads.shards.emplace_back(domain.value());
         return settings;
     }
 
--- a/modules/rattanroad_shards/targets/TargetCalls.h
+++ b/modules/rattanroad_shards/targets/TargetCalls.h
@@ -34,6 +34,8 @@
     FencingToken token;
     /** Saved progress to continue from; empty for none. */
     std::string savedProgress;
+    /** Limit of the answer. */
+    std::chrono::milliseconds timeout { 0 };
 };
 
 struct StopOrder {
@@ -42,6 +44,8 @@
     TaskName task;
     std::uint32_t attempt { 0 };
     FencingToken token;
+    /** Limit of the answer. */
+    std::chrono::milliseconds timeout { 0 };
 };
 
 /** Renews the lease of everything that runs on a target and asks for what runs and what has ended. */
@@ -55,6 +59,8 @@
     std::optional<std::uint64_t> leaseEndMs;
     /** The target waits this long for a new end before it answers. */
     std::chrono::milliseconds wait { 0 };
+    /** Limit of the answer after the wait. */
+    std::chrono::milliseconds timeout { 0 };
 };
 
 struct RunningTask {
--- a/modules/rattanroad_shards/targets/TargetSession.cpp
+++ b/modules/rattanroad_shards/targets/TargetSession.cpp
@@ -70,18 +70,44 @@
     std::chrono::milliseconds predicted, const std::string& savedProgress)
 {
     assert(canStart() && !m_runs.count(task));
-    const TimePoint now = m_clock.now();
-    m_runs[task] = Run { attempt, resources, Run::State::Starting, now, std::nullopt, predicted, savedProgress };
+    Run& run = m_runs[task];
+    run = Run { attempt, payload, resources, Run::State::Starting, m_clock.now(), std::nullopt, predicted,
+        savedProgress, 0 };
     m_used += resources;
+    sendStart(task, run);
+}
+
+void TargetSession::sendStart(const TaskName& task, Run& run)
+{
+    ++run.sends;
     extendLease(m_settings.startLease);
-    const StartOrder order { m_report.id, m_report.address, task, attempt, payload, leaseEnd(m_settings.startLease),
-        m_token, savedProgress };
-    m_calls.start(order, [this, isAlive = m_isAlive, task, attempt, token = m_token](const TargetReply& reply) {
-        if (!*isAlive)
-            return;
-        takeStart(task, attempt, reply);
-        takeFence(reply, token);
-    });
+    const StartOrder order { m_report.id, m_report.address, task, run.attempt, run.payload,
+        leaseEnd(m_settings.startLease), m_token, run.savedProgress, callTimeout() };
+    m_calls.start(
+        order, [this, isAlive = m_isAlive, task, attempt = run.attempt, token = m_token](const TargetReply& reply) {
+            if (!*isAlive)
+                return;
+            noteLoss(reply);
+            takeStart(task, attempt, reply);
+            takeFence(reply, token);
+        });
+}
+
+void TargetSession::noteLoss(const TargetReply& reply)
+{
+    if (reply.ending == TargetEnding::Unknown)
+        m_lastLoss = m_clock.now();
+}
+
+bool TargetSession::isLossy() const
+{
+    const TimePoint now = m_clock.now();
+    return now - m_lastLoss < m_settings.lossMemory && now - m_lastAnswer < m_settings.silenceLimit;
+}
+
+std::chrono::milliseconds TargetSession::callTimeout() const
+{
+    return isLossy() ? m_settings.lossyCallTimeout : m_settings.callTimeout;
 }
 
 void TargetSession::takeStart(const TaskName& task, std::uint32_t attempt, const TargetReply& reply)
@@ -93,10 +119,18 @@
     Run& run = found->second;
     if (reply.ending == TargetEnding::Unknown) {
         m_unanswered.push_back({ task, attempt, m_clock.now() });
-        if (run.state == Run::State::Starting)
+        if (run.state != Run::State::Starting)
+            return;
+        if (run.sends < m_settings.startSends && canStart())
+            sendStart(task, run);
+        else
             stop(task);
         return;
     }
+    if (reply.ending == TargetEnding::Outdated && run.sends > 1) {
+        takeEarlierSending(run);
+        return;
+    }
     if (reply.ending == TargetEnding::Done) {
         if (isPresentLife && run.state == Run::State::Starting) {
             run.state = Run::State::Running;
@@ -113,6 +147,16 @@
     m_hooks.roomChanged();
 }
 
+void TargetSession::takeEarlierSending(Run& run)
+{
+    if (run.state != Run::State::Starting)
+        return;
+    // The next hold lists the end of the run, or shows that it was stopped.
+    run.state = Run::State::Running;
+    run.confirmedAt = m_clock.now();
+    look();
+}
+
 void TargetSession::stop(const TaskName& task)
 {
     const auto found = m_runs.find(task);
@@ -127,10 +171,11 @@
 {
     if (m_isClosed)
         return;
-    m_calls.stop({ m_report.id, m_report.address, task, attempt, m_token },
+    m_calls.stop({ m_report.id, m_report.address, task, attempt, m_token, callTimeout() },
         [this, isAlive = m_isAlive, task, attempt, token = m_token](const TargetReply& reply) {
             if (!*isAlive)
                 return;
+            noteLoss(reply);
             takeStop(task, attempt, reply);
             takeFence(reply, token);
         });
@@ -155,7 +200,9 @@
         look();
         return;
     }
-    m_timers.after(m_settings.callTimeout, [this, isAlive = m_isAlive, task, attempt] {
+    // An answer that did not come has taken its time already.
+    const Duration pause = reply.ending == TargetEnding::Unknown ? m_settings.holdPause : m_settings.callTimeout;
+    m_timers.after(pause, [this, isAlive = m_isAlive, task, attempt] {
         if (!*isAlive)
             return;
         const auto run = m_runs.find(task);
@@ -164,7 +211,11 @@
     });
 }
 
-void TargetSession::hold() { sendHold(m_isReady ? m_settings.holdWait : std::chrono::milliseconds(0), true); }
+void TargetSession::hold()
+{
+    const auto longest = isLossy() ? m_settings.lossyHoldWait : m_settings.holdWait;
+    sendHold(m_isReady ? longest : std::chrono::milliseconds(0), true);
+}
 
 void TargetSession::look() { sendHold(std::chrono::milliseconds(0), false); }
 
@@ -184,7 +235,7 @@
         return;
     }
     const TimePoint now = m_clock.now();
-    HoldOrder order { m_report.id, m_report.address, m_token, m_acknowledged, std::nullopt, wait };
+    HoldOrder order { m_report.id, m_report.address, m_token, m_acknowledged, std::nullopt, wait, callTimeout() };
     if (m_targetClockMs && now - m_lastAnswer < m_settings.silenceLimit) {
         order.leaseEndMs = leaseEnd(m_settings.longestLease);
         extendLease(m_settings.longestLease);
@@ -192,6 +243,7 @@
     m_calls.hold(order, [this, isAlive = m_isAlive, sentAt = now, isLoop, token = m_token](const HoldReply& reply) {
         if (!*isAlive)
             return;
+        noteLoss(reply);
         takeHold(reply, sentAt, isLoop, token);
         takeFence(reply, token);
     });
@@ -307,8 +359,8 @@
         }
         const std::optional<Resources> taken = m_hooks.found(*this, running);
         const TimePoint now = m_clock.now();
-        m_runs[running.task] = Run { running.attempt, taken.value_or(m_report.capacity), Run::State::Running, now, now,
-            std::chrono::milliseconds(0), running.savedProgress };
+        m_runs[running.task] = Run { running.attempt, "", taken.value_or(m_report.capacity), Run::State::Running, now,
+            now, std::chrono::milliseconds(0), running.savedProgress, 0 };
         m_used += m_runs[running.task].resources;
         if (!taken)
             stop(running.task);
--- a/modules/rattanroad_shards/targets/TargetSession.h
+++ b/modules/rattanroad_shards/targets/TargetSession.h
@@ -21,8 +21,16 @@
         std::chrono::milliseconds longestLease { 1000 };
         /** Wait of a hold for a new end: two renewals fit into a lease. */
         std::chrono::milliseconds holdWait { 400 };
-        /** Limit of a call beyond its wait: several round trips between failure domains. */
-        std::chrono::milliseconds callTimeout { 250 };
+        /** Limit of a call beyond its wait: tens of round trips between failure domains. */
+        std::chrono::milliseconds callTimeout { 120 };
+        /** After an order without an answer, a target that still answers others counts as lossy for this long. */
+        std::chrono::seconds lossMemory { 3 };
+        /** Wait and limit of the holds of a lossy target: what a lost hold hides is seen soon after. */
+        std::chrono::milliseconds lossyHoldWait { 50 };
+        std::chrono::milliseconds lossyCallTimeout { 60 };
+        /** An unanswered start is sent this many times in all before the run is stopped: a target that has the attempt
+            does not start it again. */
+        std::uint32_t startSends { 3 };
         /** Lease of a start: short, so that one that is carried out late is harmless soon. */
         std::chrono::milliseconds startLease { 500 };
         /** A target that has been silent for longer gets no new lease, so that what runs there ends. */
@@ -43,6 +51,7 @@
             Stopping,
         };
         std::uint32_t attempt { 0 };
+        std::string payload;
         Resources resources;
         State state { State::Starting };
         TimePoint startedAt;
@@ -50,6 +59,8 @@
         std::optional<TimePoint> confirmedAt;
         std::chrono::milliseconds predicted { 0 };
         std::string savedProgress;
+        /** How often the start was sent. */
+        std::uint32_t sends { 0 };
     };
     struct Hooks {
         /** The target has answered under the present token for the first time. */
@@ -105,12 +116,18 @@
     void look();
     void sendHold(std::chrono::milliseconds wait, bool isLoop);
     void takeHold(const HoldReply& reply, TimePoint sentAt, bool isLoop, FencingToken token);
+    /** An earlier sending of a start has run to its end. */
+    void takeEarlierSending(Run& run);
+    void noteLoss(const TargetReply& reply);
+    bool isLossy() const;
+    std::chrono::milliseconds callTimeout() const;
     void takeFence(const TargetReply& reply, FencingToken token);
     /** Returns whether the reply is of the present life of the target. */
     bool takeClock(const TargetReply& reply);
     void beginLife(std::uint64_t bornMs);
     bool takeEnds(const HoldReply& reply);
     void takeRunning(const HoldReply& reply, TimePoint sentAt);
+    void sendStart(const TaskName& task, Run& run);
     void takeStart(const TaskName& task, std::uint32_t attempt, const TargetReply& reply);
     void sendStop(const TaskName& task, std::uint32_t attempt);
     void takeStop(const TaskName& task, std::uint32_t attempt, const TargetReply& reply);
@@ -139,6 +156,7 @@
     std::optional<std::uint64_t> m_targetClockMs;
     TimePoint m_clockAt;
     TimePoint m_lastAnswer { longAgo };
+    TimePoint m_lastLoss { longAgo };
     /** Own time by which everything on the target has ended unless the lease is renewed. */
     TimePoint m_leaseEnd;
     TimePoint m_noWorkUntil { longAgo };
--- a/tests/emulator/EmulatedTargets.cpp
+++ b/tests/emulator/EmulatedTargets.cpp
@@ -10,7 +10,6 @@
 
 namespace {
     constexpr auto latency = 1ms;
-    constexpr auto callLimit = 250ms;
     constexpr auto lateBy = 3s;
     constexpr auto longestLease = 1000ms;
     constexpr auto stopTime = 40ms;
@@ -69,13 +68,24 @@
     return true;
 }
 
+bool EmulatedTargets::arrivesInTime(const HostId& host, const TargetId& target, std::function<void()> carryOut)
+{
+    if (!isReachable(host, target))
+        return false;
+    if (faults.delayEvery == 0 || ++m_orders % faults.delayEvery != 0)
+        return true;
+    m_queue.after(lateBy, std::move(carryOut));
+    return false;
+}
+
 TargetCalls EmulatedTargets::callsOf(const HostId& host)
 {
     TargetCalls calls;
     calls.start = [this, host](const StartOrder& order, const std::function<void(const TargetReply&)>& callback) {
         m_queue.after(latency, [this, host, order, callback] {
-            const auto unanswered = [this, callback] { m_queue.after(callLimit, [callback] { callback({}); }); };
-            if (!isReachable(host, order.target)) {
+            const auto unanswered
+                = [this, order, callback] { m_queue.after(order.timeout, [callback] { callback({}); }); };
+            if (!arrivesInTime(host, order.target, [this, order] { start(order); })) {
                 unanswered();
             } else if (faults.lateStarts > 0) {
                 --faults.lateStarts;
@@ -94,76 +104,83 @@
     };
     calls.stop = [this, host](const StopOrder& order, const std::function<void(const TargetReply&)>& callback) {
         m_queue.after(latency, [this, host, order, callback] {
-            if (!isReachable(host, order.target)) {
-                m_queue.after(callLimit, [callback] { callback({}); });
-                return;
-            }
-            Target& target = m_targets[order.target];
-            if (!takeToken(target, order.token)) {
-                m_queue.after(
-                    latency, [answer = reply(order.target, TargetEnding::Fenced), callback] { callback(answer); });
-                return;
-            }
-            std::uint32_t& highest = target.highest[order.task];
-            highest = std::max(highest, order.attempt);
-            const auto live = target.live.find(order.task);
-            if (live != target.live.end() && live->second.attempt == order.attempt) {
-                const std::uint64_t serial = live->second.serial;
-                m_queue.after(stopTime, [this, order, serial] {
-                    const auto still = m_targets[order.target].live.find(order.task);
-                    if (still != m_targets[order.target].live.end() && still->second.serial == serial)
-                        end(order.target, order.task, RunEnding::Interrupted, "stopped");
-                });
-            }
-            m_queue.after(latency, [answer = reply(order.target, TargetEnding::Done), callback] { callback(answer); });
+            if (arrivesInTime(host, order.target, [this, order] { stop(order, [](const TargetReply&) {}); }))
+                stop(order, callback);
+            else
+                m_queue.after(order.timeout, [callback] { callback({}); });
         });
     };
     calls.hold = [this, host](const HoldOrder& order, const std::function<void(const HoldReply&)>& callback) {
         m_queue.after(latency, [this, host, order, callback] {
-            if (!isReachable(host, order.target)) {
-                m_queue.after(callLimit, [callback] { callback({}); });
-                return;
-            }
-            Target& target = m_targets[order.target];
-            if (!takeToken(target, order.token)) {
-                HoldReply refused;
-                static_cast<TargetReply&>(refused) = reply(order.target, TargetEnding::Fenced);
-                m_queue.after(latency, [refused, callback] { callback(refused); });
-                return;
-            }
-            auto& ended = target.ended;
-            ended.erase(std::remove_if(ended.begin(), ended.end(),
-                            [&order](const EndedTask& end) { return end.number <= order.acknowledgedEnds; }),
-                ended.end());
-            if (order.leaseEndMs) {
-                const TimePoint wanted { std::chrono::milliseconds(*order.leaseEndMs) };
-                target.leaseEnd = std::max(target.leaseEnd, std::min(wanted, m_queue.now() + longestLease));
-            }
-            auto isAnswered = std::make_shared<bool>(false);
-            const auto answer = [this, order, callback, isAnswered, life = target.life] {
-                if (*isAnswered || m_targets[order.target].life != life)
-                    return;
-                *isAnswered = true;
-                answerHold(order, callback);
-            };
-            if (order.wait.count() == 0 || !ended.empty()) {
-                answer();
-                return;
-            }
-            target.waiting.push_back(answer);
-            m_queue.after(order.wait, answer);
-            // A target that restarts meanwhile never answers.
-            m_queue.after(order.wait + callLimit, [isAnswered, callback] {
-                if (!*isAnswered) {
-                    *isAnswered = true;
-                    callback({});
-                }
-            });
+            if (arrivesInTime(host, order.target, [this, order] { hold(order, [](const HoldReply&) {}); }))
+                hold(order, callback);
+            else
+                m_queue.after(order.wait + order.timeout, [callback] { callback({}); });
         });
     };
     return calls;
 }
 
+void EmulatedTargets::stop(const StopOrder& order, const std::function<void(const TargetReply&)>& callback)
+{
+    Target& target = m_targets[order.target];
+    if (!takeToken(target, order.token)) {
+        m_queue.after(latency, [answer = reply(order.target, TargetEnding::Fenced), callback] { callback(answer); });
+        return;
+    }
+    std::uint32_t& highest = target.highest[order.task];
+    highest = std::max(highest, order.attempt);
+    const auto live = target.live.find(order.task);
+    if (live != target.live.end() && live->second.attempt == order.attempt) {
+        const std::uint64_t serial = live->second.serial;
+        m_queue.after(stopTime, [this, order, serial] {
+            const auto still = m_targets[order.target].live.find(order.task);
+            if (still != m_targets[order.target].live.end() && still->second.serial == serial)
+                end(order.target, order.task, RunEnding::Interrupted, "stopped");
+        });
+    }
+    m_queue.after(latency, [answer = reply(order.target, TargetEnding::Done), callback] { callback(answer); });
+}
+
+void EmulatedTargets::hold(const HoldOrder& order, const std::function<void(const HoldReply&)>& callback)
+{
+    Target& target = m_targets[order.target];
+    if (!takeToken(target, order.token)) {
+        HoldReply refused;
+        static_cast<TargetReply&>(refused) = reply(order.target, TargetEnding::Fenced);
+        m_queue.after(latency, [refused, callback] { callback(refused); });
+        return;
+    }
+    auto& ended = target.ended;
+    ended.erase(std::remove_if(ended.begin(), ended.end(),
+                    [&order](const EndedTask& end) { return end.number <= order.acknowledgedEnds; }),
+        ended.end());
+    if (order.leaseEndMs) {
+        const TimePoint wanted { std::chrono::milliseconds(*order.leaseEndMs) };
+        target.leaseEnd = std::max(target.leaseEnd, std::min(wanted, m_queue.now() + longestLease));
+    }
+    auto isAnswered = std::make_shared<bool>(false);
+    const auto answer = [this, order, callback, isAnswered, life = target.life] {
+        if (*isAnswered || m_targets[order.target].life != life)
+            return;
+        *isAnswered = true;
+        answerHold(order, callback);
+    };
+    if (order.wait.count() == 0 || !ended.empty()) {
+        answer();
+        return;
+    }
+    target.waiting.push_back(answer);
+    m_queue.after(order.wait, answer);
+    // A target that restarts meanwhile never answers.
+    m_queue.after(order.wait + order.timeout, [isAnswered, callback] {
+        if (!*isAnswered) {
+            *isAnswered = true;
+            callback({});
+        }
+    });
+}
+
 void EmulatedTargets::answerHold(const HoldOrder& order, const std::function<void(const HoldReply&)>& callback)
 {
     const Target& target = m_targets[order.target];
@@ -173,7 +190,7 @@
         answer.running.push_back({ live.first, live.second.attempt, "" });
     answer.ended = target.ended;
     if (faults.silent.count(order.target))
-        m_queue.after(callLimit, [callback] { callback({}); });
+        m_queue.after(order.timeout, [callback] { callback({}); });
     else
         m_queue.after(latency, [answer, callback] { callback(answer); });
 }
--- a/tests/emulator/EmulatedTargets.h
+++ b/tests/emulator/EmulatedTargets.h
@@ -22,6 +22,8 @@
         std::set<TargetId> hanging;
         /** This many starts are not answered and carried out 3 s later. */
         int lateStarts { 0 };
+        /** Each order of this number is not answered and carried out 3 s later; 0 for none. */
+        std::uint64_t delayEvery { 0 };
         /** This many starts are carried out and not answered. */
         int startRepliesToLose { 0 };
     };
@@ -74,6 +76,10 @@
     };
 
     bool isReachable(const HostId& host, const TargetId& target) const;
+    /** Returns whether an order is carried out and answered at once; one that is delayed is carried out later. */
+    bool arrivesInTime(const HostId& host, const TargetId& target, std::function<void()> carryOut);
+    void stop(const shards::StopOrder& order, const std::function<void(const shards::TargetReply&)>& callback);
+    void hold(const shards::HoldOrder& order, const std::function<void(const shards::HoldReply&)>& callback);
     shards::TargetReply reply(const TargetId& target, shards::TargetEnding ending) const;
     shards::TargetEnding start(const shards::StartOrder& order);
     void end(const TargetId& target, const shards::TaskName& task, shards::RunEnding how, const char* name);
@@ -88,6 +94,7 @@
     std::map<shards::TaskName, std::vector<Run>> m_record;
     std::vector<std::string> m_violations;
     std::uint64_t m_lastSerial { 0 };
+    std::uint64_t m_orders { 0 };
 };
 
 /** Payload of a task that runs for @p duration; with @p fails it ends as failed. */
