--- a/modules/rattanroad_shards/entrance/JobEntrance.cpp
+++ b/modules/rattanroad_shards/entrance/JobEntrance.cpp
@@ -172,7 +172,7 @@
     if (submission.job.best_effort()) {
         if (submission.unresolved > 0)
             return submission.shard;
-        if (const auto placed = m_places.shardOf(JobId(submission.job.id())))
+        if (auto placed = m_places.shardOf(JobId(submission.job.id())))
             return placed;
     }
     return m_loads.choose(submission.job);
