Give up a shard when a record of a later holder is read; specify shards

The new model of a shard (model/shard.pml: two hosts by turns, two targets, a stored job, starts that arrive at any time) found a second run at the same time: a host that stands still between taking a shard and reading its records comes back after its successor has accepted a job, reads that record, hears from all targets, which the successor has not reached yet, that nothing runs, and starts the task while the successor's start is on the way.

Ruled out: that the condition of the successor's write helps (the old holder writes nothing) and that fencing does (the targets have not seen the new token).

Change: a record of a later generation than the own one displaces the reader.

--- a/modules/rattanroad_shards/jobs/ShardDispatcher.cpp
+++ b/modules/rattanroad_shards/jobs/ShardDispatcher.cpp
@@ -65,6 +65,12 @@
     if (record.shard() != m_settings.shard.value() || record.state() > static_cast<unsigned>(JobState::Cancelled))
         return;
     const JobId id(item.key.substr(storekeys::jobPrefix.size()));
+    // Targets that have not heard of the later holder would take orders of this one.
+    if (record.generation() > m_holding->generation.value()) {
+        m_hooks.log("record_of_later_holder", id, "generation " + std::to_string(record.generation()));
+        m_hooks.displaced();
+        return;
+    }
     auto job = m_jobs.makeJob(record.job());
     job->id = id;
     job->acceptedIn = Generation(record.generation());
--- a/modules/rattanroad_shards/store/PageReader.cpp
+++ b/modules/rattanroad_shards/store/PageReader.cpp
@@ -30,7 +30,7 @@
         if (!*isWanted)
             return;
         if (reply.ending == StoreEnding::Done) {
-            takePage(reply);
+            takePage(reply, isWanted);
             return;
         }
         m_timers.after(m_settings.retryPause, [this, isWanted, key] {
@@ -40,10 +40,14 @@
     });
 }
 
-void PageReader::takePage(const ReadReply& page)
+void PageReader::takePage(const ReadReply& page, const std::shared_ptr<bool>& isWanted)
 {
-    for (const StoredItem& item : page.items)
+    for (const StoredItem& item : page.items) {
         m_hooks.item(item);
+        // The item may have ended the reading.
+        if (!*isWanted)
+            return;
+    }
     if (page.hasMore && !page.items.empty()) {
         readAfter(page.items.back().key);
         return;
--- a/modules/rattanroad_shards/store/PageReader.h
+++ b/modules/rattanroad_shards/store/PageReader.h
@@ -33,7 +33,7 @@
 
 private:
     void readAfter(const std::string& key);
-    void takePage(const ReadReply& page);
+    void takePage(const ReadReply& page, const std::shared_ptr<bool>& isWanted);
 
     Settings m_settings;
     KeyValueStore& m_store;
--- a/scripts/check-model.sh
+++ b/scripts/check-model.sh
@@ -47,7 +47,7 @@
 # macros <prefix>: the macros of each model with the prefix, one "model macro" a line.
 macros() {
     local name
-    for name in segment configuration; do
+    for name in segment configuration shard; do
         grep -Eo "#ifn?def $1_[A-Z_]+" "$model/$name.pml" | sed "s/.* /$name /" | sort -u
     done
 }
@@ -55,7 +55,7 @@
 if [ "${1:-}" = --mutations ]; then
     macros NO | sed 's/^/violation /'
 else
-    printf 'clean segment -\nclean configuration -\n'
+    printf 'clean segment -\nclean configuration -\nclean shard -\n'
     macros REACH | sed 's/^/violation /'
 fi >"$folder/list"
 xargs -P 3 -L 1 bash -c 'expect "$@" || exit 1' _ <"$folder/list"
