Stop a start that may be on the way when its repetition fails for certain

Cause: links lost three packets in ten. The first sending of a start was not answered in 120 ms and was on the way; its repetition could not connect in 60 ms, which counted as "nothing was done", so the task started elsewhere. That was true of the repetition only.

Ruled out: a change of the shard's holder (the same host ordered both runs).

Change: once a start was sent twice, only Done settles it; Outdated waits for the listed end, no answer and no connection repeat it, all else stops it. The mutations of the new core join scripts/check-mutations.sh.

--- a/modules/rattanroad_shards/targets/TargetSession.cpp
+++ b/modules/rattanroad_shards/targets/TargetSession.cpp
@@ -117,18 +117,12 @@
     if (found == m_runs.end() || found->second.attempt != attempt)
         return;
     Run& run = found->second;
-    if (reply.ending == TargetEnding::Unknown) {
+    if (reply.ending == TargetEnding::Unknown)
         m_unanswered.push_back({ task, attempt, m_clock.now() });
-        if (run.state != Run::State::Starting)
-            return;
-        if (run.sends < m_settings.startSends && canStart())
-            sendStart(task, run);
-        else
-            stop(task);
-        return;
-    }
-    if (reply.ending == TargetEnding::Outdated && run.sends > 1) {
-        takeEarlierSending(run);
+    // What is certain of the last sending says nothing of those before, which may be on the way.
+    const bool mayRun = reply.ending == TargetEnding::Unknown || run.sends > 1;
+    if (mayRun && reply.ending != TargetEnding::Done) {
+        startUnsettled(task, run, reply.ending);
         return;
     }
     if (reply.ending == TargetEnding::Done) {
@@ -147,14 +141,22 @@
     m_hooks.roomChanged();
 }
 
-void TargetSession::takeEarlierSending(Run& run)
+void TargetSession::startUnsettled(const TaskName& task, Run& run, TargetEnding ending)
 {
     if (run.state != Run::State::Starting)
         return;
-    // The next hold lists the end of the run, or shows that it was stopped.
-    run.state = Run::State::Running;
-    run.confirmedAt = m_clock.now();
-    look();
+    if (ending == TargetEnding::Outdated) {
+        // An earlier sending has run: the next hold lists its end, or shows that it was stopped.
+        run.state = Run::State::Running;
+        run.confirmedAt = m_clock.now();
+        look();
+        return;
+    }
+    const bool isWorthRepeating = ending == TargetEnding::Unknown || ending == TargetEnding::NotSent;
+    if (isWorthRepeating && run.sends < m_settings.startSends && canStart())
+        sendStart(task, run);
+    else
+        stop(task);
 }
 
 void TargetSession::stop(const TaskName& task)
--- a/modules/rattanroad_shards/targets/TargetSession.h
+++ b/modules/rattanroad_shards/targets/TargetSession.h
@@ -116,8 +116,8 @@
     void look();
     void sendHold(std::chrono::milliseconds wait, bool isLoop);
     void takeHold(const HoldReply& reply, TimePoint sentAt, bool isLoop, FencingToken token);
-    /** An earlier sending of a start has run to its end. */
-    void takeEarlierSending(Run& run);
+    /** Takes an answer that leaves open whether a start runs: sends it again, stops it, or looks for its end. */
+    void startUnsettled(const TaskName& task, Run& run, TargetEnding ending);
     void noteLoss(const TargetReply& reply);
     bool isLossy() const;
     std::chrono::milliseconds callTimeout() const;
--- a/scripts/check-mutations.sh
+++ b/scripts/check-mutations.sh
@@ -1,7 +1,7 @@
 #!/usr/bin/env bash
 # Removes one check of the engine at a time from a copy of the tree and succeeds only if the seeded failure runs or the
 # named unit test then fail, so that a test that cannot fail is noticed. Takes about 20 s a mutation.
-#   scripts/check-mutations.sh [name]
+#   scripts/check-mutations.sh [name, or its beginning]
 set -euo pipefail
 cd "$(dirname "$0")/.."
 root=$PWD
@@ -13,7 +13,7 @@
 
 # mutate <name> <file> <python expression: old text> <new text> <target to build> <command that must fail>
 mutate() {
-    [ -z "${wanted:-}" ] || [ "$wanted" = "$1" ] || return 0
+    [[ $1 == "${wanted:-}"* ]] || return 0
     cp "$2" "$copy/original"
     python3 - "$2" "$3" "$4" <<'PY'
 import sys
@@ -53,4 +53,30 @@
     'return true;' test_admission 'build/tests/test_admission'
 mutate older-revision-installed modules/rattanroad_configuration/configuration/ConfigurationHolder.cpp \
     'value.revision <= revision()' 'value.revision == revision()' rattanroad_simulate "$runs"
+
+shards=modules/rattanroad_shards
+# guard <name> <file of rattanroad_shards> <old text> <new text>: removes a guard that tests/shards must notice.
+guard() { mutate "shard-$1" "$shards/$2" "$3" "$4" test_shards build/tests/test_shards; }
+
+guard unsettled-targets targets/ShardTargets.cpp 'return isListSettled && !m_sessions.empty()' \
+    'return true || !m_sessions.empty()'
+guard unsettled-list targets/ShardTargets.cpp 'm_clock.now() - m_listGapAt >= m_settings.listSettled;' 'true;'
+guard second-run jobs/TaskRunner.cpp 'if (m_targets.hasRun(name))' 'if (false)'
+guard attempt-again jobs/TaskRunner.cpp 'std::max(first, task.attempt + 1)' 'std::max(first, task.attempt)'
+guard job-moves entrance/JobEntrance.cpp 'if (auto placed = m_places.shardOf(JobId(submission.job.id())))' \
+    'if (std::optional<ShardId> placed; placed)'
+guard refused-after-sending entrance/JobEntrance.cpp \
+    'isCertain ? EntranceVerdict::Refused : EntranceVerdict::Unknown' 'EntranceVerdict::Refused'
+guard acceptance-without-shard store/RecordWriter.cpp \
+    'transaction.conditions.push_back({ m_settings.shardKey, KeyRevision(m_token->value()) });' ''
+guard end-forgotten-early jobs/ShardDispatcher.cpp 'if (job.isEndStored || job.description.best_effort())' 'if (true)'
+guard later-record jobs/ShardDispatcher.cpp 'if (record.generation() > m_holding->generation.value()) {' 'if (false) {'
+guard forsaken-job-runs jobs/ShardDispatcher.cpp \
+    'job.description.best_effort() && m_clock.now() - job.askedAt >= m_settings.running.entranceLimit' 'false'
+guard room-freed-early targets/TargetSession.cpp 'found->second.confirmedAt.reset();' 'm_used = {};'
+guard late-start targets/TargetSession.cpp 'm_unanswered.push_back({ task, attempt, m_clock.now() });' ''
+guard ended-attempt targets/TargetSession.cpp 'if (ending == TargetEnding::Outdated) {' 'if (false) {'
+guard start-on-the-way targets/TargetSession.cpp 'TargetEnding::Unknown || run.sends > 1' 'TargetEnding::Unknown'
+guard messages-before-pause node/ShardNode.cpp 'm_clock.now() - m_resumedAt < m_settings.pauseBacklog' 'false'
+guard older-configuration node/ShardNode.cpp '(m_queues && queues->version <= m_queues->version)' 'false'
 exit "$failed"
--- a/tests/emulator/EmulatedTargets.cpp
+++ b/tests/emulator/EmulatedTargets.cpp
@@ -10,7 +10,6 @@
 
 namespace {
     constexpr auto latency = 1ms;
-    constexpr auto lateBy = 3s;
     constexpr auto longestLease = 1000ms;
     constexpr auto stopTime = 40ms;
     constexpr auto leaseCheckInterval = 10ms;
@@ -74,7 +73,7 @@
         return false;
     if (faults.delayEvery == 0 || ++m_orders % faults.delayEvery != 0)
         return true;
-    m_queue.after(lateBy, std::move(carryOut));
+    m_queue.after(faults.lateBy, std::move(carryOut));
     return false;
 }
 
@@ -87,9 +86,14 @@
                 = [this, order, callback] { m_queue.after(order.timeout, [callback] { callback({}); }); };
             if (!arrivesInTime(host, order.target, [this, order] { start(order); })) {
                 unanswered();
+            } else if (faults.doRepeatsFailToConnect && m_lateStarts.count({ order.task, order.attempt })) {
+                TargetReply notSent;
+                notSent.ending = TargetEnding::NotSent;
+                callback(notSent);
             } else if (faults.lateStarts > 0) {
                 --faults.lateStarts;
-                m_queue.after(lateBy, [this, order] { start(order); });
+                m_lateStarts.insert({ order.task, order.attempt });
+                m_queue.after(faults.lateBy, [this, order] { start(order); });
                 unanswered();
             } else {
                 const TargetEnding ending = start(order);
--- a/tests/emulator/EmulatedTargets.h
+++ b/tests/emulator/EmulatedTargets.h
@@ -20,9 +20,13 @@
         std::set<std::pair<HostId, TargetId>> cut;
         /** Tasks on these targets never end by themselves. */
         std::set<TargetId> hanging;
-        /** This many starts are not answered and carried out 3 s later. */
+        /** This many starts are not answered and carried out later. */
         int lateStarts { 0 };
-        /** Each order of this number is not answered and carried out 3 s later; 0 for none. */
+        /** Delay of late starts and of delayed orders. */
+        Duration lateBy { std::chrono::seconds(3) };
+        /** A late start that is sent again finds no connection. */
+        bool doRepeatsFailToConnect { false };
+        /** Each order of this number is not answered and carried out later; 0 for none. */
         std::uint64_t delayEvery { 0 };
         /** This many starts are carried out and not answered. */
         int startRepliesToLose { 0 };
@@ -95,6 +99,8 @@
     std::vector<std::string> m_violations;
     std::uint64_t m_lastSerial { 0 };
     std::uint64_t m_orders { 0 };
+    /** Late starts, by task and attempt. */
+    std::set<std::pair<shards::TaskName, std::uint32_t>> m_lateStarts;
 };
 
 /** Payload of a task that runs for @p duration; with @p fails it ends as failed. */
--- a/tests/shards/RecoveryTests.cpp
+++ b/tests/shards/RecoveryTests.cpp
@@ -444,3 +444,18 @@
     // The highest worth that callers expect of a day with trouble is 0.743.
     REQUIRE(inTime >= jobs * 3 / 4);
 }
+
+TEST_CASE("a start that is on the way is not given up when its repetition finds no connection")
+{
+    EmulatedFleet fleet;
+    fleet.startAll();
+    fleet.run(5s);
+    auto& faults = fleet.targets().faults;
+    faults.lateStarts = 1;
+    faults.lateBy = 200ms;
+    faults.doRepeatsFailToConnect = true;
+    auto& call = fleet.submit(fleet.hosts().front(), "a", 1, 400ms, true);
+    fleet.run(4s);
+    requireNoViolations(fleet);
+    REQUIRE(isDone(call));
+}
