Notice each removed guard of the shards; count and time on a metrics address

Four cases follow, each red without its guard; the emulated targets learn clocks that start anew with each life, late stops and starts that find no connection.

--- a/apps/rattanroadd/fleet/FleetHost.cpp
+++ b/apps/rattanroadd/fleet/FleetHost.cpp
@@ -1,5 +1,6 @@
 #include "fleet/FleetHost.h"
 
+#include "fleet/FleetMetrics.h"
 #include "platform/CallerInterface.h"
 #include "platform/PlatformKeys.h"
 #include "platform/QueueConfiguration.h"
@@ -53,8 +54,8 @@
         , m_log(clock, settings.host.value(), settings.logFile)
         , m_storeHttp(loop, clientSettings())
         , m_targetHttp(loop, clientSettings())
-        , m_store(m_storeHttp, { settings.storeAddress })
-        , m_targets(m_targetHttp)
+        , m_store(m_storeHttp, storeSettings())
+        , m_targets(m_targetHttp, [this](Duration duration) { m_metrics.observeTargetOrder(duration); })
         , m_link(loop, {}, [this](const protocol::Envelope& envelope) { m_node.received(envelope); })
         , m_node(nodeSettings(settings, incarnation), m_store.calls(), m_targets.calls(), timers(), clock, nodeHooks())
         , m_callers(m_node.entrance(), [this] { return m_node.queues(); })
@@ -62,11 +63,14 @@
               [this](HttpRequest&& request, const HttpResponder& responder) {
                   m_callers.handle(std::move(request), responder);
               })
-        , m_readiness(loop, {}, [this](HttpRequest&&, const HttpResponder& responder) {
-            HttpResponse response;
-            response.status = m_node.isReady() ? 200 : 503;
-            responder.send(response);
-        })
+        , m_readiness(loop, {},
+              [this](HttpRequest&&, const HttpResponder& responder) {
+                  HttpResponse response;
+                  response.status = m_node.isReady() ? 200 : 503;
+                  responder.send(response);
+              })
+        , m_metricsServer(loop, {},
+              [this](HttpRequest&& request, const HttpResponder& responder) { serveMetrics(request, responder); })
     {
     }
 
@@ -77,7 +81,12 @@
             if (!bound)
                 return bound.lastReason();
         }
-        m_log.write("started", {});
+        if (!m_settings.metricsAddress.empty()) {
+            const auto bound = m_metricsServer.listen(m_settings.metricsAddress);
+            if (!bound)
+                return bound.lastReason();
+        }
+        write("started", {});
         m_node.start();
         return std::nullopt;
     }
@@ -88,7 +97,7 @@
             return;
         m_isDraining = true;
         m_drainStartedAt = m_clock.now();
-        m_log.write("drain_started", {});
+        write("drain_started", {});
         m_server.drain();
         m_node.drain();
         pollDrain();
@@ -108,19 +117,48 @@
         };
         hooks.log
             = [this](const char* event, const shards::ShardNode::LogFields& fields) { writeBounded(event, fields); };
+        hooks.jobTook = [this](Duration duration) { m_metrics.observeJob(duration); };
         hooks.readTarget = &adapter::parseTargetEntry;
         hooks.readConfiguration = &adapter::parseConfiguration;
         return hooks;
     }
 
+    adapter::StoreWire::Settings storeSettings()
+    {
+        adapter::StoreWire::Settings settings;
+        settings.address = m_settings.storeAddress;
+        settings.observe = [this](Duration duration) { m_metrics.observeStoreCall(duration); };
+        return settings;
+    }
+
+    void serveMetrics(const HttpRequest& request, const HttpResponder& responder)
+    {
+        HttpResponse response;
+        response.status = 404;
+        response.contentType = "text/plain; version=0.0.4";
+        if (request.method == "GET" && request.path == "/metrics") {
+            response.status = 200;
+            response.body = m_metrics.text(
+                { m_server.openRequests(), m_node.isHolding(), m_node.isReady(), m_link.statistics() });
+        }
+        responder.send(response);
+    }
+
+    void write(const char* event, const StateLog::Fields& fields)
+    {
+        m_metrics.count(event);
+        m_log.write(event, fields);
+    }
+
     /** Lines about jobs are limited; what was left out is counted in a line of its own. */
     void writeBounded(const char* event, const StateLog::Fields& fields)
     {
         const bool isAboutJob = !fields.empty() && std::string_view(fields.front().first) == "job";
         if (!isAboutJob) {
-            m_log.write(event, fields);
+            write(event, fields);
             return;
         }
+        m_metrics.count(event);
         const TimePoint now = m_clock.now();
         if (now - m_logSecond >= std::chrono::seconds(1)) {
             if (m_jobLines > jobLinesPerSecond)
@@ -137,7 +175,7 @@
         const Duration passed = m_clock.now() - m_drainStartedAt;
         const bool isIdle = m_server.openRequests() == 0 && !m_node.isHolding() && passed >= drainNotice;
         if (isIdle || passed >= drainLimit) {
-            m_log.write("stopped", { { "open_requests", std::to_string(m_server.openRequests()) } });
+            write("stopped", { { "open_requests", std::to_string(m_server.openRequests()) } });
             m_loop.stop();
             return;
         }
@@ -148,6 +186,7 @@
     Clock& m_clock;
     EventLoop& m_loop;
     StateLog m_log;
+    FleetMetrics m_metrics;
     HttpClient m_storeHttp;
     HttpClient m_targetHttp;
     adapter::StoreWire m_store;
@@ -157,6 +196,7 @@
     adapter::CallerInterface m_callers;
     HttpServer m_server;
     HttpServer m_readiness;
+    HttpServer m_metricsServer;
     bool m_isDraining { false };
     TimePoint m_drainStartedAt;
     /** Begin of the second in which m_jobLines are counted. */
--- /dev/null
+++ b/apps/rattanroadd/fleet/FleetMetrics.cpp
@@ -0,0 +1,38 @@
+#include "fleet/FleetMetrics.h"
+
+namespace rattanroad::daemon {
+
+FleetMetrics::FleetMetrics()
+    : m_storeCalls(m_metrics.histogram("rattanroad_store_call_duration_seconds",
+        "Duration of calls to the store, watches left out", Metrics::timeBuckets()))
+    , m_targetOrders(m_metrics.histogram("rattanroad_target_order_duration_seconds",
+          "Duration of starts and stops at targets", Metrics::timeBuckets()))
+    , m_jobs(m_metrics.histogram("rattanroad_job_duration_seconds",
+          "Time from the acceptance of a job by the holder of its shard to its end", Metrics::timeBuckets()))
+{
+}
+
+void FleetMetrics::setPeerMessages(const char* event, std::uint64_t count)
+{
+    m_metrics.setCounter("rattanroad_peer_messages_total", "Messages between entry hosts", static_cast<double>(count),
+        { { "event", event } });
+}
+
+std::string FleetMetrics::text(const Readings& readings)
+{
+    for (const auto& event : m_events) {
+        m_metrics.setCounter("rattanroad_events_total", "Events of the log, also those whose lines are left out",
+            static_cast<double>(event.second), { { "event", event.first } });
+    }
+    m_metrics.setGauge("rattanroad_requests_open", "Requests of callers without an answer",
+        static_cast<double>(readings.openRequests));
+    m_metrics.setGauge("rattanroad_holds_shard", "1 while this host holds a shard", readings.isHolding ? 1 : 0);
+    m_metrics.setGauge("rattanroad_ready", "1 while callers should be sent here", readings.isReady ? 1 : 0);
+    setPeerMessages("sent", readings.peers.messagesSent);
+    setPeerMessages("received", readings.peers.messagesReceived);
+    setPeerMessages("dropped", readings.peers.messagesDropped);
+    setPeerMessages("malformed", readings.peers.malformedMessages);
+    return m_metrics.text();
+}
+
+}
--- a/apps/rattanroadd/settings/Settings.cpp
+++ b/apps/rattanroadd/settings/Settings.cpp
@@ -49,6 +49,7 @@
         check("$[listen][callers]", settings.callerAddress);
         check("$[listen][peers]", settings.peerAddress);
         check("$[listen][readiness]", settings.readinessAddress);
+        check("$[listen][metrics]", settings.metricsAddress);
         const bool isPlatform = settings.storeKind == Settings::StoreKind::Platform;
         if (isPlatform && (settings.readinessAddress.empty() || settings.failureDomains.empty()))
             faults += "$[store][kind]: platform needs $[listen][readiness] and $[failure_domains]\n";
@@ -82,6 +83,7 @@
         settings.callerAddress = part("listen").value("callers", "");
         settings.peerAddress = part("listen").value("peers", "");
         settings.readinessAddress = part("listen").value("readiness", "");
+        settings.metricsAddress = part("listen").value("metrics", "");
         for (const std::string& domain : document.value("failure_domains", std::vector<std::string> {}))
             settings.failureDomains.emplace_back(domain);
         if (part("store").value("kind", "etcd") == "platform")
--- a/apps/rattanroadd/settings/Settings.h
+++ b/apps/rattanroadd/settings/Settings.h
@@ -21,6 +21,8 @@
     std::string peerAddress;
     /** Address that answers whether the host takes callers; only with StoreKind::Platform. */
     std::string readinessAddress;
+    /** Address that serves GET /metrics with StoreKind::Platform; empty for none. */
+    std::string metricsAddress;
     /** All failure domains with targets; only with StoreKind::Platform. */
     std::vector<FailureDomainId> failureDomains;
     std::vector<std::string> seedAddresses;
--- a/apps/rattanroadd/settings/SettingsSchema.cpp
+++ b/apps/rattanroadd/settings/SettingsSchema.cpp
@@ -25,7 +25,8 @@
       "properties": {
         "callers": { "type": "string", "pattern": "^[0-9.]+:[0-9]+$" },
         "peers": { "type": "string", "pattern": "^[0-9.]+:[0-9]+$" },
-        "readiness": { "type": "string", "pattern": "^[0-9.]+:[0-9]+$" }
+        "readiness": { "type": "string", "pattern": "^[0-9.]+:[0-9]+$" },
+        "metrics": { "type": "string", "pattern": "^[0-9.]+:[0-9]+$" }
       }
     },
     "failure_domains": { "type": "array", "items": { "type": "string", "pattern": "^[a-z0-9-]+$" } },
--- a/tests/emulator/EmulatedTargets.cpp
+++ b/tests/emulator/EmulatedTargets.cpp
@@ -36,13 +36,19 @@
     const std::uint64_t life = target.life + 1;
     target = Target();
     target.life = life;
+    target.bornAt = m_queue.now();
     m_reports[id].bornMs = life;
 }
 
-std::uint64_t EmulatedTargets::clockMs() const
+std::uint64_t EmulatedTargets::clockMs(const Target& target) const
 {
     return static_cast<std::uint64_t>(
-        std::chrono::duration_cast<std::chrono::milliseconds>(m_queue.now().time_since_epoch()).count());
+        std::chrono::duration_cast<std::chrono::milliseconds>(m_queue.now() - target.bornAt).count());
+}
+
+TimePoint EmulatedTargets::momentOf(const Target& target, std::uint64_t clockMs)
+{
+    return target.bornAt + std::chrono::milliseconds(clockMs);
 }
 
 bool EmulatedTargets::isReachable(const HostId& host, const TargetId& target) const
@@ -54,7 +60,7 @@
 {
     TargetReply reply;
     reply.ending = ending;
-    reply.clockMs = clockMs();
+    reply.clockMs = clockMs(m_targets.at(target));
     reply.bornMs = m_targets.at(target).life;
     return reply;
 }
@@ -108,7 +114,13 @@
     };
     calls.stop = [this, host](const StopOrder& order, const std::function<void(const TargetReply&)>& callback) {
         m_queue.after(latency, [this, host, order, callback] {
-            if (arrivesInTime(host, order.target, [this, order] { stop(order, [](const TargetReply&) {}); }))
+            const auto carryOut = [this, order] { stop(order, [](const TargetReply&) {}); };
+            const bool isLate = faults.lateStops > 0;
+            if (isLate) {
+                --faults.lateStops;
+                m_queue.after(faults.lateBy, carryOut);
+            }
+            if (!isLate && arrivesInTime(host, order.target, carryOut))
                 stop(order, callback);
             else
                 m_queue.after(order.timeout, [callback] { callback({}); });
@@ -160,7 +172,7 @@
                     [&order](const EndedTask& end) { return end.number <= order.acknowledgedEnds; }),
         ended.end());
     if (order.leaseEndMs) {
-        const TimePoint wanted { std::chrono::milliseconds(*order.leaseEndMs) };
+        const TimePoint wanted = momentOf(target, *order.leaseEndMs);
         target.leaseEnd = std::max(target.leaseEnd, std::min(wanted, m_queue.now() + longestLease));
     }
     auto isAnswered = std::make_shared<bool>(false);
@@ -205,7 +217,7 @@
     if (!takeToken(target, order.token))
         return TargetEnding::Fenced;
     const TimePoint now = m_queue.now();
-    const TimePoint wanted { std::chrono::milliseconds(order.leaseEndMs) };
+    const TimePoint wanted = momentOf(target, order.leaseEndMs);
     if (wanted <= now)
         return TargetEnding::TooLate;
     target.leaseEnd = std::max(target.leaseEnd, std::min(wanted, now + longestLease));
--- a/tests/emulator/EmulatedTargets.h
+++ b/tests/emulator/EmulatedTargets.h
@@ -22,7 +22,9 @@
         std::set<TargetId> hanging;
         /** This many starts are not answered and carried out later. */
         int lateStarts { 0 };
-        /** Delay of late starts and of delayed orders. */
+        /** This many stops are not answered and carried out later. */
+        int lateStops { 0 };
+        /** Delay of late starts and stops, and of delayed orders. */
         Duration lateBy { std::chrono::seconds(3) };
         /** A late start that is sent again finds no connection. */
         bool doRepeatsFailToConnect { false };
@@ -76,6 +78,8 @@
         std::vector<shards::EndedTask> ended;
         std::uint64_t lastEnd { 0 };
         std::uint64_t life { 0 };
+        /** Where the clock of the present life starts. */
+        TimePoint bornAt;
         std::vector<std::function<void()>> waiting;
     };
 
@@ -89,7 +93,9 @@
     void end(const TargetId& target, const shards::TaskName& task, shards::RunEnding how, const char* name);
     void answerHold(const shards::HoldOrder& order, const std::function<void(const shards::HoldReply&)>& callback);
     bool takeToken(Target& target, shards::FencingToken token);
-    std::uint64_t clockMs() const;
+    std::uint64_t clockMs(const Target& target) const;
+    /** Returns the moment of a time on the target's clock. */
+    static TimePoint momentOf(const Target& target, std::uint64_t clockMs);
     void expireLeases();
 
     EventQueue& m_queue;
--- a/tests/shards/DispatcherTests.cpp
+++ b/tests/shards/DispatcherTests.cpp
@@ -37,25 +37,41 @@
         m_dispatcher.targetListed(report);
     }
 
+    static protocol::PlacedJob description(
+        const std::string& job, std::chrono::milliseconds duration, bool isBestEffort)
+    {
+        protocol::PlacedJob description;
+        description.set_id(job);
+        description.set_best_effort(isBestEffort);
+        description.set_payload(taskPayload(duration, { 14000, 1024, 0 }));
+        description.mutable_rule()->set_service("quotes");
+        description.mutable_rule()->set_maximum_attempts(3);
+        description.mutable_rule()->set_target_duration_ms(1000);
+        protocol::PhaseDescription* const phase = description.add_phases();
+        phase->set_count(1);
+        phase->set_millicores(14000);
+        phase->set_memory_mb(1024);
+        phase->set_estimated_ms(static_cast<std::uint32_t>(duration.count()));
+        return description;
+    }
+
     /** Writes the record of an open job of one task of 60 ms. */
     void storeRecord(const std::string& job, std::uint64_t generation)
     {
         protocol::JobRecord record;
         record.set_shard(shard.value());
         record.set_generation(generation);
-        protocol::PlacedJob* const description = record.mutable_job();
-        description->set_id(job);
-        description->set_payload(taskPayload(60ms, { 14000, 1024, 0 }));
-        description->mutable_rule()->set_service("quotes");
-        description->mutable_rule()->set_maximum_attempts(3);
-        protocol::PhaseDescription* const phase = description->add_phases();
-        phase->set_count(1);
-        phase->set_millicores(14000);
-        phase->set_memory_mb(1024);
-        phase->set_estimated_ms(60);
+        *record.mutable_job() = description(job, 60ms, false);
         m_store.put(storekeys::job(JobId(job)), record.SerializeAsString());
     }
 
+    /** Hands in a best-effort job of one task. */
+    void submit(const std::string& job, std::chrono::milliseconds duration, bool isResent)
+    {
+        m_dispatcher.submit(description(job, duration, true), 0ms, isResent, "entrance",
+            [](SubmitVerdict, std::chrono::milliseconds) {});
+    }
+
     void begin(std::uint64_t generation)
     {
         m_dispatcher.begin({ FencingToken(generation), Generation(generation), false });
@@ -64,6 +80,7 @@
 
     ShardDispatcher& dispatcher() { return m_dispatcher; }
     EmulatedTargets& targets() { return m_targets; }
+    EmulatedStore& store() { return m_store; }
     bool wasDisplaced() const { return m_wasDisplaced; }
 
 private:
@@ -126,3 +143,39 @@
     REQUIRE(!holder.dispatcher().isHolding());
     REQUIRE(holder.wasDisplaced());
 }
+
+TEST_CASE("a job that is wanted again while its run is being stopped starts when that run has ended")
+{
+    LoneHolder holder;
+    holder.begin(1);
+    holder.run(5s);
+    holder.submit("a", 3000ms, false);
+    // Its entrance does not ask after it.
+    while (holder.dispatcher().state(JobId("a")) != JobState::Cancelled)
+        holder.run(1ms);
+    REQUIRE(holder.targets().running() == 1);
+    holder.submit("a", 3000ms, true);
+    holder.run(500ms);
+    REQUIRE(holder.targets().violations().empty());
+    REQUIRE(holder.targets().running() == 1);
+    REQUIRE(holder.targets().runs().begin()->second.size() == 2);
+}
+
+TEST_CASE("the end of a stored task is kept at its target until the record of the job covers it")
+{
+    LoneHolder holder;
+    holder.storeRecord("a", 1);
+    holder.begin(1);
+    while (holder.targets().running() == 0)
+        holder.run(1ms);
+    holder.store().faults.isDown = true;
+    holder.run(1s);
+    REQUIRE(holder.targets().running() == 0);
+    // The next holder finds the record open.
+    holder.dispatcher().end();
+    holder.store().faults.isDown = false;
+    holder.begin(2);
+    holder.run(20s);
+    REQUIRE(holder.dispatcher().state(JobId("a")) == JobState::Done);
+    REQUIRE(holder.targets().runs().begin()->second.size() == 1);
+}
--- a/tests/shards/RecoveryTests.cpp
+++ b/tests/shards/RecoveryTests.cpp
@@ -422,6 +422,49 @@
     REQUIRE(isDone(call));
 }
 
+TEST_CASE("a job that is sent again to another host stays in its shard while its run cannot be stopped")
+{
+    EmulatedFleet fleet;
+    fleet.startAll();
+    fleet.run(5s);
+    const HostId entrance = hostWithoutShard(fleet);
+    auto& call = fleet.submit(entrance, "a", 1, 2500ms, true);
+    fleet.run(200ms);
+    fleet.targets().faults.lateStops = 100;
+    fleet.kill(entrance);
+    fleet.run(2s);
+    REQUIRE(call.attempts == 2);
+    fleet.targets().faults.lateStops = 0;
+    fleet.run(8s);
+    requireNoViolations(fleet);
+}
+
+TEST_CASE("a late start does not run in the next life of its target")
+{
+    EmulatedFleet::Settings settings;
+    settings.domains = { "north" };
+    settings.targetsPerDomain = 2;
+    EmulatedFleet fleet(settings);
+    fleet.startAll();
+    fleet.run(5s);
+    auto& faults = fleet.targets().faults;
+    faults.lateStarts = 1;
+    faults.lateBy = 2s;
+    faults.doRepeatsFailToConnect = true;
+    auto& call = fleet.submit(fleet.hosts().front(), "a", 1, 3s, true);
+    fleet.setCallerWait(8s);
+    fleet.run(600ms);
+    // It was stopped and has started again; the late start is still on the way.
+    REQUIRE(fleet.targets().running() == 1);
+    const auto reports = fleet.targets().reports();
+    for (const auto& report : reports)
+        fleet.targets().restart(report.first);
+    fleet.run(6s);
+    requireNoViolations(fleet);
+    REQUIRE(fleet.starts("a") == 2);
+    REQUIRE(!call.verdicts.empty());
+}
+
 TEST_CASE("jobs end in time while one order in seven is delayed")
 {
     EmulatedFleet fleet;
