Keep a shard while its jobs are open and all hosts stop

Found by the first test of a host over real sockets: a host that stopped alone gave its shard up at once; nobody could take it, the runs lapsed, and its open requests were answered without their results. The same held when all hosts were stopped together, in the emulator.

Change: a draining host gives a shard up when another host can take it or its jobs have ended, and does so after 150 ms, so that hosts that drain together know of one another. "runs go on when all hosts drain at once" failed before.

tests/platform plays the platform on loopback: the emulated store and targets behind the published HTTP calls, one host, its callers.

--- a/modules/rattanroad_shards/holding/ShardElection.cpp
+++ b/modules/rattanroad_shards/holding/ShardElection.cpp
@@ -198,20 +198,38 @@
     if (!m_holding || m_isReleasing)
         return;
     m_isReleasing = true;
+    if (!hasSuccessor() && m_hooks.hasOpenJobs()) {
+        releaseLater();
+        return;
+    }
     KeyTransaction transaction;
     transaction.conditions.push_back({ storekeys::holder(m_settings.shard), KeyRevision(m_holding->token.value()) });
     transaction.removals.push_back(storekeys::holder(m_settings.shard));
     m_store.transact(transaction, [this](const TransactionReply& reply) {
-        m_isReleasing = false;
         if (reply.ending == StoreEnding::Done) {
+            m_isReleasing = false;
             lose("given up for another host");
             return;
         }
         // Until the key is gone nobody else can hold the shard, so its jobs are served here.
-        m_timers.after(m_settings.attemptSpacing, [this] { release(); });
+        releaseLater();
     });
 }
 
+void ShardElection::releaseLater()
+{
+    m_timers.after(m_settings.attemptSpacing, [this] {
+        m_isReleasing = false;
+        release();
+    });
+}
+
+bool ShardElection::hasSuccessor() const
+{
+    return std::any_of(m_fleet.hosts().begin(), m_fleet.hosts().end(),
+        [this](const auto& entry) { return entry.first != m_settings.self && !entry.second.isDraining; });
+}
+
 void ShardElection::lose(const char* reason)
 {
     if (!m_holding)
--- a/modules/rattanroad_shards/holding/ShardElection.h
+++ b/modules/rattanroad_shards/holding/ShardElection.h
@@ -41,6 +41,8 @@
         std::function<void(const Holding&)> acquired;
         /** The shard is held no more: no order may be given from now on. */
         std::function<void(const char* reason)> lost;
+        /** Returns whether jobs of the shard are open here. */
+        std::function<bool()> hasOpenJobs;
     };
 
     ShardElection(Settings settings, KeyValueStore& store, HostLease& lease, const FleetView& fleet, Timers timers,
@@ -56,7 +58,8 @@
     void keyChanged();
     /** Another host has been seen to hold the shard. */
     void displaced();
-    /** Gives the shard up for another host. Goes on holding it until the store has removed the key. */
+    /** Gives the shard up for another host. Goes on holding it until the store has removed the key, and while jobs are
+        open and no other host could take it. */
     void release();
     /** Takes part in elections or not; a host that drains doesn't. */
     void setCandidate(bool isCandidate) { m_isCandidate = isCandidate; }
@@ -67,6 +70,9 @@
 private:
     std::size_t rank() const;
     bool shouldGiveWay();
+    /** Returns whether another host could take the shard. */
+    bool hasSuccessor() const;
+    void releaseLater();
     bool isFree() const;
     void attemptAfter(Duration pause);
     void attempt();
--- a/modules/rattanroad_shards/jobs/ShardDispatcher.h
+++ b/modules/rattanroad_shards/jobs/ShardDispatcher.h
@@ -86,6 +86,7 @@
     /** Cancels a job; @p reply follows when the record is stored, or at once for a job that is unknown or ended. */
     void cancel(const JobId& job, const StateReply& reply);
 
+    bool hasOpenJobs() const { return !m_jobs.openJobs().empty(); }
     /** Returns the load, for the hosts that choose among shards. */
     protocol::ShardLoad load() const;
     /** Returns the best-effort jobs that were taken in recently. */
--- a/modules/rattanroad_shards/node/ShardNode.cpp
+++ b/modules/rattanroad_shards/node/ShardNode.cpp
@@ -41,10 +41,12 @@
         m_isDraining = true;
         m_timers.after(m_settings.drainTakeTime, [this] { m_entrance.stopTaking(); });
         registerHost();
-        for (auto& entry : m_shards) {
+        for (auto& entry : m_shards)
             entry.second.election->setCandidate(false);
-            entry.second.election->release();
-        }
+        m_timers.after(m_settings.releaseDelay, [this] {
+            for (auto& entry : m_shards)
+                entry.second.election->release();
+        });
     }
 
     void received(const protocol::Envelope& message)
@@ -120,6 +122,7 @@
                 m_hooks.log("shard_lost", { { "shard", shard.value() }, { "reason", reason } });
                 m_shards[shard].dispatcher->end();
             };
+            electionHooks.hasOpenJobs = [this, shard] { return m_shards[shard].dispatcher->hasOpenJobs(); };
             made.election = std::make_unique<ShardElection>(electionSettings(shard, domain), m_store, m_lease, m_fleet,
                 m_timers, m_clock, std::move(electionHooks));
         }
--- a/modules/rattanroad_shards/node/ShardNode.h
+++ b/modules/rattanroad_shards/node/ShardNode.h
@@ -46,6 +46,9 @@
         /** Jobs that arrive this soon after a pause were sent before it; their entrances ask again when they still want
             them. */
         std::chrono::milliseconds pauseBacklog { 100 };
+        /** A draining host gives its shards up after this time, so that hosts that drain together know of one another:
+            two answers of the store and a watch. */
+        std::chrono::milliseconds releaseDelay { 150 };
         /** A draining host takes jobs for this long; later ones could not end before it stops. */
         std::chrono::milliseconds drainTakeTime { 2900 };
         /** Interruptions of the store are logged at most this often. */
--- /dev/null
+++ b/tests/platform/FleetHostTests.cpp
@@ -0,0 +1,149 @@
+#include "fleet/FleetHost.h"
+#include "platform/PlatformStandin.h"
+#include "rattanroad_core/rattanroad_core.h"
+#include "rattanroad_network/http/HttpClient.h"
+#include "rattanroad_network/loop/EventLoop.h"
+
+#include <catch2/catch.hpp>
+#include <unistd.h>
+
+using namespace rattanroad;
+using namespace std::chrono_literals;
+using nlohmann::json;
+
+namespace {
+
+/** One host of the platform with three targets, spoken to over HTTP. */
+class HostFixture {
+public:
+    HostFixture()
+    {
+        for (const char* const id : { "t-1", "t-2", "t-3" })
+            m_platform.addTarget(id, "remera");
+        m_platform.store().put("op/config",
+            R"({"version":3,"routes":[{"name":"q","host":"quotes.example","prefix":"/q/","service":"quotes",
+                "maxAttempts":3,"stretch":1.6,"targetDurationMs":60}],"services":[],"limits":{"maxBodyBytes":100000}})");
+        daemon::Settings settings;
+        settings.host = HostId("entry-1");
+        settings.failureDomain = FailureDomainId("remera");
+        settings.region = RegionId("kigali");
+        settings.callerAddress = m_ip + ":8001";
+        settings.readinessAddress = m_ip + ":8002";
+        settings.metricsAddress = m_ip + ":8003";
+        settings.peerAddress = m_ip + ":7001";
+        settings.failureDomains = { FailureDomainId("remera") };
+        settings.storeKind = daemon::Settings::StoreKind::Platform;
+        settings.storeAddress = m_platform.address();
+        settings.logFile = "/dev/null";
+        m_host = std::make_unique<daemon::FleetHost>(settings, m_clock, Incarnation(7), m_loop);
+        const auto failure = m_host->start();
+        REQUIRE_FALSE(failure);
+        REQUIRE(m_loop.runUntil([this] { return get("8002", "/ready").status == 200; }, 5s));
+    }
+
+    /** Sends a request and returns where its result will be. */
+    std::shared_ptr<std::optional<HttpResult>> send(
+        const std::string& port, const std::string& method, const std::string& path, const std::string& body)
+    {
+        HttpClientRequest request;
+        request.method = method;
+        request.path = path;
+        request.timeout = 5s;
+        request.headers = { { "host", "quotes.example" }, { "content-type", "application/json" } };
+        request.body = body;
+        auto result = std::make_shared<std::optional<HttpResult>>();
+        m_http.send(
+            m_ip + ":" + port, std::move(request), [result](HttpResult&& answer) { *result = std::move(answer); });
+        return result;
+    }
+
+    HttpResult await(const std::shared_ptr<std::optional<HttpResult>>& result)
+    {
+        m_loop.runUntil([result] { return result->has_value(); }, 6s);
+        return result->value_or(HttpResult());
+    }
+
+    HttpResult get(const std::string& port, const std::string& path) { return await(send(port, "GET", path, "")); }
+
+    std::shared_ptr<std::optional<HttpResult>> submit(
+        const std::string& job, std::chrono::milliseconds duration, bool isBestEffort, bool fails = false)
+    {
+        json phase { { "count", 2 }, { "cpu", 14000 }, { "memMb", 1024 }, { "estRuntimeMs", duration.count() } };
+        json body { { "taskSpec", emulator::taskPayload(duration, { 14000, 1024, 0 }, fails) },
+            { "phases", json::array({ phase }) }, { "bestEffort", isBestEffort } };
+        return send("8001", "POST", "/q/" + job, body.dump());
+    }
+
+    void run(Duration duration)
+    {
+        m_loop.runUntil([] { return false; }, duration);
+    }
+
+    emulator::PlatformStandin& platform() { return m_platform; }
+    daemon::FleetHost& host() { return *m_host; }
+
+private:
+    SteadyClock m_clock;
+    EventLoop m_loop { m_clock };
+    emulator::PlatformStandin m_platform { m_loop };
+    HttpClient m_http { m_loop, {} };
+    // An address of its own per process, so that parallel test runs do not meet.
+    std::string m_ip { "127.78." + std::to_string(getpid() / 250 % 250) + "." + std::to_string(getpid() % 250 + 1) };
+    std::unique_ptr<daemon::FleetHost> m_host;
+};
+
+const std::string firstJob = "5c0e7a21d94b36f8";
+
+}
+
+TEST_CASE("jobs are taken, run and shown over the platform's interfaces")
+{
+    HostFixture fixture;
+    const HttpResult done = fixture.await(fixture.submit(firstJob, 50ms, true));
+    REQUIRE(done.status == 200);
+    REQUIRE(json::parse(done.body).at("state") == "done");
+    const HttpResult failed = fixture.await(fixture.submit("0000000000000001", 10ms, true, true));
+    REQUIRE(json::parse(failed.body).at("state") == "failed");
+
+    REQUIRE(fixture.await(fixture.submit("0000000000000002", 50ms, false)).status == 200);
+    std::string state;
+    for (int i = 0; i < 40 && state != "done"; ++i) {
+        fixture.run(50ms);
+        state = json::parse(fixture.get("8001", "/q/0000000000000002").body).value("state", "");
+    }
+    REQUIRE(state == "done");
+    REQUIRE(fixture.get("8001", "/q/0000000000000009").status == 410);
+    REQUIRE(fixture.get("8001", "/other/0000000000000002").status == 404);
+    REQUIRE(fixture.await(fixture.send("8001", "POST", "/q/" + firstJob, "{")).status == 400);
+    REQUIRE(fixture.platform().targets().violations().empty());
+
+    const std::string metrics = fixture.get("8003", "/metrics").body;
+    CHECK_THAT(metrics, Catch::Contains("rattanroad_events_total{event=\"job_done\"} 2"));
+    CHECK_THAT(metrics, Catch::Contains("rattanroad_job_duration_seconds_count 3"));
+    CHECK_THAT(metrics, Catch::Contains("rattanroad_target_order_duration_seconds_bucket"));
+}
+
+// Found in the first scores: answers were cut off when a host stopped.
+TEST_CASE("a host that stops answers what it took and closes kept connections with the answer")
+{
+    HostFixture fixture;
+    REQUIRE(fixture.await(fixture.submit(firstJob, 20ms, true)).status == 200);
+    const auto open = fixture.submit("0000000000000001", 900ms, true);
+    fixture.run(100ms);
+    fixture.host().beginDrain();
+    REQUIRE(fixture.get("8002", "/ready").status == 503);
+    const HttpResult answered = fixture.await(open);
+    REQUIRE(answered.ending == HttpEnding::Answered);
+    REQUIRE(json::parse(answered.body).at("state") == "done");
+}
+
+// Found by hunt-3e4e-3: a job that was taken late in the shutdown was given up.
+TEST_CASE("a host refuses jobs that could not end before it stops")
+{
+    HostFixture fixture;
+    fixture.host().beginDrain();
+    fixture.run(3s);
+    const HttpResult refused = fixture.await(fixture.submit(firstJob, 900ms, true));
+    REQUIRE(refused.status == 503);
+    REQUIRE(fixture.platform().targets().runs().empty());
+}
--- /dev/null
+++ b/tests/platform/PlatformStandin.h
@@ -0,0 +1,48 @@
+#pragma once
+
+#include "emulator/EmulatedStore.h"
+#include "emulator/EmulatedTargets.h"
+#include "rattanroad_network/http/HttpServer.h"
+
+#include <nlohmann/json.hpp>
+
+namespace rattanroad::emulator {
+
+/** Serves the emulated store and targets over HTTP as the platform does, in real time on an event loop. */
+class PlatformStandin {
+public:
+    explicit PlatformStandin(EventLoop& loop);
+    PlatformStandin(const PlatformStandin&) = delete;
+    PlatformStandin& operator=(const PlatformStandin&) = delete;
+
+    /** Address of the store and of all targets. */
+    const std::string& address() const { return m_address; }
+    EmulatedStore& store() { return m_store; }
+    EmulatedTargets& targets() { return m_targets; }
+    /** Adds a target of the service "quotes" and its entry in the store. */
+    void addTarget(const std::string& id, const std::string& failureDomain);
+
+private:
+    using Json = nlohmann::json;
+
+    /** Moves the emulated time to the real one. */
+    void advance();
+    void handle(const HttpRequest& request, const HttpResponder& responder);
+    bool handleRead(const HttpRequest& request, const HttpResponder& responder);
+    bool handleWrite(const HttpRequest& request, const HttpResponder& responder);
+    bool handleOrder(const HttpRequest& request, const HttpResponder& responder);
+
+    EventLoop& m_loop;
+    TimePoint m_startedAt;
+    VirtualClock m_clock;
+    TimePoint m_emulatedStart;
+    EventQueue m_queue;
+    EmulatedStore m_store;
+    EmulatedTargets m_targets;
+    shards::KeyValueStore m_storeCalls;
+    shards::TargetCalls m_targetCalls;
+    HttpServer m_server;
+    std::string m_address;
+};
+
+}
--- a/tests/shards/RecoveryTests.cpp
+++ b/tests/shards/RecoveryTests.cpp
@@ -113,6 +113,22 @@
     REQUIRE(fleet.starts("a") == 3);
 }
 
+TEST_CASE("runs go on when all hosts drain at once")
+{
+    EmulatedFleet fleet;
+    fleet.startAll();
+    auto& call = fleet.submit(hostWithoutShard(fleet), "a", 3, 900ms, true);
+    fleet.run(300ms);
+    for (const HostId& host : fleet.hosts())
+        fleet.node(host).drain();
+    fleet.run(2s);
+    requireNoViolations(fleet);
+    REQUIRE(isDone(call));
+    REQUIRE(fleet.starts("a") == 3);
+    for (const HostId& host : fleet.hosts())
+        REQUIRE(!fleet.node(host).isHolding());
+}
+
 TEST_CASE("a new holder starts a job again only when the run of the earlier holder has ended")
 {
     EmulatedFleet fleet;
