Open links to hosts that have just started at once

The jobs of three shards were lost when a host that had just started took them: the draining holders had lost their links to the address, and a link that loses its peer tries again only after up to a second, so the handover was dropped; the new holder stopped the runs that it did not know and took the jobs for unsettled until the hosts had stopped.

Ruled out: a handover that is late (none arrived before 10.8 s, the shards changed at 8.1 s) and jobs that end too late.

Change: a host that sees another process registered under a host's name opens its link to it anew. In the emulator links to a new process open within 10 ms then, and after a second otherwise.

--- a/modules/rattanroad_network/peers/PeerLink.cpp
+++ b/modules/rattanroad_network/peers/PeerLink.cpp
@@ -72,6 +72,12 @@
         m_statistics.bytesSent += size;
     }
 
+    void reopen(const std::string& address)
+    {
+        m_links.erase(address);
+        linkTo(address);
+    }
+
     void setBlocked(std::set<std::string> addresses, std::set<HostId> hosts)
     {
         m_blockedAddresses = std::move(addresses);
@@ -180,6 +186,8 @@
 
 void PeerLink::send(const std::string& address, const protocol::Envelope& envelope) { m_impl->send(address, envelope); }
 
+void PeerLink::reopen(const std::string& address) { m_impl->reopen(address); }
+
 void PeerLink::setBlocked(std::set<std::string> addresses, std::set<HostId> hosts)
 {
     m_impl->setBlocked(std::move(addresses), std::move(hosts));
--- a/modules/rattanroad_network/peers/PeerLink.h
+++ b/modules/rattanroad_network/peers/PeerLink.h
@@ -56,6 +56,11 @@
     /** Sends @p envelope to the receiving socket at @p address, or drops it. */
     void send(const std::string& address, const protocol::Envelope& envelope);
 
+    /** Connects to @p address at once, for a process that has just started there: a link that lost its peer tries again
+        only after up to a second.
+    */
+    void reopen(const std::string& address);
+
     /** Cuts the links to @p addresses and drops everything that comes from @p hosts, for failure tests. */
     void setBlocked(std::set<std::string> addresses, std::set<HostId> hosts);
 
--- a/modules/rattanroad_shards/node/ShardNode.cpp
+++ b/modules/rattanroad_shards/node/ShardNode.cpp
@@ -223,6 +223,7 @@
         PrefixFollower::Hooks hooks;
         hooks.written = [this](const StoredItem& item) {
             const auto shard = m_fleet.written(item);
+            noticeStarts();
             if (!shard || !m_shards.count(*shard))
                 return;
             m_shards[*shard].election->review();
@@ -240,6 +241,17 @@
         return hooks;
     }
 
+    void noticeStarts()
+    {
+        for (const auto& entry : m_fleet.hosts()) {
+            Incarnation& linked = m_linkedIncarnations[entry.first];
+            if (entry.first == m_settings.host || linked == entry.second.incarnation)
+                continue;
+            linked = entry.second.incarnation;
+            m_hooks.hostStarted(entry.second.address);
+        }
+    }
+
     void storeInterrupted()
     {
         if (m_clock.now() - m_lastInterruptionLog < m_settings.interruptionLogInterval)
@@ -395,6 +407,8 @@
     PrefixFollower m_targetList;
     PrefixFollower m_fleetList;
     JobEntrance m_entrance;
+    /** Processes of other hosts to which links were opened. */
+    std::map<HostId, Incarnation> m_linkedIncarnations;
     /** When messages of other hosts last came, by address. */
     std::map<std::string, TimePoint> m_heard;
     /** When the timer of the loads last ran. */
--- a/modules/rattanroad_shards/node/ShardNode.h
+++ b/modules/rattanroad_shards/node/ShardNode.h
@@ -58,6 +58,8 @@
     struct Hooks {
         /** Sends a message to another host, or drops it. */
         std::function<void(const std::string& address, const protocol::Envelope&)> send;
+        /** A process has started at the address: messages to it must not wait for a link that is being repeated. */
+        std::function<void(const std::string& address)> hostStarted;
         std::function<void(const char* event, const LogFields&)> log;
         /** Reads the entry of a target; nothing for one that cannot be used. */
         std::function<std::optional<TargetReport>(const std::string& id, const std::string& value)> readTarget;
--- a/tests/emulator/EmulatedFleet.cpp
+++ b/tests/emulator/EmulatedFleet.cpp
@@ -9,6 +9,9 @@
 
 namespace {
     constexpr auto linkLatency = 1ms;
+    /** A link that lost its peer is opened again within a second. */
+    constexpr auto linkRetryInterval = 1000ms;
+    constexpr auto linkOpening = 10ms;
     constexpr auto callerLatency = 3ms;
     constexpr auto resendPause = 1300ms;
     const std::string service = "quotes";
@@ -108,6 +111,8 @@
     host.isPaused = false;
     host.waiting.clear();
     host.incarnation = ++m_lastIncarnation;
+    host.startedAt = m_clock.now();
+    host.links.clear();
     ShardNode::Settings settings;
     settings.host = id;
     settings.incarnation = Incarnation(host.incarnation);
@@ -124,6 +129,10 @@
     ShardNode::Hooks hooks;
     hooks.send
         = [this, id](const std::string& address, const protocol::Envelope& message) { send(id, address, message); };
+    hooks.hostStarted = [this, id](const std::string& address) {
+        const HostId peer(address);
+        m_hosts[id].links[peer] = { m_hosts[peer].incarnation, m_clock.now() + linkOpening };
+    };
     hooks.log = [this, id](const char* event, const ShardNode::LogFields& fields) {
         std::string line = id.value() + " " + event;
         for (const auto& field : fields)
@@ -235,11 +244,22 @@
         m_targets.faults.cut.erase({ id, target.first });
 }
 
+bool EmulatedFleet::isLinked(const Host& from, const HostId& to) const
+{
+    const Host& peer = m_hosts.at(to);
+    const auto link = from.links.find(to);
+    const bool isReopened = link != from.links.end() && link->second.first == peer.incarnation;
+    if (isReopened && m_clock.now() >= link->second.second)
+        return true;
+    return m_clock.now() - peer.startedAt >= linkRetryInterval;
+}
+
 void EmulatedFleet::send(const HostId& from, const std::string& address, const protocol::Envelope& message)
 {
     const HostId to(address);
     const auto found = m_hosts.find(to);
-    if (found == m_hosts.end() || !found->second.node || found->second.isCut || m_hosts[from].isCut)
+    if (found == m_hosts.end() || !found->second.node || found->second.isCut || m_hosts[from].isCut
+        || !isLinked(m_hosts[from], to))
         return;
     m_queue.after(linkLatency, inProcess(to, [this, to, message] { m_hosts[to].node->received(message); }));
 }
--- a/tests/emulator/EmulatedFleet.h
+++ b/tests/emulator/EmulatedFleet.h
@@ -84,6 +84,9 @@
         bool isPaused { false };
         bool isCut { false };
         std::uint64_t incarnation { 0 };
+        TimePoint startedAt;
+        /** Processes to which links were opened, with the time from which they carry messages. */
+        std::map<HostId, std::pair<std::uint64_t, TimePoint>> links;
         std::vector<std::function<void()>> waiting;
         /** Calls that wait for an answer of this process. */
         std::vector<Call*> open;
@@ -93,6 +96,8 @@
     std::function<void()> inProcess(const HostId& id, std::function<void()> action);
     shards::KeyValueStore storeCalls(const HostId& id);
     shards::TargetCalls targetCalls(const HostId& id);
+    /** Returns whether a message from one process reaches the other. */
+    bool isLinked(const Host& from, const HostId& to) const;
     void send(const HostId& from, const std::string& address, const protocol::Envelope& message);
     void connectionBroken(Call* call);
 
--- a/tests/network/PeerLinkTests.cpp
+++ b/tests/network/PeerLinkTests.cpp
@@ -103,3 +103,33 @@
     CHECK(clock.now() - begin < 500ms);
     CHECK(sender.statistics().messagesDropped == 1000);
 }
+
+// Guards against a handover that is lost because the link to a host that has just started is opened a second later.
+TEST_CASE("a link to a process that has just started is opened at once", "[peers]")
+{
+    SteadyClock clock;
+    EventLoop loop(clock);
+    PeerLink sender(loop, {}, [](const protocol::Envelope&) {});
+    std::size_t received = 0;
+    const auto count = [&received](const protocol::Envelope&) { ++received; };
+    auto receiver = std::make_unique<PeerLink>(loop, PeerLink::Settings(), count);
+    const int port = *receiver->bind("127.0.0.1:0");
+    const std::string address = "127.0.0.1:" + std::to_string(port);
+    const auto sendUntilReceived = [&](Duration limit) {
+        const TimePoint end = clock.now() + limit;
+        while (received == 0 && clock.now() < end) {
+            sender.send(address, PeerFixture::heartbeat(1));
+            loop.runUntil([&] { return received > 0; }, 5ms);
+        }
+        return received > 0;
+    };
+    REQUIRE(sendUntilReceived(3s));
+    receiver.reset();
+    // The pauses between attempts grow to their longest.
+    loop.runUntil([] { return false; }, 2500ms);
+    receiver = std::make_unique<PeerLink>(loop, PeerLink::Settings(), count);
+    REQUIRE(receiver->bind(address));
+    received = 0;
+    sender.reopen(address);
+    REQUIRE(sendUntilReceived(100ms));
+}
--- a/tests/shards/RecoveryTests.cpp
+++ b/tests/shards/RecoveryTests.cpp
@@ -129,6 +129,33 @@
         REQUIRE(!fleet.node(host).isHolding());
 }
 
+TEST_CASE("runs go on when a host that has just started takes the shards of draining hosts")
+{
+    EmulatedFleet fleet;
+    fleet.startAll();
+    const HostId entrance = hostWithoutShard(fleet);
+    auto& call = fleet.submit(entrance, "a", 3, 1100ms, true);
+    fleet.run(50ms);
+    HostId restarted;
+    for (const HostId& host : fleet.hosts()) {
+        const bool holds = host == fleet.holderOf("north") || host == fleet.holderOf("south");
+        if (host != entrance && !holds)
+            restarted = host;
+    }
+    fleet.kill(restarted);
+    for (const HostId& host : fleet.hosts()) {
+        if (host != restarted)
+            fleet.node(host).drain();
+    }
+    fleet.run(300ms);
+    fleet.start(restarted);
+    fleet.run(2s);
+    REQUIRE(fleet.holderOf("north") == restarted);
+    requireNoViolations(fleet);
+    REQUIRE(isDone(call));
+    REQUIRE(fleet.starts("a") == 3);
+}
+
 TEST_CASE("a new holder starts a job again only when the run of the earlier holder has ended")
 {
     EmulatedFleet fleet;
