Leave targets out that fail what they start

Change: HealthBook leaves a target out after two failures in a row, for 0.5 s and then twice as long with each further failure up to 4 s, tries it with one task, and leaves out 0.3 of the targets at most. A failure is taken back when the task fails elsewhere too. A task does not return to a target on which it has failed while another could run it.

--- a/modules/rattanroad_shards/jobs/ShardJob.h
+++ b/modules/rattanroad_shards/jobs/ShardJob.h
@@ -18,6 +18,8 @@
     State state { State::Waiting };
     std::uint32_t attempt { 0 };
     std::uint32_t failedRuns { 0 };
+    /** Targets on which it has failed, the last one at the end. */
+    std::vector<TargetId> failedOn;
     TargetId target;
     /** When the present run was ordered; absent for one that an earlier holder started. */
     std::optional<TimePoint> startedAt;
--- a/modules/rattanroad_shards/jobs/TaskRunner.cpp
+++ b/modules/rattanroad_shards/jobs/TaskRunner.cpp
@@ -43,6 +43,7 @@
         return;
     const bool isPresentRun = task.state == ShardTask::State::Placed && task.attempt == end.attempt;
     if (end.ending == RunEnding::Done) {
+        m_targets.runSucceeded(session);
         if (isPresentRun && task.startedAt)
             m_targets.learn(session, placingTaskOf(job.description, end.task.phase), *task.startedAt);
         taskDone(job, task, end.task);
@@ -62,6 +63,8 @@
 bool TaskRunner::takeFailure(ShardJob& job, ShardTask& task, const TargetSession& session, const TaskName& name)
 {
     ++task.failedRuns;
+    m_targets.runFailed(session, task.failedOn);
+    task.failedOn.push_back(session.report().id);
     m_hooks.log("run_failed", job.id,
         "task " + std::to_string(name.index) + " on " + session.report().id.value() + ", failure "
             + std::to_string(task.failedRuns));
@@ -176,7 +179,7 @@
     // A run of another attempt, or one that an earlier holder started, may be about to end.
     if (m_targets.hasRun(name))
         return true;
-    const auto choice = m_targets.choose(name, wanted);
+    const auto choice = m_targets.choose(name, wanted, job.phases[phase][index].failedOn);
     if (!choice)
         return false;
     TargetSession& session = *choice->session;
--- a/modules/rattanroad_shards/targets/ShardTargets.cpp
+++ b/modules/rattanroad_shards/targets/ShardTargets.cpp
@@ -13,6 +13,7 @@
     , m_clock(clock)
     , m_hooks(std::move(hooks))
     , m_placer(settings.placing)
+    , m_health(settings.health, clock)
     , m_listGapAt(clock.now())
 {
 }
@@ -20,8 +21,10 @@
 void ShardTargets::listed(const TargetReport& report)
 {
     const auto known = m_reports.find(report.id);
-    if (known != m_reports.end() && known->second.bornMs != report.bornMs)
+    if (known != m_reports.end() && known->second.bornMs != report.bornMs) {
         m_speeds.forget(report.id);
+        m_health.forget(report.id);
+    }
     m_reports[report.id] = report;
     if (!isOpen() || m_isClosed)
         return;
@@ -111,26 +114,45 @@
 {
     return std::any_of(m_sessions.begin(), m_sessions.end(), [&](const auto& entry) {
         const TargetSession& other = *entry.second;
-        return &other != &session && other.canStart() && TaskPlacer::isEligible(task, other.report())
+        return &other != &session && isUsable(other) && TaskPlacer::isEligible(task, other.report())
             && task.resources.fitsInto(other.free());
     });
 }
 
-std::optional<ShardTargets::Choice> ShardTargets::choose(const TaskName& name, const PlacingTask& task) const
+bool ShardTargets::isUsable(const TargetSession& session) const
 {
-    std::vector<PlacingTarget> targets;
-    std::vector<TargetSession*> sessions;
+    const TargetId& target = session.report().id;
+    const bool isTaken = m_health.isOnTrial(target) && !session.runs().empty();
+    return session.canStart() && !m_health.isLeftOut(target) && !isTaken;
+}
+
+std::vector<TargetSession*> ShardTargets::candidates(
+    const PlacingTask& task, const std::vector<TargetId>& avoided) const
+{
+    std::vector<TargetSession*> usable;
+    std::vector<TargetSession*> preferred;
     for (const auto& entry : m_sessions) {
-        TargetSession& session = *entry.second;
-        if (!session.canStart())
+        if (!isUsable(*entry.second) || !TaskPlacer::isEligible(task, entry.second->report()))
             continue;
+        usable.push_back(entry.second.get());
+        if (std::find(avoided.begin(), avoided.end(), entry.first) == avoided.end())
+            preferred.push_back(entry.second.get());
+    }
+    return preferred.empty() ? usable : preferred;
+}
+
+std::optional<ShardTargets::Choice> ShardTargets::choose(
+    const TaskName& name, const PlacingTask& task, const std::vector<TargetId>& avoided) const
+{
+    const std::vector<TargetSession*> sessions = candidates(task, avoided);
+    std::vector<PlacingTarget> targets;
+    for (const TargetSession* const session : sessions) {
         std::uint32_t samePhase = 0;
         if (task.maximumPerTarget != 0) {
-            samePhase = static_cast<std::uint32_t>(std::count_if(session.runs().begin(), session.runs().end(),
+            samePhase = static_cast<std::uint32_t>(std::count_if(session->runs().begin(), session->runs().end(),
                 [&name](const auto& run) { return run.first.job == name.job && run.first.phase == name.phase; }));
         }
-        targets.push_back({ &session.report(), session.free(), m_speeds.factor(session.report()), samePhase });
-        sessions.push_back(&session);
+        targets.push_back({ &session->report(), session->free(), m_speeds.factor(session->report()), samePhase });
     }
     const Placement placement = m_placer.choose(task, targets);
     if (placement.target == targets.size())
@@ -138,6 +160,15 @@
     return Choice { sessions[placement.target], placement.predicted };
 }
 
+void ShardTargets::runFailed(const TargetSession& session, const std::vector<TargetId>& failedBefore)
+{
+    if (failedBefore.empty())
+        m_health.failed(session.report().id, m_sessions.size());
+    else if (failedBefore.size() == 1 && failedBefore.front() != session.report().id)
+        // It fails elsewhere too, so the first target was not at fault.
+        m_health.pardon(failedBefore.front());
+}
+
 void ShardTargets::learn(const TargetSession& session, const PlacingTask& task, TimePoint startedAt)
 {
     const auto base = m_placer.predict(task, { &session.report(), {}, 1, 0 });
@@ -177,7 +208,7 @@
 {
     std::uint64_t millicores = 0;
     for (const auto& entry : m_sessions) {
-        if (entry.second->canStart())
+        if (isUsable(*entry.second))
             millicores += entry.second->report().capacity.millicores;
     }
     return millicores;
@@ -191,7 +222,7 @@
     std::set<std::string> services;
     for (const auto& entry : m_sessions) {
         const TargetSession& session = *entry.second;
-        if (!session.canStart())
+        if (!isUsable(session))
             continue;
         ++count;
         free += session.free().millicores;
--- a/tests/emulator/EmulatedTargets.cpp
+++ b/tests/emulator/EmulatedTargets.cpp
@@ -247,6 +247,10 @@
     target.live[order.task] = { order.attempt, resources, serial, record.size() - 1 };
     if (faults.hanging.count(order.target))
         return TargetEnding::Done;
+    if (faults.failing.count(order.target)) {
+        fails = true;
+        duration = 2;
+    }
     m_queue.after(std::chrono::milliseconds(duration), [this, order, serial, fails] {
         const auto live = m_targets[order.target].live.find(order.task);
         if (live != m_targets[order.target].live.end() && live->second.serial == serial)
--- a/tests/emulator/EmulatedTargets.h
+++ b/tests/emulator/EmulatedTargets.h
@@ -20,6 +20,8 @@
         std::set<std::pair<HostId, TargetId>> cut;
         /** Tasks on these targets never end by themselves. */
         std::set<TargetId> hanging;
+        /** Tasks on these targets fail at once. */
+        std::set<TargetId> failing;
         /** This many starts are not answered and carried out later. */
         int lateStarts { 0 };
         /** This many stops are not answered and carried out later. */
--- a/tests/shards/RecoveryTests.cpp
+++ b/tests/shards/RecoveryTests.cpp
@@ -442,6 +442,51 @@
     requireNoViolations(fleet);
 }
 
+TEST_CASE("tasks leave targets that fail what they start")
+{
+    EmulatedFleet fleet;
+    fleet.startAll();
+    fleet.run(5s);
+    const std::set<TargetId> failing { TargetId("target-north-0"), TargetId("target-south-0") };
+    fleet.targets().faults.failing = failing;
+    constexpr int jobs = 120;
+    for (int i = 0; i < jobs; ++i) {
+        fleet.submit(fleet.hosts()[static_cast<std::size_t>(i) % 4], "a" + std::to_string(i), 2, 60ms, true);
+        fleet.run(100ms);
+    }
+    fleet.run(1s);
+    std::size_t starts = 0;
+    for (const auto& task : fleet.targets().runs()) {
+        starts += static_cast<std::size_t>(std::count_if(
+            task.second.begin(), task.second.end(), [&](const auto& run) { return failing.count(run.target) != 0; }));
+    }
+    // Two at first on each, then one after each pause of 0.5, 1, 2 and 4 s; two more may be under way at first.
+    CHECK(starts <= 16);
+    for (const auto& call : fleet.calls())
+        CHECK(isDone(call));
+    requireNoViolations(fleet);
+}
+
+TEST_CASE("jobs that cannot be done leave the targets in use")
+{
+    EmulatedFleet fleet;
+    fleet.startAll();
+    fleet.run(5s);
+    std::size_t inTime = 0;
+    constexpr std::size_t jobs = 120;
+    for (std::size_t i = 0; i < jobs; ++i) {
+        const bool fails = i % 4 == 0;
+        fleet.submit(fleet.hosts()[i % 4], "a" + std::to_string(i), 2, 100ms, true, fails);
+        fleet.run(50ms);
+    }
+    fleet.run(2s);
+    for (const auto& call : fleet.calls())
+        inTime += isDone(call) && call.answeredAt - call.sentAt <= 220ms;
+    // A third of the room is used; at most a tenth of the jobs that can be done may be late.
+    REQUIRE(inTime >= jobs * 3 / 4 * 9 / 10);
+    requireNoViolations(fleet);
+}
+
 TEST_CASE("a job stays in its shard while its holder is silent")
 {
     EmulatedFleet fleet;
