Keep one class for callers' keys

KeyDirectory did the work of KeyHome and nothing but its tests used it. It goes; its three cases now hold for KeyHome, with the same checks.

--- a/modules/rattanroad_ledger/rattanroad_ledger.h
+++ b/modules/rattanroad_ledger/rattanroad_ledger.h
@@ -5,5 +5,4 @@
 */
 #pragma once
 
-#include "rattanroad_ledger/keys/KeyDirectory.h"
 #include "rattanroad_ledger/ledger/SubmissionLedger.h"
