--- a/modules/rattanroad_shards/holding/FleetView.cpp
+++ b/modules/rattanroad_shards/holding/FleetView.cpp
@@ -16,7 +16,7 @@
     if (startsWith(item.key, storekeys::hostPrefix)) {
         protocol::HostRecord record;
         if (!record.ParseFromString(item.value)) {
-            ++m_malformedItems;
+            m_malformed(item.key);
             return std::nullopt;
         }
         m_hosts[HostId(item.key.substr(storekeys::hostPrefix.size()))] = { Incarnation(record.incarnation()),
@@ -27,7 +27,7 @@
         return std::nullopt;
     protocol::ShardHolderRecord record;
     if (!record.ParseFromString(item.value)) {
-        ++m_malformedItems;
+        m_malformed(item.key);
         return std::nullopt;
     }
     const ShardId shard(item.key.substr(storekeys::holderPrefix.size()));
--- a/modules/rattanroad_shards/holding/FleetView.h
+++ b/modules/rattanroad_shards/holding/FleetView.h
@@ -30,7 +30,13 @@
 /** The live hosts and the holders of the shards, as the store says. */
 class FleetView {
 public:
-    /** Takes a written key; one that cannot be read is ignored and counted. Returns the shard whose holder changed. */
+    /** Calls @p malformed with each key whose value cannot be read; such a key is ignored. */
+    explicit FleetView(std::function<void(const std::string& key)> malformed)
+        : m_malformed(std::move(malformed))
+    {
+    }
+
+    /** Takes a written key. Returns the shard whose holder changed. */
     std::optional<ShardId> written(const StoredItem& item);
     /** Takes a removed key. Returns the shard that has no holder any more. */
     std::optional<ShardId> removed(const std::string& key);
@@ -38,12 +44,11 @@
     const std::map<HostId, LiveHost>& hosts() const { return m_hosts; }
     const ShardHolder* holder(const ShardId& shard) const;
     const std::map<ShardId, ShardHolder>& holders() const { return m_holders; }
-    std::uint64_t malformedItems() const { return m_malformedItems; }
 
 private:
     std::map<HostId, LiveHost> m_hosts;
     std::map<ShardId, ShardHolder> m_holders;
-    std::uint64_t m_malformedItems { 0 };
+    std::function<void(const std::string& key)> m_malformed;
 };
 
 }
--- a/modules/rattanroad_shards/node/ShardNode.cpp
+++ b/modules/rattanroad_shards/node/ShardNode.cpp
@@ -17,6 +17,9 @@
         , m_clock(clock)
         , m_hooks(std::move(hooks))
         , m_lease(m_settings.lease, m_store, m_timers, clock, { [this] { leaseGranted(); }, [this] { leaseLost(); } })
+        , m_fleet([this](const std::string& key) {
+            m_hooks.log("fleet_key_ignored", { { "key", key } });
+        })
         , m_configuration({ m_settings.configurationKey }, m_store, m_timers, configurationHooks())
         , m_targetList({ m_settings.targetPrefix }, m_store, m_timers, targetHooks())
         , m_fleetList({ storekeys::fleetPrefix }, m_store, m_timers, fleetHooks())
--- a/modules/rattanroad_shards/rattanroad_shards.h
+++ b/modules/rattanroad_shards/rattanroad_shards.h
@@ -5,8 +5,9 @@
     are not stored; they live in the memory of the holder, and the host that took one in asks after it.
 
     Dependencies: rattanroad_core, rattanroad_protocol.
-    Read node/ShardNode.h first, then along the way of a job: entrance/JobEntrance.h, jobs/ShardDispatcher.h,
-    placing/TaskPlacer.h, targets/TargetSession.h; holding/ShardElection.h tells who holds a shard.
+    Read node/ShardNode.h first, then along the way of a job: entrance/JobEntrance.h, entrance/ShardLoads.h,
+    jobs/ShardDispatcher.h, jobs/TaskRunner.h, targets/ShardTargets.h, placing/TaskPlacer.h, targets/TargetSession.h;
+    holding/ShardElection.h tells who holds a shard.
 */
 #pragma once
 
--- a/tests/emulator/EmulatedFleet.cpp
+++ b/tests/emulator/EmulatedFleet.cpp
@@ -64,14 +64,19 @@
     }
 }
 
-KeyValueStore EmulatedFleet::storeCalls(const HostId& id)
+std::function<std::function<void()>(std::function<void()>)> EmulatedFleet::repliesTo(const HostId& id)
 {
-    const KeyValueStore calls = m_store.callsOf(id);
-    const auto wrap = [this, id, isAlive = m_hosts[id].isAlive](std::function<void()> action) -> std::function<void()> {
+    return [this, id, isAlive = m_hosts[id].isAlive](std::function<void()> action) -> std::function<void()> {
         if (!*isAlive)
             return [] {};
         return inProcess(id, std::move(action));
     };
+}
+
+KeyValueStore EmulatedFleet::storeCalls(const HostId& id)
+{
+    const KeyValueStore calls = m_store.callsOf(id);
+    const auto wrap = repliesTo(id);
     KeyValueStore store;
     store.read = [=](const auto& key, auto callback) { calls.read(key, wrapped(wrap, callback)); };
     store.readPage = [=](const auto& prefix, const auto& after, auto callback) {
@@ -90,11 +95,7 @@
 TargetCalls EmulatedFleet::targetCalls(const HostId& id)
 {
     const TargetCalls calls = m_targets.callsOf(id);
-    const auto wrap = [this, id, isAlive = m_hosts[id].isAlive](std::function<void()> action) -> std::function<void()> {
-        if (!*isAlive)
-            return [] {};
-        return inProcess(id, std::move(action));
-    };
+    const auto wrap = repliesTo(id);
     TargetCalls targets;
     targets.start = [=](const auto& order, auto callback) { calls.start(order, wrapped(wrap, callback)); };
     targets.stop = [=](const auto& order, auto callback) { calls.stop(order, wrapped(wrap, callback)); };
--- a/tests/emulator/EmulatedFleet.h
+++ b/tests/emulator/EmulatedFleet.h
@@ -94,6 +94,8 @@
 
     /** Runs @p action in the process if it still lives, after a pause if it is paused. */
     std::function<void()> inProcess(const HostId& id, std::function<void()> action);
+    /** Returns what makes an action of a reply run in the present process of a host, if it still lives then. */
+    std::function<std::function<void()>(std::function<void()>)> repliesTo(const HostId& id);
     shards::KeyValueStore storeCalls(const HostId& id);
     shards::TargetCalls targetCalls(const HostId& id);
     /** Returns whether a message from one process reaches the other. */
--- a/tests/shards/DispatcherTests.cpp
+++ b/tests/shards/DispatcherTests.cpp
@@ -77,6 +77,14 @@
         m_dispatcher.begin({ FencingToken(generation), Generation(generation), false });
     }
     void run(Duration duration) { m_queue.runUntil(m_clock.now() + duration); }
+    /** Runs until @p isDone or 10 s have passed; returns whether it is done. */
+    bool runUntil(const std::function<bool()>& isDone)
+    {
+        const TimePoint end = m_clock.now() + 10s;
+        while (!isDone() && m_clock.now() < end)
+            run(1ms);
+        return isDone();
+    }
 
     ShardDispatcher& dispatcher() { return m_dispatcher; }
     EmulatedTargets& targets() { return m_targets; }
@@ -151,8 +159,7 @@
     holder.run(5s);
     holder.submit("a", 3000ms, false);
     // Its entrance does not ask after it.
-    while (holder.dispatcher().state(JobId("a")) != JobState::Cancelled)
-        holder.run(1ms);
+    REQUIRE(holder.runUntil([&] { return holder.dispatcher().state(JobId("a")) == JobState::Cancelled; }));
     REQUIRE(holder.targets().running() == 1);
     holder.submit("a", 3000ms, true);
     holder.run(500ms);
@@ -166,8 +173,7 @@
     LoneHolder holder;
     holder.storeRecord("a", 1);
     holder.begin(1);
-    while (holder.targets().running() == 0)
-        holder.run(1ms);
+    REQUIRE(holder.runUntil([&] { return holder.targets().running() != 0; }));
     holder.store().faults.isDown = true;
     holder.run(1s);
     REQUIRE(holder.targets().running() == 0);
