Do not end the process when time passes between choice and start

Cause, by reading: TargetSession::start asserts canStart(), which reads the clock again. When a target's silence limit passes between the choice and the start, the assertion ends the process.

--- a/modules/rattanroad_shards/targets/TargetSession.h
+++ b/modules/rattanroad_shards/targets/TargetSession.h
@@ -95,7 +95,7 @@
     /** The target's entry is gone. */
     void setListed(bool isListed);
 
-    /** Starts a run. @pre canStart() */
+    /** Starts a run. @pre canStart() was true when the target was chosen */
     void start(const TaskName& task, std::uint32_t attempt, const std::string& payload, Resources resources,
         std::chrono::milliseconds predicted, const std::string& savedProgress);
     /** Stops a run, if it is there. */
--- a/scripts/check-mutations.sh
+++ b/scripts/check-mutations.sh
@@ -74,7 +74,7 @@
 guard forsaken-job-runs jobs/ShardDispatcher.cpp \
     'job.description.best_effort() && m_clock.now() - job.askedAt >= m_settings.running.entranceLimit' 'false'
 guard room-freed-early targets/TargetSession.cpp 'found->second.confirmedAt.reset();' 'm_used = {};'
-guard late-start targets/TargetSession.cpp 'm_unanswered.push_back({ task, attempt, m_clock.now() });' ''
+guard late-start targets/TargetSession.cpp 'm_unanswered.push_back({ task, attempt, m_clock.now() });' ';'
 guard ended-attempt targets/TargetSession.cpp 'if (ending == TargetEnding::Outdated) {' 'if (false) {'
 guard start-on-the-way targets/TargetSession.cpp 'TargetEnding::Unknown || run.sends > 1' 'TargetEnding::Unknown'
 guard messages-before-pause node/ShardNode.cpp 'm_clock.now() - m_resumedAt < m_settings.pauseBacklog' 'false'
--- /dev/null
+++ b/tests/shards/SessionTests.cpp
@@ -0,0 +1,74 @@
+#include "emulator/EmulatedTargets.h"
+#include "rattanroad_shards/targets/TargetSession.h"
+
+#include <catch2/catch.hpp>
+
+using namespace rattanroad;
+using namespace rattanroad::emulator;
+using namespace rattanroad::shards;
+using namespace std::chrono_literals;
+
+namespace {
+
+/** One session with one target. */
+class LoneSession {
+public:
+    LoneSession()
+        : m_queue(m_clock)
+        , m_targets(m_queue)
+        , m_calls(m_targets.callsOf(HostId("host")))
+    {
+        TargetReport report;
+        report.id = TargetId("target");
+        report.capacity = { 32000, 65536, 0 };
+        report.bornMs = 1;
+        m_targets.add(report);
+        TargetSession::Hooks hooks;
+        hooks.ready = [](TargetSession&) {};
+        hooks.ended = [](TargetSession&, const EndedTask&) {};
+        hooks.found = [](TargetSession&, const RunningTask&) { return std::nullopt; };
+        hooks.rejected = [](TargetSession&, const TaskName&, std::uint32_t, TargetEnding) {};
+        hooks.roomChanged = [] {};
+        hooks.fenced = [] {};
+        Timers timers { [this](Duration delay, std::function<void()> action) {
+            m_queue.after(delay, std::move(action));
+        } };
+        m_session = std::make_unique<TargetSession>(
+            TargetSession::Settings(), report, FencingToken(1), m_calls, std::move(timers), m_clock, std::move(hooks));
+        m_session->open();
+        run(50ms);
+        REQUIRE(m_session->canStart());
+    }
+
+    void run(Duration duration) { m_queue.runUntil(m_clock.now() + duration); }
+
+    EmulatedTargets& targets() { return m_targets; }
+    TargetSession& session() { return *m_session; }
+
+private:
+    VirtualClock m_clock;
+    EventQueue m_queue;
+    EmulatedTargets m_targets;
+    TargetCalls m_calls;
+    std::unique_ptr<TargetSession> m_session;
+};
+
+}
+
+// Found on the grown deployment: a process that got no processor time between the choice of a target and the start.
+TEST_CASE("time may pass between the choice of a target and the start of a task on it")
+{
+    LoneSession lone;
+    lone.targets().faults.silent = { TargetId("target") };
+    while (lone.session().canStart())
+        lone.run(1ms);
+    lone.targets().faults.silent.clear();
+    const TaskName task { JobId("a"), 0, 0 };
+    const Resources resources { 14000, 1024, 0 };
+    lone.session().start(task, 1, taskPayload(40ms, resources), resources, 40ms, "");
+    lone.run(20ms);
+    REQUIRE(lone.targets().running() == 1);
+    lone.run(1s);
+    REQUIRE(lone.session().runs().empty());
+    REQUIRE(lone.targets().runs().at(task).front().ending == "done");
+}
