--- a/modules/rattanroad_shards/targets/TargetSession.cpp
+++ b/modules/rattanroad_shards/targets/TargetSession.cpp
@@ -100,9 +100,8 @@
     noteLoss(reply);
     if (!reply.clockMs)
         return;
-    constexpr int samples = 8;
     const Duration taken = m_clock.now() - sentAt;
-    m_answerTime = std::max(taken, m_answerTime + (taken - m_answerTime) / samples);
+    m_answerTime = std::max(taken, m_answerTime + (taken - m_answerTime) / m_settings.answerSamples);
 }
 
 void TargetSession::noteLoss(const TargetReply& reply)
--- a/modules/rattanroad_shards/targets/TargetSession.h
+++ b/modules/rattanroad_shards/targets/TargetSession.h
@@ -30,6 +30,9 @@
         /** The limit adds this to a few times the answers of late, and has a highest value. */
         std::chrono::milliseconds lossyCallSlack { 8 };
         double lossyAnswerFactor { 3 };
+        /** A longer answer counts at once, shorter ones over this many: a target answers a few tens of orders a second.
+         */
+        int answerSamples { 8 };
         std::chrono::milliseconds longestLossyCall { 60 };
         /** An unanswered start is sent this many times in all before the run is stopped: a target that has the attempt
             does not start it again. */
