Notice the last of the removed guards of the shards

ended-attempt was the one of 16 mutations that no test noticed: without it an ended attempt was stopped, which is harmless and costs an order. The new case counts the stops; it is red with the mutation (tried by hand).

--- a/modules/rattanroad_shards/placing/HealthBook.h
+++ b/modules/rattanroad_shards/placing/HealthBook.h
@@ -42,9 +42,10 @@
 
 private:
     struct Record {
+        /** In a row. */
         std::uint32_t failures { 0 };
-        /** Present for a target that is or was left out. */
         TimePoint pauseEnd { longAgo };
+        /** 0 until the target is left out for the first time since its last success. */
         std::chrono::milliseconds pause { 0 };
     };
 
--- a/tests/shards/SessionTests.cpp
+++ b/tests/shards/SessionTests.cpp
@@ -18,6 +18,13 @@
         , m_targets(m_queue)
         , m_calls(m_targets.callsOf(HostId("host")))
     {
+        m_calls.stop = [this, stop = m_calls.stop](const StopOrder& order, auto callback) {
+            ++m_stops;
+            stop(order, std::move(callback));
+        };
+        m_calls.hold = [this, hold = m_calls.hold](const HoldOrder& order, auto callback) {
+            hold(order, [this, callback](const HoldReply& reply) { callback(m_areHoldsLost ? HoldReply() : reply); });
+        };
         TargetReport report;
         report.id = TargetId("target");
         report.capacity = { 32000, 65536, 0 };
@@ -42,6 +49,8 @@
 
     void run(Duration duration) { m_queue.runUntil(m_clock.now() + duration); }
 
+    void setHoldsLost(bool areLost) { m_areHoldsLost = areLost; }
+    std::size_t stops() const { return m_stops; }
     EmulatedTargets& targets() { return m_targets; }
     TargetSession& session() { return *m_session; }
 
@@ -51,8 +60,14 @@
     EmulatedTargets m_targets;
     TargetCalls m_calls;
     std::unique_ptr<TargetSession> m_session;
+    /** Answers of holds do not arrive. */
+    bool m_areHoldsLost { false };
+    std::size_t m_stops { 0 };
 };
 
+const TaskName task { JobId("a"), 0, 0 };
+const Resources resources { 14000, 1024, 0 };
+
 }
 
 // Found on the grown deployment: a process that got no processor time between the choice of a target and the start.
@@ -63,8 +78,6 @@
     while (lone.session().canStart())
         lone.run(1ms);
     lone.targets().faults.silent.clear();
-    const TaskName task { JobId("a"), 0, 0 };
-    const Resources resources { 14000, 1024, 0 };
     lone.session().start(task, 1, taskPayload(40ms, resources), resources, 40ms, "");
     lone.run(20ms);
     REQUIRE(lone.targets().running() == 1);
@@ -72,3 +85,18 @@
     REQUIRE(lone.session().runs().empty());
     REQUIRE(lone.targets().runs().at(task).front().ending == "done");
 }
+
+TEST_CASE("a start whose first sending has run to its end is not stopped")
+{
+    LoneSession lone;
+    lone.targets().faults.startRepliesToLose = 1;
+    lone.setHoldsLost(true);
+    lone.session().start(task, 1, taskPayload(30ms, resources), resources, 30ms, "");
+    lone.run(300ms);
+    REQUIRE(lone.session().runs().size() == 1);
+    lone.setHoldsLost(false);
+    lone.run(1s);
+    REQUIRE(lone.session().runs().empty());
+    REQUIRE(lone.stops() == 0);
+    REQUIRE(lone.targets().runs().at(task).size() == 1);
+}
