Drop requests whose callers disconnected before they were read

What callers saw: a host that was frozen, or too busy to read its sockets, ran jobs for callers that had given up and had submitted the same job to another host 1.3 s later. The host kept such a job alive for the caller's whole wait, 1.5 s, while the other host ran it too.

Cause: HttpServer watches connections for EPOLLRDHUP with edge triggering. When a caller connects, sends and closes before the loop runs, the event is read before the request exists and is lost.

Evidence: the new test. Before, 20 of 20 such requests were handled and no disconnect was reported.

Change: the server asks the connection once when it hands a request over, and drops the request if its caller has closed. Level-triggered events would wake the loop all the time for as long as the request is open.

Measured: the test passes; 9 cases of [http].

--- a/modules/rattanroad_network/http/HttpServer.cpp
+++ b/modules/rattanroad_network/http/HttpServer.cpp
@@ -8,12 +8,21 @@
 #include <array>
 #include <cassert>
 #include <map>
+#include <poll.h>
 #include <sys/epoll.h>
 #include <unistd.h>
 #include <unordered_map>
 
 namespace rattanroad {
 
+namespace {
+    bool isClosedByPeer(int descriptor)
+    {
+        pollfd polled { descriptor, POLLRDHUP, 0 };
+        return poll(&polled, 1, 0) > 0;
+    }
+}
+
 /** One request between its arrival and the end of its answer. */
 class HttpResponder::State {
 public:
@@ -310,6 +319,11 @@
         new (memory) Holder { state, this };
         m_requests[state->descriptor()] = state;
         HttpResponder responder(state);
+        // The event of a disconnect that came before the request has been read already.
+        if (isClosedByPeer(state->descriptor())) {
+            responder.abort();
+            return;
+        }
         if (native->entity.len > m_settings.maximumBodySize.value()) {
             responder.send(m_settings.tooLargeResponse);
             return;
--- a/modules/rattanroad_network/http/HttpServer.h
+++ b/modules/rattanroad_network/http/HttpServer.h
@@ -38,7 +38,7 @@
 };
 
 /** HTTP/1.1 server on an EventLoop. Each request is handed to the handler with its whole body and is answered exactly
-    once, at any time.
+    once, at any time. A request whose caller has disconnected before it was read is dropped.
 
     The server must live until the end of its loop's last run, as connections may stay open until then.
 */
--- a/tests/network/HttpTests.cpp
+++ b/tests/network/HttpTests.cpp
@@ -150,6 +150,26 @@
     CHECK(disconnects == 1);
 }
 
+// Guards against running a job for a caller that disconnected while the process was paused and has submitted it elsewhere.
+TEST_CASE_METHOD(HttpFixture, "a request whose caller has disconnected before it is read is not handled", "[http]")
+{
+    int handled = 0;
+    int disconnects = 0;
+    handler = [&](HttpRequest&&, const HttpResponder& responder) {
+        ++handled;
+        responder.setDisconnectCallback([&] { ++disconnects; });
+    };
+    const std::string request = "POST /a HTTP/1.1\r\nhost: x\r\ncontent-length: 2\r\n\r\nxx";
+    for (int i = 0; i < 20; ++i) {
+        const int descriptor = connectTo(port);
+        REQUIRE(write(descriptor, request.data(), request.size()) == static_cast<ssize_t>(request.size()));
+        close(descriptor);
+    }
+    loop.runUntil([] { return false; }, 100ms);
+    INFO("handled " << handled << ", disconnects reported " << disconnects);
+    CHECK(handled == 0);
+}
+
 // Guards against chunks of a streamed response, such as the store's watch, that arrive late, only with the end of the
 // response or not at all.
 TEST_CASE_METHOD(HttpFixture, "a streamed response is delivered chunk by chunk", "[http]")
