Announce best-effort jobs for as long as they are open

What callers saw: a task ran in two places at once.

Cause: a holder named a best-effort job in its load messages for 650 ms after it had accepted the job. A host that started later, or that was frozen or cut off in that time, did not know the job's shard. When the origin host died, the caller submitted the job to such a host 1.3 s later, which chose a shard by load. The first shard cancels the job 1.0 to 1.1 s after its origin fell silent, but the run lasts longer when the stop is lost or late.

Evidence: the new test; without the change it ends with overlapping runs on targets of both shards (2000 ms after the submission the job is cancelled, 500 ms later the other shard accepts it while the stops are lost). That this produced the double run that users saw is not shown.

Change: load messages name all open best-effort jobs, and cancelled ones for 650 ms after they were cancelled, so that a host that has a load of each shard knows all jobs that may have a run. The emulator's callers can be told which host to use next.

--- a/modules/rattanroad_shards/jobs/JobTable.h
+++ b/modules/rattanroad_shards/jobs/JobTable.h
@@ -4,6 +4,7 @@
 
 #include <map>
 #include <memory>
+#include <set>
 
 namespace rattanroad::shards {
 
@@ -15,7 +16,8 @@
         std::chrono::seconds retention { 130 };
         /** The same for best-effort jobs, which callers resubmit within a few seconds or not at all. */
         std::chrono::seconds bestEffortRetention { 6 };
-        /** New best-effort jobs are announced repeatedly for this long, because single messages may be lost. */
+        /** Best-effort jobs that were accepted or cancelled are announced for this long, because single messages may be
+            lost, and because the runs of a cancelled job take a while to stop. */
         std::chrono::milliseconds announcementDuration { 650 };
     };
 
@@ -46,10 +48,10 @@
     /** Returns the ended jobs whose retention is over. */
     std::vector<JobId> expired() const;
 
-    /** Announces the job to the other hosts with the next load messages. */
+    /** Announces the job to the other hosts with the next load messages, also if it is not open. */
     void announce(const JobId& job) { m_announced.emplace_back(m_clock.now(), job); }
-    /** Returns the jobs announced within the announcement duration and drops the older ones. */
-    std::vector<JobId> announced();
+    /** Returns the open best-effort jobs and those announced within the announcement duration. */
+    std::set<JobId> announced();
 
 private:
     Settings m_settings;
--- a/modules/rattanroad_shards/jobs/ShardDispatcher.cpp
+++ b/modules/rattanroad_shards/jobs/ShardDispatcher.cpp
@@ -329,6 +329,8 @@
     if (state != JobState::Cancelled)
         m_hooks.jobEnded(job);
     if (job.description.best_effort()) {
+        if (state == JobState::Cancelled)
+            m_jobs.announce(job.id);
         job.isFinalStateStored = true;
         acknowledgeCompletions(job, m_lastCompletionSequence);
         return;
--- a/modules/rattanroad_shards/node/ShardNode.cpp
+++ b/modules/rattanroad_shards/node/ShardNode.cpp
@@ -346,7 +346,7 @@
             protocol::Envelope message = envelope();
             *message.mutable_shard_load() = entry.second.dispatcher->load();
             message.mutable_shard_load()->set_address(m_settings.address);
-            for (const JobId& job : entry.second.dispatcher->newJobs())
+            for (const JobId& job : entry.second.dispatcher->announcedJobs())
                 message.mutable_shard_load()->add_new_jobs(job.value());
             m_entrance.loadReceived(message.shard_load());
             for (const std::string& address : peers())
--- a/tests/emulator/EmulatedFleet.cpp
+++ b/tests/emulator/EmulatedFleet.cpp
@@ -318,6 +318,11 @@
     if (call->attempts >= 3)
         return;
     m_queue.after(resendPause, [this, call] {
+        const auto preferred = m_hosts.find(call->nextHost);
+        if (preferred != m_hosts.end() && preferred->second.node) {
+            resend(*call, call->nextHost);
+            return;
+        }
         for (const auto& host : m_hosts) {
             if (host.second.node && host.first != call->host) {
                 resend(*call, host.first);
--- a/tests/emulator/EmulatedFleet.h
+++ b/tests/emulator/EmulatedFleet.h
@@ -28,6 +28,8 @@
         TimePoint sentAt;
         TimePoint answeredAt;
         int attempts { 0 };
+        /** Host that the caller submits the job to next, if it is up; otherwise any other host. */
+        HostId nextHost;
     };
 
     explicit EmulatedFleet(Settings settings);
--- a/tests/shards/RecoveryTests.cpp
+++ b/tests/shards/RecoveryTests.cpp
@@ -39,6 +39,30 @@
     return HostId();
 }
 
+/** Returns a host of a failure domain that holds no shard. */
+HostId hostWithoutShard(EmulatedFleet& fleet, const std::string& domain)
+{
+    for (const HostId& host : fleet.hosts()) {
+        const bool isOfDomain = host.value().compare(0, domain.size(), domain) == 0;
+        if (isOfDomain && host != fleet.holderOf("north") && host != fleet.holderOf("south"))
+            return host;
+    }
+    return HostId();
+}
+
+/** Returns the shards on whose targets the tasks of a job have run. */
+std::set<std::string> shardsOf(EmulatedFleet& fleet, const std::string& job)
+{
+    std::set<std::string> shards;
+    for (const auto& task : fleet.targets().runs()) {
+        for (const auto& run : task.second) {
+            if (task.first.job.value() == job)
+                shards.insert(fleet.targets().reports().at(run.target).failureDomain.value());
+        }
+    }
+    return shards;
+}
+
 HostId hostWithoutShard(EmulatedFleet& fleet)
 {
     HostId found;
@@ -505,12 +529,7 @@
     fleet.reconnect(origin);
     fleet.run(8s);
     requireNoViolations(fleet);
-    std::set<std::string> shards;
-    for (const auto& task : fleet.targets().runs()) {
-        for (const auto& run : task.second)
-            shards.insert(fleet.targets().reports().at(run.target).failureDomain.value());
-    }
-    REQUIRE(shards.size() == 1);
+    REQUIRE(shardsOf(fleet, "a").size() == 1);
     REQUIRE(isDone(call));
 }
 
@@ -531,6 +550,33 @@
     requireNoViolations(fleet);
 }
 
+TEST_CASE(
+    "a job that is resubmitted to a host that has just started stays in its shard while its run cannot be stopped")
+{
+    EmulatedFleet::Settings settings;
+    settings.hostsPerDomain = 3;
+    EmulatedFleet fleet(settings);
+    fleet.startAll();
+    fleet.run(5s);
+    const HostId origin = hostWithoutShard(fleet, "north");
+    const HostId started = hostWithoutShard(fleet, "south");
+    auto& call = fleet.submit(origin, "a", 1, 3500ms, true);
+    call.nextHost = started;
+    fleet.run(800ms);
+    REQUIRE(shardsOf(fleet, "a") == std::set<std::string> { "north" });
+    fleet.kill(started);
+    fleet.start(started);
+    fleet.run(400ms);
+    fleet.targets().faults.lateStops = 100;
+    fleet.kill(origin);
+    fleet.run(1500ms);
+    REQUIRE(call.attempts == 2);
+    fleet.targets().faults.lateStops = 0;
+    fleet.run(8s);
+    requireNoViolations(fleet);
+    REQUIRE(shardsOf(fleet, "a") == std::set<std::string> { "north" });
+}
+
 TEST_CASE("a late start does not run in the next incarnation of its target")
 {
     EmulatedFleet::Settings settings;
