Ignore submissions that were under way for too long

What callers saw: a task ran in two places at once.

Cause: a holder counted the time since the origin's last submission from the arrival of the message. A message can wait for up to 3 s in a connection that is cut, or in the buffers of a busy host. When the origin died meanwhile, its caller had submitted the job to another host 1.3 s later, and the late message started it once more.

Evidence: the new test; without the change the late submission starts a run in the first shard beside that in the second. That this produced the double run that users saw is not shown.

Change: loads carry the holder's clock, and submissions carry the estimate of that clock at the time of sending. The estimate is never ahead, so the age is never underestimated. Messages of an earlier build carry no clock and are handled as before.

--- a/modules/rattanroad_shards/entrance/JobEntrance.cpp
+++ b/modules/rattanroad_shards/entrance/JobEntrance.cpp
@@ -136,7 +136,7 @@
     const RequestNumber number(id, submission.attempt);
     const auto waited = std::chrono::duration_cast<std::chrono::milliseconds>(m_clock.now() - submission.startedAt);
     if (ShardDispatcher* const local = m_hooks.localDispatcher(shard)) {
-        local->submit(submission.job, waited, isResent, m_settings.address,
+        local->submit(submission.job, waited, isResent, { m_settings.address, m_clock.now() },
             [this, number](SubmitVerdict verdict, std::chrono::milliseconds retryAfter) {
                 handleVerdict(number, verdict, retryAfter);
             });
@@ -149,6 +149,8 @@
     *body->mutable_job() = submission.job;
     body->set_waited_ms(static_cast<std::uint32_t>(waited.count()));
     body->set_resent(isResent);
+    if (const auto holderClock = m_loads.holderClock(shard))
+        body->set_receiver_clock_ms(*holderClock);
     m_hooks.send(*address, message);
 }
 
@@ -308,7 +310,11 @@
         reply(SubmitVerdict::NotHolder, {});
         return;
     }
-    local->submit(body.job(), std::chrono::milliseconds(body.waited_ms()), body.resent(), message.from_host(), reply);
+    const std::uint64_t now = toMilliseconds(m_clock.now());
+    const std::uint64_t sentAt = body.has_receiver_clock_ms() ? std::min(body.receiver_clock_ms(), now) : now;
+    const std::chrono::milliseconds age(now - sentAt);
+    local->submit(body.job(), std::chrono::milliseconds(body.waited_ms()) + age, body.resent(),
+        { message.from_host(), m_clock.now() - age }, reply);
 }
 
 void JobEntrance::answerQuery(const protocol::Envelope& message)
--- a/modules/rattanroad_shards/entrance/ShardLoads.cpp
+++ b/modules/rattanroad_shards/entrance/ShardLoads.cpp
@@ -16,7 +16,12 @@
     LatestLoad& latest = m_loads[ShardId(load.shard())];
     if (load.generation() < latest.load.generation())
         return false;
+    // The address may have passed to another machine.
+    if (load.generation() > latest.load.generation())
+        m_clocks.erase(load.address());
     latest = { load, m_clock.now(), 0 };
+    if (load.has_clock_ms())
+        m_clocks[load.address()].update(load.clock_ms(), latest.receivedAt);
     return true;
 }
 
@@ -78,16 +83,31 @@
     return cost;
 }
 
-const std::string* ShardLoads::holderAddress(const ShardId& shard) const
+const ShardLoads::LatestLoad* ShardLoads::loadOfHolder(const ShardId& shard) const
 {
     const auto latest = m_loads.find(shard);
     const ShardHolder* const holder = m_fleet.holder(shard);
     // A host that cannot reach the store learns of a new holder from the load message of that holder.
-    if (latest != m_loads.end() && (!holder || latest->second.load.generation() >= holder->generation.value()))
-        return &latest->second.load.address();
+    const bool isOfHolder
+        = latest != m_loads.end() && (!holder || latest->second.load.generation() >= holder->generation.value());
+    return isOfHolder ? &latest->second : nullptr;
+}
+
+const std::string* ShardLoads::holderAddress(const ShardId& shard) const
+{
+    if (const LatestLoad* const latest = loadOfHolder(shard))
+        return &latest->load.address();
+    const ShardHolder* const holder = m_fleet.holder(shard);
     return holder ? &holder->address : nullptr;
 }
 
+std::optional<std::uint64_t> ShardLoads::holderClock(const ShardId& shard) const
+{
+    const std::string* const address = holderAddress(shard);
+    const auto clock = address ? m_clocks.find(*address) : m_clocks.end();
+    return clock == m_clocks.end() ? std::nullopt : clock->second.estimate(m_clock.now());
+}
+
 bool ShardLoads::canServe() const
 {
     return std::any_of(m_loads.begin(), m_loads.end(), [this](const auto& entry) { return isUsable(entry.second); });
--- a/modules/rattanroad_shards/entrance/ShardLoads.h
+++ b/modules/rattanroad_shards/entrance/ShardLoads.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "rattanroad_shards/entrance/RemoteClock.h"
 #include "rattanroad_shards/holding/FleetView.h"
 
 #include <map>
@@ -38,6 +39,8 @@
     std::optional<ShardId> choose(const protocol::PlacedJob& job) const;
     /** Returns the address of a shard's holder, or null if no holder is known. */
     const std::string* holderAddress(const ShardId& shard) const;
+    /** Returns the clock of the host at holderAddress(), in milliseconds, or nothing if that host has sent no load. */
+    std::optional<std::uint64_t> holderClock(const ShardId& shard) const;
     /** Returns whether at least one shard can accept jobs. */
     bool canServe() const;
     /** Returns the number of jobs of a queue that have not started any task. */
@@ -51,6 +54,8 @@
         std::uint64_t assignedMillicores { 0 };
     };
 
+    /** Returns the latest load of a shard if the host that sent it is the newest known holder, or null. */
+    const LatestLoad* loadOfHolder(const ShardId& shard) const;
     bool isUsable(const LatestLoad& latest) const;
     /** Returns the cost of a shard as waiting time in milliseconds, or nothing if it cannot run the job. */
     std::optional<double> costOf(const ShardId& shard, const LatestLoad& latest, const protocol::PlacedJob& job) const;
@@ -59,6 +64,8 @@
     const FleetView& m_fleet;
     const Clock& m_clock;
     std::map<ShardId, LatestLoad> m_loads;
+    /** Clocks of the hosts that have sent loads, by address. */
+    std::map<std::string, RemoteClock> m_clocks;
 };
 
 }
--- a/modules/rattanroad_shards/jobs/ShardDispatcher.cpp
+++ b/modules/rattanroad_shards/jobs/ShardDispatcher.cpp
@@ -185,17 +185,21 @@
 }
 
 void ShardDispatcher::submit(const protocol::PlacedJob& description, std::chrono::milliseconds waited, bool isResent,
-    const std::string& originAddress, SubmitReply reply)
+    const Origin& origin, SubmitReply reply)
 {
     if (!isHolding()) {
         reply(SubmitVerdict::NotHolder, {});
         return;
     }
     const JobId id(description.id());
+    if (description.best_effort() && m_clock.now() - origin.sentAt >= m_settings.running.originTimeout) {
+        m_hooks.log("submission_outdated", id, "from " + origin.address);
+        return;
+    }
     if (ShardJob* const known = m_jobs.find(id)) {
         ShardJob& job = *known;
-        job.originAddress = originAddress;
-        job.lastSubmittedAt = m_clock.now();
+        job.originAddress = origin.address;
+        job.lastSubmittedAt = std::max(job.lastSubmittedAt, origin.sentAt);
         // The job was cancelled because its origin was silent; the repeated submission shows that it is still wanted.
         if (job.description.best_effort() && job.state == JobState::Cancelled)
             reopen(job);
@@ -209,7 +213,8 @@
     }
     auto job = m_jobs.makeJob(description, waited);
     job->acceptedIn = m_holding->generation;
-    job->originAddress = originAddress;
+    job->originAddress = origin.address;
+    job->lastSubmittedAt = origin.sentAt;
     const auto wait = m_runner.expectedWait(job->softDeadline);
     const bool isStoreNeeded = !description.best_effort();
     const bool isStoreUnavailable = isStoreNeeded && m_writer.isStoreUnavailable();
--- a/modules/rattanroad_shards/jobs/ShardDispatcher.h
+++ b/modules/rattanroad_shards/jobs/ShardDispatcher.h
@@ -58,6 +58,12 @@
         /** Logs an event of a job, or of the shard when the job id is empty. */
         std::function<void(const char* event, const JobId&, const std::string& detail)> log;
     };
+    /** The host that received a job from its caller. */
+    struct Origin {
+        std::string address;
+        /** When it sent the submission, by the clock of this host. */
+        TimePoint sentAt;
+    };
     using SubmitReply = std::function<void(SubmitVerdict, std::chrono::milliseconds retryAfter)>;
     using StateReply = std::function<void(bool isKnown, JobState)>;
 
@@ -83,9 +89,10 @@
     void targetListInterrupted() { m_targets.listInterrupted(); }
 
     /** Submits a job that its origin received @p waited ago. @p isResent tells that it was sent before, so this or an
-        earlier holder may have started it. */
-    void submit(const protocol::PlacedJob& job, std::chrono::milliseconds waited, bool isResent,
-        const std::string& originAddress, SubmitReply reply);
+        earlier holder may have started it. A best-effort job is ignored if it was sent so long ago that its caller may
+        have submitted it to another host. */
+    void submit(const protocol::PlacedJob& job, std::chrono::milliseconds waited, bool isResent, const Origin& origin,
+        SubmitReply reply);
     /** Returns the state of an accepted job, or nothing when there is none with this id in memory. */
     std::optional<JobState> state(const JobId& job) const;
     /** Cancels a job. Calls @p reply when its final state is stored, or at once when the job is unknown or its final
--- a/modules/rattanroad_shards/node/ShardNode.cpp
+++ b/modules/rattanroad_shards/node/ShardNode.cpp
@@ -346,6 +346,7 @@
             protocol::Envelope message = envelope();
             *message.mutable_shard_load() = entry.second.dispatcher->load();
             message.mutable_shard_load()->set_address(m_settings.address);
+            message.mutable_shard_load()->set_clock_ms(toMilliseconds(m_clock.now()));
             for (const JobId& job : entry.second.dispatcher->announcedJobs())
                 message.mutable_shard_load()->add_new_jobs(job.value());
             m_entrance.loadReceived(message.shard_load());
--- a/tests/emulator/EmulatedFleet.cpp
+++ b/tests/emulator/EmulatedFleet.cpp
@@ -262,7 +262,19 @@
     if (found == m_hosts.end() || !found->second.node || found->second.isIsolated || m_hosts[from].isIsolated
         || !isLinked(m_hosts[from], to))
         return;
-    m_queue.after(linkLatency, wrapInProcess(to, [this, to, message] { m_hosts[to].node->received(message); }));
+    auto arrival = wrapInProcess(to, [this, to, message] { m_hosts[to].node->received(message); });
+    const auto held = m_heldMessages.find(from);
+    if (held == m_heldMessages.end())
+        m_queue.after(linkLatency, std::move(arrival));
+    else
+        held->second.push_back(std::move(arrival));
+}
+
+void EmulatedFleet::releaseMessages(const HostId& host)
+{
+    for (auto& arrival : m_heldMessages[host])
+        m_queue.after(linkLatency, std::move(arrival));
+    m_heldMessages.erase(host);
 }
 
 EmulatedFleet::Call& EmulatedFleet::submit(const HostId& host, const std::string& job, std::uint32_t tasks,
--- a/tests/emulator/EmulatedFleet.h
+++ b/tests/emulator/EmulatedFleet.h
@@ -56,6 +56,9 @@
     /** Disconnects a host from the other hosts, the targets and the store; callers still reach it. */
     void isolate(const HostId& host);
     void reconnect(const HostId& host);
+    /** Holds back the messages of a host to other hosts until releaseMessages(), as an interrupted connection does. */
+    void holdMessages(const HostId& host) { m_heldMessages[host]; }
+    void releaseMessages(const HostId& host);
     shards::ShardNode& node(const HostId& host);
     /** Returns the running host that holds a shard, or an empty id. */
     HostId holderOf(const std::string& domain);
@@ -117,6 +120,8 @@
     EmulatedTargets m_targets;
     std::map<HostId, Host> m_hosts;
     std::deque<Call> m_calls;
+    /** Messages that are held back, by sender. */
+    std::map<HostId, std::vector<std::function<void()>>> m_heldMessages;
     std::vector<std::string> m_log;
     std::uint64_t m_lastIncarnation { 0 };
     std::chrono::milliseconds m_callerWait { 1500 };
--- a/tests/shards/DispatcherTests.cpp
+++ b/tests/shards/DispatcherTests.cpp
@@ -68,7 +68,7 @@
     /** Submits a best-effort job with one task. */
     void submit(const std::string& job, std::chrono::milliseconds duration, bool isResent)
     {
-        m_dispatcher.submit(description(job, duration, true), 0ms, isResent, "entrance",
+        m_dispatcher.submit(description(job, duration, true), 0ms, isResent, { "entrance", m_clock.now() },
             [](SubmitVerdict, std::chrono::milliseconds) {});
     }
 
--- a/tests/shards/RecoveryTests.cpp
+++ b/tests/shards/RecoveryTests.cpp
@@ -577,6 +577,26 @@
     REQUIRE(shardsOf(fleet, "a") == std::set<std::string> { "north" });
 }
 
+TEST_CASE("a submission that arrives after its caller has submitted the job to another host starts no run")
+{
+    EmulatedFleet::Settings settings;
+    settings.hostsPerDomain = 3;
+    EmulatedFleet fleet(settings);
+    fleet.startAll();
+    const HostId origin = hostWithoutShard(fleet, "north");
+    fleet.holdMessages(origin);
+    auto& call = fleet.submit(origin, "a", 1, 2500ms, true);
+    call.nextHost = hostWithoutShard(fleet, "south");
+    fleet.run(100ms);
+    fleet.kill(origin);
+    fleet.run(1500ms);
+    REQUIRE(shardsOf(fleet, "a") == std::set<std::string> { "south" });
+    fleet.releaseMessages(origin);
+    fleet.run(5s);
+    requireNoViolations(fleet);
+    REQUIRE(shardsOf(fleet, "a") == std::set<std::string> { "south" });
+}
+
 TEST_CASE("a late start does not run in the next incarnation of its target")
 {
     EmulatedFleet::Settings settings;
