Restart no job before the target list was read by the new holder

What callers saw: a task ran in two places at once.

Cause: a host without a shard watches the target list every 4 s, and the store can tell its watches of changes a second late. A host that acquired a shard took its copy of the list for complete. If a target had been added meanwhile, its runs were unknown: once the other targets had answered, the jobs that the previous holder handed over were taken to have no run, and their tasks were started a second time. A planned restart of the holder is enough, as the runs go on while the shard changes hands.

That this produced the double run that users saw is not shown.

Change: the new holder reads the whole target list once after it has acquired the shard, and counts the targets as reconciled only after that. The read is one call to the store for each acquisition. The test fixture of the dispatcher reports the read as the node does.

--- a/modules/rattanroad_shards/jobs/ShardDispatcher.cpp
+++ b/modules/rattanroad_shards/jobs/ShardDispatcher.cpp
@@ -151,6 +151,13 @@
     m_runner.scheduleSoon();
 }
 
+void ShardDispatcher::targetListRead()
+{
+    m_targets.listRead();
+    updateRecovery();
+    m_runner.scheduleSoon();
+}
+
 TargetSession::Hooks ShardDispatcher::sessionHooks()
 {
     TargetSession::Hooks hooks;
--- a/modules/rattanroad_shards/node/ShardNode.cpp
+++ b/modules/rattanroad_shards/node/ShardNode.cpp
@@ -22,6 +22,8 @@
         })
         , m_configuration({ m_settings.configurationKey }, m_store, m_timers, configurationHooks())
         , m_targetList({ m_settings.targetPrefix }, m_store, m_timers, targetHooks())
+        , m_targetReader({ m_settings.targetPrefix }, m_store, m_timers,
+              { [this](const StoredItem& item) { m_targetList.itemRead(item); }, [this] { targetListRead(); } })
         , m_fleetList({ storekeys::fleetPrefix }, m_store, m_timers, fleetHooks())
         , m_entrance(entranceSettings(), m_store, m_fleet, m_timers, clock, entranceHooks())
     {
@@ -120,6 +122,8 @@
                         { "continued", holding.isContinued ? "true" : "false" } });
                 m_targetList.watchNow();
                 m_shards[shard].dispatcher->begin(holding);
+                // Watches can be told of changes late.
+                m_targetReader.start();
             };
             electionHooks.lost = [this, shard](const char* reason) {
                 m_hooks.log("shard_lost", { { "shard", shard.value() }, { "reason", reason } });
@@ -221,6 +225,12 @@
         return hooks;
     }
 
+    void targetListRead()
+    {
+        for (auto& entry : m_shards)
+            entry.second.dispatcher->targetListRead();
+    }
+
     PrefixWatcher::Hooks fleetHooks()
     {
         PrefixWatcher::Hooks hooks;
@@ -410,6 +420,8 @@
     std::optional<QueueTable> m_queues;
     PrefixWatcher m_configuration;
     PrefixWatcher m_targetList;
+    /** Reads the target list when this host has acquired a shard. */
+    PageReader m_targetReader;
     PrefixWatcher m_fleetList;
     JobEntrance m_entrance;
     /** Incarnations of the other hosts to which links were opened. */
--- a/modules/rattanroad_shards/store/PrefixWatcher.h
+++ b/modules/rattanroad_shards/store/PrefixWatcher.h
@@ -36,6 +36,8 @@
     PrefixWatcher& operator=(const PrefixWatcher&) = delete;
 
     void start();
+    /** Processes an item that was read separately, unless a newer write of its key is known. */
+    void itemRead(const StoredItem& item) { applyWrite(item); }
     /** Ends a pause between two watches, if there is one. */
     void watchNow();
     /** Returns whether all keys have been read at least once. */
--- a/modules/rattanroad_shards/targets/ShardTargets.h
+++ b/modules/rattanroad_shards/targets/ShardTargets.h
@@ -50,6 +50,8 @@
     void unlisted(const TargetId& target);
     /** Updates of the target list were interrupted, so targets may be missing from it. */
     void listInterrupted() { m_lastListGap = m_clock.now(); }
+    /** The whole target list was read after the shard was acquired. */
+    void listRead() { m_isListRead = true; }
 
     /** Opens a session with each listed target, and with each that is listed later. */
     void open(FencingToken token);
@@ -108,6 +110,8 @@
     /** Present from open() to clear(). */
     std::optional<FencingToken> m_token;
     bool m_isClosed { false };
+    /** The list was read after open(), so it contains the targets that an earlier holder has used. */
+    bool m_isListRead { false };
     /** When the list may last have been incomplete. */
     TimePoint m_lastListGap;
     std::map<TargetId, TargetReport> m_reports;
--- a/tests/emulator/EmulatedFleet.cpp
+++ b/tests/emulator/EmulatedFleet.cpp
@@ -26,22 +26,26 @@
     for (const std::string& domain : m_settings.domains) {
         for (int i = 0; i < m_settings.hostsPerDomain; ++i)
             m_hosts[HostId(domain + "-" + std::to_string(i))].domain = domain;
-        for (int i = 0; i < m_settings.targetsPerDomain; ++i) {
-            TargetReport report;
-            report.id = TargetId("target-" + domain + "-" + std::to_string(i));
-            report.service = ServiceId(service);
-            report.failureDomain = FailureDomainId(domain);
-            report.address = report.id.value();
-            report.capacity = m_settings.capacity;
-            report.labels = { "a", "rack-" + domain };
-            report.bornMs = 1;
-            m_targets.add(report);
-            m_store.put("servers/" + report.id.value(), report.id.value());
-        }
+        for (int i = 0; i < m_settings.targetsPerDomain; ++i)
+            addTarget(domain, "target-" + domain + "-" + std::to_string(i));
     }
     m_store.put("config", "1");
 }
 
+void EmulatedFleet::addTarget(const std::string& domain, const std::string& name)
+{
+    TargetReport report;
+    report.id = TargetId(name);
+    report.service = ServiceId(service);
+    report.failureDomain = FailureDomainId(domain);
+    report.address = name;
+    report.capacity = m_settings.capacity;
+    report.labels = { "a", "rack-" + domain };
+    report.bornMs = 1;
+    m_targets.add(report);
+    m_store.put("servers/" + name, name);
+}
+
 std::function<void()> EmulatedFleet::wrapInProcess(const HostId& id, std::function<void()> action)
 {
     return [this, id, isAlive = m_hosts[id].isAlive, action = std::move(action)] {
--- a/tests/emulator/EmulatedFleet.h
+++ b/tests/emulator/EmulatedFleet.h
@@ -59,6 +59,8 @@
     /** Holds back the messages of a host to other hosts until releaseMessages(), as an interrupted connection does. */
     void holdMessages(const HostId& host) { m_heldMessages[host]; }
     void releaseMessages(const HostId& host);
+    /** Adds a target while the fleet is running. */
+    void addTarget(const std::string& domain, const std::string& name);
     shards::ShardNode& node(const HostId& host);
     /** Returns the running host that holds a shard, or an empty id. */
     HostId holderOf(const std::string& domain);
--- a/tests/emulator/EmulatedStore.cpp
+++ b/tests/emulator/EmulatedStore.cpp
@@ -260,9 +260,10 @@
         watch.callback({ StoreStatus::Compacted, {}, KeyRevision(0) });
         return true;
     }
-    WatchReply reply { StoreStatus::Done, {}, KeyRevision(m_revision) };
+    const bool isDeaf = !faults.deafPrefix.empty() && watch.prefix == faults.deafPrefix;
+    WatchReply reply { StoreStatus::Done, {}, KeyRevision(isDeaf ? watch.after : m_revision) };
     for (const KeyChange& change : m_history) {
-        if (change.item.revision.value() > watch.after && startsWith(change.item.key, watch.prefix))
+        if (!isDeaf && change.item.revision.value() > watch.after && startsWith(change.item.key, watch.prefix))
             reply.changes.push_back(change);
     }
     if (reply.changes.empty() && !isTimedOut)
--- a/tests/emulator/EmulatedStore.h
+++ b/tests/emulator/EmulatedStore.h
@@ -25,6 +25,8 @@
         int repliesToLose { 0 };
         /** Number of transactions to leave without a reply and execute 3 s later, if their conditions still hold. */
         int lateTransactions { 0 };
+        /** Watches of this prefix are told of no changes; empty for none. */
+        std::string deafPrefix;
         /** Hosts whose calls are refused. */
         std::set<HostId> refusedHosts;
         /** Hosts whose calls are lost. */
--- a/tests/shards/DispatcherTests.cpp
+++ b/tests/shards/DispatcherTests.cpp
@@ -75,6 +75,7 @@
     void begin(std::uint64_t generation)
     {
         m_dispatcher.begin({ FencingToken(generation), Generation(generation), false });
+        m_dispatcher.targetListRead();
     }
     void run(Duration duration) { m_queue.runUntil(m_clock.now() + duration); }
     /** Runs until @p isDone returns true or 10 s have passed; returns whether it did. */
--- a/tests/shards/RecoveryTests.cpp
+++ b/tests/shards/RecoveryTests.cpp
@@ -425,6 +425,35 @@
     requireNoViolations(fleet);
 }
 
+TEST_CASE("a new holder restarts no job while it has not heard of a target that was added")
+{
+    EmulatedFleet::Settings settings;
+    settings.domains = { "north" };
+    settings.hostsPerDomain = 3;
+    settings.targetsPerDomain = 2;
+    EmulatedFleet fleet(settings);
+    fleet.startAll();
+    fleet.run(5s);
+    const HostId holder = fleet.holderOf("north");
+    const HostId origin = otherThan(fleet, holder);
+    fleet.submit(origin, "fills the other targets", 4, 700ms, true);
+    // After a change the other hosts watch the targets again only after a pause.
+    fleet.store().put("servers/target-north-0", "target-north-0");
+    fleet.run(50ms);
+    fleet.addTarget("north", "target-north-2");
+    fleet.run(500ms);
+    fleet.store().faults.deafPrefix = "servers/";
+    auto& call = fleet.submit(origin, "a", 2, 1200ms, true);
+    fleet.run(300ms);
+    REQUIRE(fleet.targets().running() == 2);
+    fleet.node(holder).drain();
+    fleet.run(900ms);
+    fleet.store().faults.deafPrefix.clear();
+    fleet.run(3s);
+    requireNoViolations(fleet);
+    REQUIRE(isDone(call));
+}
+
 TEST_CASE("a job that was stopped while its origin was paused is not reported as failed")
 {
     EmulatedFleet fleet;
