--- a/tests/network/HttpTests.cpp
+++ b/tests/network/HttpTests.cpp
@@ -150,7 +150,7 @@
     CHECK(disconnects == 1);
 }
 
-// Guards against running a job for a caller that disconnected while the process was paused and has submitted it elsewhere.
+// Guards against running a job for a caller that has left and has submitted it to another host.
 TEST_CASE_METHOD(HttpFixture, "a request whose caller has disconnected before it is read is not handled", "[http]")
 {
     int handled = 0;
