Report how late the event loop is and the processor time of holders

Neither logs nor metrics told whether the holders of the shards lacked processor time.

Cause: shard_acquired names the host but not its processor time, and with store.kind = platform no metric shows the lateness of the event loop.

--- a/apps/rattanroadd/fleet/FleetHost.cpp
+++ b/apps/rattanroadd/fleet/FleetHost.cpp
@@ -37,6 +37,7 @@
         node.host = settings.host;
         node.incarnation = incarnation;
         node.failureDomain = settings.failureDomain;
+        node.processor = settings.processor;
         node.address = settings.peerAddress;
         node.failureDomains = settings.failureDomains;
         node.configurationKey = adapter::configurationKey;
@@ -88,7 +89,7 @@
             if (!bound)
                 return bound.lastReason();
         }
-        logEvent("started", {});
+        logEvent("started", { { "millicores", std::to_string(m_settings.processor.value()) } });
         m_node.start();
         return std::nullopt;
     }
@@ -121,6 +122,7 @@
             = [this](const char* event, const shards::ShardNode::LogFields& fields) { logRateLimited(event, fields); };
         hooks.hostStarted = [this](const std::string& address) { m_peerLink.reopen(address); };
         hooks.jobDuration = [this](Duration duration) { m_metrics.observeJob(duration); };
+        hooks.loopLag = [this](Duration lag) { m_metrics.observeLoopLag(lag); };
         hooks.parseTarget = &adapter::parseTargetEntry;
         hooks.parseConfiguration = &adapter::parseQueueConfiguration;
         return hooks;
--- a/apps/rattanroadd/fleet/FleetMetrics.cpp
+++ b/apps/rattanroadd/fleet/FleetMetrics.cpp
@@ -9,6 +9,8 @@
           "Duration of starts and stops at targets", Metrics::timeBuckets()))
     , m_jobs(m_metrics.histogram("rattanroad_job_duration_seconds",
           "Time from the acceptance of a job by the holder of its shard to its end", Metrics::timeBuckets()))
+    , m_loopLag(m_metrics.histogram(
+          "rattanroad_loop_lag_seconds", "Lateness of a timer of the event loop", Metrics::timeBuckets()))
 {
 }
 
--- a/apps/rattanroadd/fleet/FleetMetrics.h
+++ b/apps/rattanroadd/fleet/FleetMetrics.h
@@ -27,6 +27,8 @@
     void observeTargetRequest(Duration duration) { observe(m_targetRequests, duration); }
     /** Records the time from the acceptance of a job to its end. */
     void observeJob(Duration duration) { observe(m_jobs, duration); }
+    /** Records how late a timer of the event loop fired. */
+    void observeLoopLag(Duration lag) { observe(m_loopLag, lag); }
 
     /** Returns all metrics in the Prometheus text format. */
     std::string text(const Snapshot& snapshot);
@@ -43,6 +45,7 @@
     Metrics::Observe m_storeCalls;
     Metrics::Observe m_targetRequests;
     Metrics::Observe m_jobs;
+    Metrics::Observe m_loopLag;
 };
 
 }
--- a/apps/rattanroadd/settings/Settings.cpp
+++ b/apps/rattanroadd/settings/Settings.cpp
@@ -2,6 +2,7 @@
 
 #include "rattanroad_network/http/SocketAddress.h"
 
+#include <cmath>
 #include <nlohmann/json.hpp>
 #include <valijson/adapters/nlohmann_json_adapter.hpp>
 #include <valijson/schema.hpp>
@@ -71,6 +72,13 @@
         return std::chrono::seconds(object.value(name, defaultValue.count()));
     }
 
+    /** Returns the processor time of a host; unknown without a share. */
+    shards::HostMillicores processorTime(const json& processor)
+    {
+        const double millicores = 1000 * processor.value("share", 0.0) * processor.value("cores", 1.0);
+        return shards::HostMillicores(static_cast<std::uint32_t>(std::lround(millicores)));
+    }
+
     /** @pre @p document is valid against the schema. */
     Settings readSettings(const json& document)
     {
@@ -81,6 +89,7 @@
         settings.failureDomain = FailureDomainId(host.value("failure_domain", ""));
         settings.region = RegionId(host.value("region", ""));
         settings.rack = RackId(host.value("rack", ""));
+        settings.processor = processorTime(section("processor"));
         settings.callerAddress = section("listen").value("callers", "");
         settings.peerAddress = section("listen").value("peers", "");
         settings.readinessAddress = section("listen").value("readiness", "");
--- a/apps/rattanroadd/settings/Settings.h
+++ b/apps/rattanroadd/settings/Settings.h
@@ -2,6 +2,7 @@
 
 #include "rattanroad_core/failure/Result.h"
 #include "rattanroad_dispatch/rattanroad_dispatch.h"
+#include "rattanroad_shards/types/ShardTypes.h"
 
 #include <string>
 #include <string_view>
@@ -15,6 +16,9 @@
     FailureDomainId failureDomain;
     RegionId region;
     RackId rack;
+    /** Processor time of this host, from its share of a core and the speed of the core; only with
+        StoreKind::Platform. */
+    shards::HostMillicores processor;
     /** Address of the HTTP interface, "<IPv4 address>:<port>". */
     std::string callerAddress;
     /** Address of the peer socket, to which the other entry hosts connect. */
--- a/apps/rattanroadd/settings/SettingsSchema.cpp
+++ b/apps/rattanroadd/settings/SettingsSchema.cpp
@@ -20,6 +20,13 @@
         "rack": { "type": "string", "pattern": "^[a-z0-9-]*$" }
       }
     },
+    "processor": {
+      "type": "object", "additionalProperties": false, "required": ["share"],
+      "properties": {
+        "share": { "type": "number", "exclusiveMinimum": 0, "maximum": 1024 },
+        "cores": { "type": "number", "exclusiveMinimum": 0, "maximum": 1024 }
+      }
+    },
     "listen": {
       "type": "object", "additionalProperties": false, "required": ["callers", "peers"],
       "properties": {
--- a/modules/rattanroad_shards/node/ShardNode.cpp
+++ b/modules/rattanroad_shards/node/ShardNode.cpp
@@ -117,7 +117,8 @@
                 m_hooks.log("shard_acquired",
                     { { "shard", shard.value() }, { "token", std::to_string(holding.token.value()) },
                         { "generation", std::to_string(holding.generation.value()) },
-                        { "continued", holding.isContinued ? "true" : "false" } });
+                        { "continued", holding.isContinued ? "true" : "false" },
+                        { "millicores", std::to_string(m_settings.processor.value()) } });
                 m_targetList.watchNow();
                 m_shards[shard].dispatcher->begin(holding);
             };
@@ -336,9 +337,27 @@
             m_resumedAt = now;
     }
 
+    void reportLoopLag()
+    {
+        const TimePoint now = m_clock.now();
+        if (now < m_loadTimerDue)
+            return;
+        const Duration lag = now - m_loadTimerDue;
+        if (m_hooks.loopLag)
+            m_hooks.loopLag(lag);
+        if (lag <= m_settings.loopLagThreshold || now - m_lastLoopLagLog < m_settings.loopLagLogInterval)
+            return;
+        m_lastLoopLagLog = now;
+        const auto milliseconds = std::chrono::duration_cast<std::chrono::milliseconds>(lag).count();
+        m_hooks.log("loop_late",
+            { { "delay_ms", std::to_string(milliseconds) }, { "holding", isHolding() ? "true" : "false" },
+                { "millicores", std::to_string(m_settings.processor.value()) } });
+    }
+
     void sendLoads()
     {
         detectPause();
+        reportLoopLag();
         m_lastLoadTimerRun = m_clock.now();
         for (const auto& entry : m_shards) {
             if (!entry.second.dispatcher->isHolding())
@@ -352,6 +371,7 @@
             for (const std::string& address : peers())
                 m_hooks.send(address, message);
         }
+        m_loadTimerDue = m_clock.now() + m_settings.loadInterval;
         m_timers.after(m_settings.loadInterval, [this] { sendLoads(); });
     }
 
@@ -417,6 +437,8 @@
     std::map<std::string, TimePoint> m_lastMessageTimes;
     /** When the timer that sends the loads last fired. */
     TimePoint m_lastLoadTimerRun { TimePoint::max() };
+    TimePoint m_loadTimerDue { TimePoint::max() };
+    TimePoint m_lastLoopLagLog { distantPast };
     TimePoint m_resumedAt { distantPast };
     bool m_isRegistered { false };
     bool m_isDraining { false };
--- a/modules/rattanroad_shards/node/ShardNode.h
+++ b/modules/rattanroad_shards/node/ShardNode.h
@@ -21,6 +21,7 @@
         HostId host;
         Incarnation incarnation;
         FailureDomainId failureDomain;
+        HostMillicores processor;
         /** Address of this host, to which other hosts send messages. */
         std::string address;
         /** All failure domains with targets; each is one shard. */
@@ -45,6 +46,10 @@
         std::chrono::milliseconds idleTargetListPause { 4000 };
         /** The process is taken to have been paused when the load timer is overdue by more than this. */
         std::chrono::milliseconds pauseThreshold { 500 };
+        /** The event loop is logged as late when the load timer is overdue by more than this. */
+        std::chrono::milliseconds loopLagThreshold { 100 };
+        /** Minimum time between two log lines about a late event loop. */
+        std::chrono::seconds loopLagLogInterval { 1 };
         /** Submissions that arrive this soon after a pause were sent during it and are dropped; their origin hosts
             submit them again if they are still wanted. */
         std::chrono::milliseconds staleMessageWindow { 100 };
@@ -70,6 +75,8 @@
         /** Records the time from the receipt of a job to its end, for a job of a shard that this host holds; may be
             empty. */
         std::function<void(Duration)> jobDuration;
+        /** Records how late a timer of the event loop fired; may be empty. */
+        std::function<void(Duration)> loopLag;
     };
 
     ShardNode(
--- a/modules/rattanroad_shards/types/ShardTypes.h
+++ b/modules/rattanroad_shards/types/ShardTypes.h
@@ -25,6 +25,9 @@
 /** Counts the changes of a shard's holder. */
 using Generation = StrongType<std::uint64_t, struct GenerationTag>;
 
+/** Processor time that a host may use, in thousandths of a core; 0 when unknown. */
+using HostMillicores = StrongType<std::uint32_t, struct HostMillicoresTag>;
+
 /** Earlier than any time of a running process. Unlike with TimePoint::min(), differences to it do not overflow. */
 constexpr TimePoint distantPast { -std::chrono::hours(10000) };
 
--- a/tests/emulator/EmulatedFleet.cpp
+++ b/tests/emulator/EmulatedFleet.cpp
@@ -119,6 +119,9 @@
     settings.incarnation = Incarnation(host.incarnation);
     settings.failureDomain = FailureDomainId(host.domain);
     settings.address = id.value();
+    const auto processor = m_settings.processors.find(id);
+    if (processor != m_settings.processors.end())
+        settings.processor = processor->second;
     for (const std::string& domain : m_settings.domains)
         settings.failureDomains.emplace_back(domain);
     settings.configurationKey = "config";
--- a/tests/emulator/EmulatedFleet.h
+++ b/tests/emulator/EmulatedFleet.h
@@ -17,6 +17,8 @@
         int hostsPerDomain { 2 };
         int targetsPerDomain { 3 };
         shards::Resources capacity { 32000, 65536, 0 };
+        /** Processor time that hosts publish; unknown for hosts that are not listed. */
+        std::map<HostId, shards::HostMillicores> processors;
     };
     /** A job with all attempts of its caller to submit it. */
     struct Call {
--- a/tests/network/DaemonPartsTests.cpp
+++ b/tests/network/DaemonPartsTests.cpp
@@ -68,6 +68,22 @@
     settings.erase("store");
     CHECK_THAT(settingsError(settings), Catch::Contains("store"));
     CHECK_FALSE(daemon::Settings::parse("{"));
+    settings = validSettings();
+    settings["processor"] = { { "share", 0 } };
+    CHECK_THAT(settingsError(settings), Catch::Contains("[processor][share]"));
+}
+
+TEST_CASE("the processor time of a host is its share of a core times the speed of the core", "[settings]")
+{
+    const auto millicores = [](const json& processor) {
+        json settings = validSettings();
+        if (!processor.empty())
+            settings["processor"] = processor;
+        return daemon::Settings::parse(settings.dump())->processor.value();
+    };
+    CHECK(millicores({}) == 0);
+    CHECK(millicores({ { "share", 0.09 } }) == 90);
+    CHECK(millicores({ { "share", 0.25 }, { "cores", 4 } }) == 1000);
 }
 
 // Guards against accepting a request with a misspelt field, or a job with a task count outside 1 to 260.
--- a/tests/platform/FleetHostTests.cpp
+++ b/tests/platform/FleetHostTests.cpp
@@ -121,6 +121,7 @@
     CHECK_THAT(metrics, Catch::Contains("rattanroad_events_total{event=\"job_done\"} 2"));
     CHECK_THAT(metrics, Catch::Contains("rattanroad_job_duration_seconds_count 3"));
     CHECK_THAT(metrics, Catch::Contains("rattanroad_target_order_duration_seconds_bucket"));
+    CHECK_THAT(metrics, Catch::Contains("rattanroad_loop_lag_seconds_bucket"));
 }
 
 // Guards against a stopping host that closes connections before it has sent the answers.
