Let the hosts with the most processor time hold the shards

Cause: one host decides and calls for all targets of a shard. The order of candidates was domain, holds another shard, hash, so that in two of three domains a host with 0.3 of a core held the shard from the start, and later ones with 0.09, while hosts with 0.5 held none.

After the domain, candidates are ranked by the processor time that the shard would get: the host's, divided by the shards that it would hold. This replaces the choice between "holds another shard first" and "larger first": the former would prefer a free host with 0.09 over half of one with 0.5, the latter half of 0.5 over a free 0.3. Hosts of earlier builds rank last in their domain and behave as before.

--- a/modules/rattanroad_shards/holding/FleetView.cpp
+++ b/modules/rattanroad_shards/holding/FleetView.cpp
@@ -19,8 +19,9 @@
             m_malformed(item.key);
             return std::nullopt;
         }
-        m_hosts[HostId(item.key.substr(storekeys::hostPrefix.size()))] = { Incarnation(record.incarnation()),
-            record.address(), FailureDomainId(record.failure_domain()), record.draining() };
+        m_hosts[HostId(item.key.substr(storekeys::hostPrefix.size()))]
+            = { Incarnation(record.incarnation()), record.address(), FailureDomainId(record.failure_domain()),
+                  record.draining(), HostMillicores(record.processor_millicores()) };
         return std::nullopt;
     }
     if (!startsWith(item.key, storekeys::holderPrefix))
--- a/modules/rattanroad_shards/holding/FleetView.h
+++ b/modules/rattanroad_shards/holding/FleetView.h
@@ -15,6 +15,7 @@
     std::string address;
     FailureDomainId failureDomain;
     bool isDraining { false };
+    HostMillicores processor;
 };
 
 /** The current holder of a shard. */
--- a/modules/rattanroad_shards/holding/ShardElection.cpp
+++ b/modules/rattanroad_shards/holding/ShardElection.cpp
@@ -70,20 +70,28 @@
 
 std::size_t ShardElection::rank() const
 {
-    const auto order = [this](const HostId& host, const FailureDomainId& domain) {
+    const auto order = [this](const HostId& host, const FailureDomainId& domain, HostMillicores processor) {
+        // Hosts of unknown processor time are told apart by whether they hold a shard already.
         const bool holdsAnother = std::any_of(m_fleet.holders().begin(), m_fleet.holders().end(),
             [&host](const auto& entry) { return entry.second.host == host; });
-        return std::make_tuple(
-            domain != m_settings.preferredDomain, holdsAnother, rendezvousWeight(m_settings.shard, host));
+        return std::make_tuple(domain != m_settings.preferredDomain, -processorTimeOn(host, processor), holdsAnother,
+            rendezvousWeight(m_settings.shard, host));
     };
-    const auto own = order(m_settings.self, m_settings.selfDomain);
+    const auto own = order(m_settings.self, m_settings.selfDomain, m_settings.selfProcessor);
     return static_cast<std::size_t>(
         std::count_if(m_fleet.hosts().begin(), m_fleet.hosts().end(), [&](const auto& entry) {
             return entry.first != m_settings.self && !entry.second.isDraining
-                && order(entry.first, entry.second.failureDomain) < own;
+                && order(entry.first, entry.second.failureDomain, entry.second.processor) < own;
         }));
 }
 
+double ShardElection::processorTimeOn(const HostId& host, HostMillicores processor) const
+{
+    const auto otherShards = std::count_if(m_fleet.holders().begin(), m_fleet.holders().end(),
+        [&](const auto& entry) { return entry.first != m_settings.shard && entry.second.host == host; });
+    return processor.value() / static_cast<double>(otherShards + 1);
+}
+
 bool ShardElection::shouldFailBack()
 {
     const bool isPreferred = m_settings.selfDomain == m_settings.preferredDomain;
--- a/modules/rattanroad_shards/holding/ShardElection.h
+++ b/modules/rattanroad_shards/holding/ShardElection.h
@@ -11,8 +11,8 @@
 
     The holder is the host that wrote the shard's key under its lease; the revision of that write is the fencing token.
     A second key, which is not attached to a lease, counts the generations of holders. Hosts of the shard's preferred
-    failure domain try first, in rendezvous hashing order. The others follow at short intervals, so that the store sees
-    few attempts.
+    failure domain try first, those with the most processor time for the shard before the others, and equal ones in
+    rendezvous hashing order. The others follow at short intervals, so that the store sees few attempts.
 */
 class ShardElection {
 public:
@@ -24,6 +24,7 @@
         Incarnation incarnation;
         std::string address;
         FailureDomainId selfDomain;
+        HostMillicores selfProcessor;
         /** Time between the attempts of two hosts of successive rank: several response times of the store. */
         std::chrono::milliseconds attemptSpacing { 120 };
         /** A holder outside the preferred domain releases the shard when the preferred domain has had a live host for
@@ -75,6 +76,8 @@
     /** Returns the number of live hosts that come before this one in the order of attempts. */
     std::size_t rank() const;
     bool shouldFailBack();
+    /** Returns the processor time that the shard would get on a host, in millicores: the host's shards share it. */
+    double processorTimeOn(const HostId& host, HostMillicores processor) const;
     /** Returns whether another host could acquire the shard. */
     bool hasSuccessor() const;
     void releaseLater();
--- a/modules/rattanroad_shards/node/ShardNode.cpp
+++ b/modules/rattanroad_shards/node/ShardNode.cpp
@@ -141,6 +141,7 @@
         settings.incarnation = m_settings.incarnation;
         settings.address = m_settings.address;
         settings.selfDomain = m_settings.failureDomain;
+        settings.selfProcessor = m_settings.processor;
         return settings;
     }
 
@@ -287,6 +288,7 @@
         record.set_address(m_settings.address);
         record.set_failure_domain(m_settings.failureDomain.value());
         record.set_draining(m_isDraining);
+        record.set_processor_millicores(m_settings.processor.value());
         KeyTransaction transaction;
         transaction.writes.push_back({ storekeys::host(m_settings.host), record.SerializeAsString(), m_lease.lease() });
         m_store.transact(transaction, [this, lease = m_lease.lease()](const TransactionReply& reply) {
--- a/tests/emulator/EmulatedFleet.cpp
+++ b/tests/emulator/EmulatedFleet.cpp
@@ -119,9 +119,7 @@
     settings.incarnation = Incarnation(host.incarnation);
     settings.failureDomain = FailureDomainId(host.domain);
     settings.address = id.value();
-    const auto processor = m_settings.processors.find(id);
-    if (processor != m_settings.processors.end())
-        settings.processor = processor->second;
+    settings.processor = processorOf(id);
     for (const std::string& domain : m_settings.domains)
         settings.failureDomains.emplace_back(domain);
     settings.configurationKey = "config";
@@ -196,6 +194,12 @@
 
 bool EmulatedFleet::isUp(const HostId& id) const { return m_hosts.at(id).node != nullptr; }
 
+HostMillicores EmulatedFleet::processorOf(const HostId& id) const
+{
+    const auto processor = m_settings.processors.find(id);
+    return processor == m_settings.processors.end() ? HostMillicores(0) : processor->second;
+}
+
 ShardNode& EmulatedFleet::node(const HostId& id) { return *m_hosts[id].node; }
 
 HostId EmulatedFleet::holderOf(const std::string& domain)
--- a/tests/emulator/EmulatedFleet.h
+++ b/tests/emulator/EmulatedFleet.h
@@ -48,6 +48,8 @@
 
     std::vector<HostId> hosts() const;
     bool isUp(const HostId& host) const;
+    /** Returns the processor time that a host publishes; 0 when it publishes none. */
+    shards::HostMillicores processorOf(const HostId& host) const;
     void kill(const HostId& host);
     void start(const HostId& host);
     /** Pauses the process of a host: timers, messages and replies are deferred until resume(). */
--- a/tests/shards/ElectionTests.cpp
+++ b/tests/shards/ElectionTests.cpp
@@ -20,21 +20,82 @@
     return lines;
 }
 
+/** A single failure domain in which each host has the given processor time. */
+EmulatedFleet::Settings settingsOf(const std::vector<std::uint32_t>& millicores)
+{
+    EmulatedFleet::Settings settings;
+    settings.domains = { "north" };
+    settings.hostsPerDomain = static_cast<int>(millicores.size());
+    for (std::size_t i = 0; i < millicores.size(); ++i) {
+        if (millicores[i] != 0)
+            settings.processors[HostId("north-" + std::to_string(i))] = HostMillicores(millicores[i]);
+    }
+    return settings;
+}
+
 }
 
 TEST_CASE("the log names the processor time of the holder of a shard")
 {
-    EmulatedFleet::Settings settings;
-    settings.domains = { "north" };
-    settings.hostsPerDomain = 1;
-    settings.processors[HostId("north-0")] = HostMillicores(300);
-    EmulatedFleet fleet(settings);
+    EmulatedFleet fleet(settingsOf({ 300 }));
     fleet.startAll();
     const auto acquired = logLines(fleet, "north-0 shard_acquired");
     REQUIRE(acquired.size() == 1);
     CHECK_THAT(acquired.front(), Catch::Contains("millicores=300"));
 }
 
+TEST_CASE("a shard is not acquired by a small host while a large one is live")
+{
+    const auto largest = GENERATE(range(0, 4));
+    std::vector<std::uint32_t> millicores(4, 90);
+    millicores[static_cast<std::size_t>(largest)] = 500;
+    EmulatedFleet fleet(settingsOf(millicores));
+    fleet.startAll();
+    REQUIRE(fleet.holderOf("north") == HostId("north-" + std::to_string(largest)));
+}
+
+TEST_CASE("after the death of a holder its shard goes to the largest host that is left")
+{
+    EmulatedFleet fleet(settingsOf({ 90, 300, 90, 500, 90, 500 }));
+    fleet.startAll();
+    for (const std::uint32_t expected : { 500U, 500U, 300U, 90U }) {
+        const HostId holder = fleet.holderOf("north");
+        CHECK(fleet.processorOf(holder) == HostMillicores(expected));
+        fleet.kill(holder);
+        fleet.run(4s);
+    }
+}
+
+// A host of an earlier build publishes no size.
+TEST_CASE("hosts of unknown size hold shards, keep them and are replaced")
+{
+    EmulatedFleet fleet(settingsOf({ 0, 0, 0 }));
+    fleet.startAll();
+    fleet.run(20s);
+    REQUIRE(logLines(fleet, "shard_acquired").size() == 1);
+    fleet.kill(fleet.holderOf("north"));
+    fleet.run(4s);
+    REQUIRE(!fleet.holderOf("north").value().empty());
+}
+
+TEST_CASE("a host takes no second shard while another gives that shard more processor time")
+{
+    EmulatedFleet::Settings settings;
+    settings.domains = { "north", "south" };
+    // Half of 500 is more than 90 and less than 300.
+    const auto [other, expected]
+        = GENERATE(std::make_tuple(90U, HostId("north-0")), std::make_tuple(300U, HostId("north-1")));
+    settings.processors = { { HostId("north-0"), HostMillicores(500) }, { HostId("north-1"), HostMillicores(other) },
+        { HostId("south-0"), HostMillicores(500) }, { HostId("south-1"), HostMillicores(500) } };
+    EmulatedFleet fleet(settings);
+    fleet.startAll();
+    REQUIRE(fleet.holderOf("north") == HostId("north-0"));
+    fleet.kill(HostId("south-0"));
+    fleet.kill(HostId("south-1"));
+    fleet.run(6s);
+    REQUIRE(fleet.holderOf("south") == expected);
+}
+
 // A log line for each late timer would take more of the processor time that the host already lacks.
 TEST_CASE("a late event loop is logged at most once a second")
 {
