--- a/modules/rattanroad_shards/node/ShardNode.cpp
+++ b/modules/rattanroad_shards/node/ShardNode.cpp
@@ -119,7 +119,8 @@
                 m_hooks.log("shard_acquired",
                     { { "shard", shard.value() }, { "token", std::to_string(holding.token.value()) },
                         { "generation", std::to_string(holding.generation.value()) },
-                        { "continued", holding.isContinued ? "true" : "false" } });
+                        { "continued", holding.isContinued ? "true" : "false" },
+                        { "millicores", std::to_string(m_settings.processor.value()) } });
                 m_targetList.watchNow();
                 m_shards[shard].dispatcher->begin(holding);
                 // Watches can be told of changes late.
@@ -144,6 +145,7 @@
         settings.incarnation = m_settings.incarnation;
         settings.address = m_settings.address;
         settings.selfDomain = m_settings.failureDomain;
+        settings.selfProcessor = m_settings.processor;
         return settings;
     }
 
@@ -296,6 +298,7 @@
         record.set_address(m_settings.address);
         record.set_failure_domain(m_settings.failureDomain.value());
         record.set_draining(m_isDraining);
+        record.set_processor_millicores(m_settings.processor.value());
         KeyTransaction transaction;
         transaction.writes.push_back({ storekeys::host(m_settings.host), record.SerializeAsString(), m_lease.lease() });
         m_store.transact(transaction, [this, lease = m_lease.lease()](const TransactionReply& reply) {
@@ -346,9 +349,27 @@
             m_resumedAt = now;
     }
 
+    void reportLoopLag()
+    {
+        const TimePoint now = m_clock.now();
+        if (now < m_loadTimerDue)
+            return;
+        const Duration lag = now - m_loadTimerDue;
+        if (m_hooks.loopLag)
+            m_hooks.loopLag(lag);
+        if (lag <= m_settings.loopLagThreshold || now - m_lastLoopLagLog < m_settings.loopLagLogInterval)
+            return;
+        m_lastLoopLagLog = now;
+        const auto milliseconds = std::chrono::duration_cast<std::chrono::milliseconds>(lag).count();
+        m_hooks.log("loop_late",
+            { { "delay_ms", std::to_string(milliseconds) }, { "holding", isHolding() ? "true" : "false" },
+                { "millicores", std::to_string(m_settings.processor.value()) } });
+    }
+
     void sendLoads()
     {
         detectPause();
+        reportLoopLag();
         m_lastLoadTimerRun = m_clock.now();
         for (const auto& entry : m_shards) {
             if (!entry.second.dispatcher->isHolding())
@@ -363,6 +384,7 @@
             for (const std::string& address : peers())
                 m_hooks.send(address, message);
         }
+        m_loadTimerDue = m_clock.now() + m_settings.loadInterval;
         m_timers.after(m_settings.loadInterval, [this] { sendLoads(); });
     }
 
@@ -430,6 +452,8 @@
     std::map<std::string, TimePoint> m_lastMessageTimes;
     /** When the timer that sends the loads last fired. */
     TimePoint m_lastLoadTimerRun { TimePoint::max() };
+    TimePoint m_loadTimerDue { TimePoint::max() };
+    TimePoint m_lastLoopLagLog { distantPast };
     TimePoint m_resumedAt { distantPast };
     bool m_isRegistered { false };
     bool m_isDraining { false };
--- a/tests/emulator/EmulatedFleet.h
+++ b/tests/emulator/EmulatedFleet.h
@@ -17,6 +17,8 @@
         int hostsPerDomain { 2 };
         int targetsPerDomain { 3 };
         shards::Resources capacity { 32000, 65536, 0 };
+        /** Processor time that hosts publish; unknown for hosts that are not listed. */
+        std::map<HostId, shards::HostMillicores> processors;
     };
     /** A job with all attempts of its caller to submit it. */
     struct Call {
@@ -48,6 +50,8 @@
 
     std::vector<HostId> hosts() const;
     bool isUp(const HostId& host) const;
+    /** Returns the processor time that a host publishes; 0 when it publishes none. */
+    shards::HostMillicores processorOf(const HostId& host) const;
     void kill(const HostId& host);
     void start(const HostId& host);
     /** Pauses the process of a host: timers, messages and replies are deferred until resume(). */
