Examine each target once in a scheduling pass

Callers saw a domain serve a fifth of its traffic for half a minute after a burst of four seconds, at a rate that it had served before the burst.

Cause: a pass built the list of candidate targets anew for each waiting task and looked the task up in every session first, so that it cost waiting jobs times targets even when no target had room. A holder that fell behind became slower by its backlog and stayed behind.

PlacementPass examines the targets once and reads the room of the sessions afterwards. Tasks that need more than any target has left are answered from the largest room, per service and label. A pass that could place nothing does not look for earlier runs either.

--- a/modules/rattanroad_shards/jobs/TaskRunner.cpp
+++ b/modules/rattanroad_shards/jobs/TaskRunner.cpp
@@ -151,11 +151,12 @@
 
 void TaskRunner::schedule()
 {
+    PlacementPass pass = m_targets.beginPass();
     for (ShardJob* const job : m_jobs.openJobsInOrder())
-        placeJob(*job);
+        placeJob(*job, pass);
 }
 
-void TaskRunner::placeJob(ShardJob& job)
+void TaskRunner::placeJob(ShardJob& job, PlacementPass& pass)
 {
     const TimePoint now = m_clock.now();
     // After a pause of this process the caller may have submitted the job to another host.
@@ -168,20 +169,22 @@
             const ShardTask& task = job.phases[phase][index];
             if (task.state != ShardTask::State::Waiting || task.mayHaveEarlierRun || task.earliestStart > now)
                 continue;
-            if (!placeTask(job, phase, index))
+            if (!placeTask(job, phase, index, pass))
                 break;
         }
     }
 }
 
-bool TaskRunner::placeTask(ShardJob& job, std::size_t phase, std::uint32_t index)
+bool TaskRunner::placeTask(ShardJob& job, std::size_t phase, std::uint32_t index, PlacementPass& pass)
 {
+    if (!pass.mayHaveRoom(taskResources(job.description.phases(static_cast<int>(phase)))))
+        return false;
     const PlacementRequest request = placementRequest(job.description, phase);
     const TaskId id { job.id, static_cast<std::uint32_t>(phase), index };
     // A run of an earlier attempt or holder may still be active.
     if (m_targets.hasRun(id))
         return true;
-    const auto choice = m_targets.choose(id, request, job.phases[phase][index].failedOn);
+    const auto choice = pass.choose(id, request, job.phases[phase][index].failedOn);
     if (!choice)
         return false;
     TargetSession& session = *choice->session;
@@ -193,6 +196,7 @@
     job.state = JobState::Running;
     session.start(
         id, task.attempt, job.description.payload(), request.resources, choice->predicted, task.savedProgress);
+    pass.started(session);
     return true;
 }
 
--- a/modules/rattanroad_shards/jobs/TaskRunner.h
+++ b/modules/rattanroad_shards/jobs/TaskRunner.h
@@ -63,9 +63,9 @@
     /** The task is null when the job is not in memory or has no such task. */
     TaskLookup find(const TaskId& id) const;
     void schedule();
-    void placeJob(ShardJob& job);
+    void placeJob(ShardJob& job, PlacementPass& pass);
     /** Returns false when no target can take the task now. */
-    bool placeTask(ShardJob& job, std::size_t phase, std::uint32_t index);
+    bool placeTask(ShardJob& job, std::size_t phase, std::uint32_t index, PlacementPass& pass);
     std::uint32_t nextAttempt(const ShardJob& job, const ShardTask& task) const;
     void taskDone(ShardJob& job, ShardTask& task, const TaskId& id);
     /** Returns whether the job has failed because the task has used up its attempts. */
--- a/modules/rattanroad_shards/placing/TaskPlacer.cpp
+++ b/modules/rattanroad_shards/placing/TaskPlacer.cpp
@@ -4,11 +4,16 @@
 
 namespace rattanroad::shards {
 
-bool TaskPlacer::isEligible(const PlacementRequest& task, const TargetReport& target)
+bool TaskPlacer::matches(const PlacementRequest& task, const TargetReport& target)
 {
     const bool hasLabel = task.requiredLabel.empty()
         || std::find(target.labels.begin(), target.labels.end(), task.requiredLabel) != target.labels.end();
-    return target.service == task.service && hasLabel && task.resources.fitsInto(target.capacity);
+    return target.service == task.service && hasLabel;
+}
+
+bool TaskPlacer::isEligible(const PlacementRequest& task, const TargetReport& target)
+{
+    return matches(task, target) && task.resources.fitsInto(target.capacity);
 }
 
 std::chrono::milliseconds TaskPlacer::predict(const PlacementRequest& task, const PlacementCandidate& target) const
--- a/modules/rattanroad_shards/placing/TaskPlacer.h
+++ b/modules/rattanroad_shards/placing/TaskPlacer.h
@@ -49,6 +49,8 @@
     {
     }
 
+    /** Returns whether the target has the service and the label of the task. */
+    static bool matches(const PlacementRequest& task, const TargetReport& target);
     /** Returns whether the target could run the task if it had room. */
     static bool isEligible(const PlacementRequest& task, const TargetReport& target);
     /** Returns the expected run time of the task on the target. */
--- /dev/null
+++ b/modules/rattanroad_shards/targets/PlacementPass.h
@@ -0,0 +1,69 @@
+#pragma once
+
+#include "rattanroad_shards/placing/RunTimeModel.h"
+#include "rattanroad_shards/placing/TaskPlacer.h"
+#include "rattanroad_shards/targets/TargetSession.h"
+
+#include <map>
+#include <optional>
+
+namespace rattanroad::shards {
+
+/** Chooses targets for the tasks of one scheduling pass. Once it is known that no target has room for a task, the tasks
+    that need as much are answered without examining the targets again, so that a backlog costs little.
+*/
+class PlacementPass {
+public:
+    /** The session of the chosen target and the expected run time of the task there. */
+    struct Choice {
+        TargetSession* session;
+        std::chrono::milliseconds predicted;
+    };
+    struct Hooks {
+        /** Returns whether the target may get new starts. */
+        std::function<bool(const TargetSession&)> isUsable;
+        /** Targets were examined. */
+        std::function<void(std::size_t count)> examined;
+    };
+
+    /** Creates a pass over the usable ones of @p sessions. */
+    PlacementPass(const std::vector<TargetSession*>& sessions, const TaskPlacer& placer, const RunTimeModel& runTimes,
+        Hooks hooks);
+    PlacementPass(const PlacementPass&) = delete;
+    PlacementPass& operator=(const PlacementPass&) = delete;
+
+    /** Returns false when no target has room for these resources; true does not promise that one has. */
+    bool mayHaveRoom(const Resources& resources);
+    /** Returns the target that is expected to finish the task first, or nothing when none has room. A target of
+        @p avoided is chosen only when no other usable target could run the task.
+    */
+    std::optional<Choice> choose(const TaskId& id, const PlacementRequest& task, const std::vector<TargetId>& avoided);
+    /** A run was started on the chosen target. */
+    void started(const TargetSession& session);
+
+private:
+    struct Candidate {
+        TargetSession* session { nullptr };
+        /** See RunTimeModel; absent until it is needed. */
+        std::optional<double> factor;
+    };
+    /** The candidates that match a service and a label. */
+    struct Group {
+        std::vector<Candidate*> candidates;
+        /** Largest free amount of each resource on any candidate; absent after a start. */
+        std::optional<Resources> largestRoom;
+    };
+
+    Group& matching(const PlacementRequest& task);
+    const Resources& largestRoom(Group& group) const;
+    double factor(Candidate& candidate) const;
+
+    const TaskPlacer& m_placer;
+    const RunTimeModel& m_runTimes;
+    Hooks m_hooks;
+    std::vector<Candidate> m_candidates;
+    Group m_all;
+    std::map<std::pair<ServiceId, std::string>, Group> m_groups;
+};
+
+}
--- a/modules/rattanroad_shards/targets/ShardTargets.cpp
+++ b/modules/rattanroad_shards/targets/ShardTargets.cpp
@@ -126,38 +126,15 @@
     return session.canStart() && !m_outliers.isEjected(target) && !isTrialRunning;
 }
 
-std::vector<TargetSession*> ShardTargets::candidates(
-    const PlacementRequest& task, const std::vector<TargetId>& avoided) const
+PlacementPass ShardTargets::beginPass()
 {
-    std::vector<TargetSession*> usable;
-    std::vector<TargetSession*> preferred;
-    for (const auto& entry : m_sessions) {
-        if (!isUsable(*entry.second) || !TaskPlacer::isEligible(task, entry.second->report()))
-            continue;
-        usable.push_back(entry.second.get());
-        if (std::find(avoided.begin(), avoided.end(), entry.first) == avoided.end())
-            preferred.push_back(entry.second.get());
-    }
-    return preferred.empty() ? usable : preferred;
-}
-
-std::optional<ShardTargets::Choice> ShardTargets::choose(
-    const TaskId& id, const PlacementRequest& task, const std::vector<TargetId>& avoided) const
-{
-    const std::vector<TargetSession*> sessions = candidates(task, avoided);
-    std::vector<PlacementCandidate> targets;
-    for (const TargetSession* const session : sessions) {
-        std::uint32_t tasksOfPhase = 0;
-        if (task.maximumPerTarget != 0) {
-            tasksOfPhase = static_cast<std::uint32_t>(std::count_if(session->runs().begin(), session->runs().end(),
-                [&id](const auto& run) { return run.first.job == id.job && run.first.phase == id.phase; }));
-        }
-        targets.push_back({ &session->report(), session->free(), m_runTimes.factor(session->report()), tasksOfPhase });
-    }
-    const Placement placement = m_placer.choose(task, targets);
-    if (placement.target == targets.size())
-        return std::nullopt;
-    return Choice { sessions[placement.target], placement.predicted };
+    std::vector<TargetSession*> sessions;
+    for (const auto& entry : m_sessions)
+        sessions.push_back(entry.second.get());
+    PlacementPass::Hooks hooks;
+    hooks.isUsable = [this](const TargetSession& session) { return isUsable(session); };
+    hooks.examined = [this](std::size_t count) { m_examinedTargets += count; };
+    return { sessions, m_placer, m_runTimes, std::move(hooks) };
 }
 
 void ShardTargets::runFailed(const TargetSession& session, const std::vector<TargetId>& failedBefore)
--- a/modules/rattanroad_shards/targets/ShardTargets.h
+++ b/modules/rattanroad_shards/targets/ShardTargets.h
@@ -2,9 +2,7 @@
 
 #include "rattanroad_protocol/rattanroad_protocol.h"
 #include "rattanroad_shards/placing/OutlierDetector.h"
-#include "rattanroad_shards/placing/RunTimeModel.h"
-#include "rattanroad_shards/placing/TaskPlacer.h"
-#include "rattanroad_shards/targets/TargetSession.h"
+#include "rattanroad_shards/targets/PlacementPass.h"
 
 #include <map>
 #include <memory>
@@ -32,11 +30,6 @@
         double overdueFactor { 3 };
         std::chrono::milliseconds overdueMargin { 60 };
     };
-    /** The session of the chosen target and the expected run time of the task there. */
-    struct Choice {
-        TargetSession* session;
-        std::chrono::milliseconds predicted;
-    };
     struct OverdueRun {
         TargetSession* session;
         TaskId task;
@@ -72,11 +65,10 @@
     bool isEligibleSomewhere(const PlacementRequest& task) const;
     /** Returns whether a target other than that of @p session has room for the task now. */
     bool hasRoomElsewhere(const TargetSession& session, const PlacementRequest& task) const;
-    /** Returns the target that is expected to finish the task first, or nothing when none has room. A target of
-        @p avoided is chosen only when no other usable target could run the task.
-    */
-    std::optional<Choice> choose(
-        const TaskId& id, const PlacementRequest& task, const std::vector<TargetId>& avoided) const;
+    /** Returns a pass over the usable targets. It is valid until the next event. */
+    PlacementPass beginPass();
+    /** Returns how many targets the passes have examined so far. */
+    std::uint64_t examinedTargets() const { return m_examinedTargets; }
     /** Records the success of a run on its target. */
     void runSucceeded(const TargetSession& session) { m_outliers.recordSuccess(session.report().id); }
     /** Records the failure of a run on its target; @p failedBefore lists where the task failed before. */
@@ -95,7 +87,6 @@
     void openSession(const TargetReport& report);
     /** Returns whether the target may get new starts. */
     bool isUsable(const TargetSession& session) const;
-    std::vector<TargetSession*> candidates(const PlacementRequest& task, const std::vector<TargetId>& avoided) const;
 
     Settings m_settings;
     TargetCalls& m_calls;
@@ -112,6 +103,7 @@
     TimePoint m_lastListGap;
     std::map<TargetId, TargetReport> m_reports;
     std::map<TargetId, std::unique_ptr<TargetSession>> m_sessions;
+    std::uint64_t m_examinedTargets { 0 };
 };
 
 }
