Count the silence of a job's origin across a handover

What callers saw: a task could run in two places at once.

Cause: a job that was handed over to the next holder of its shard counted as submitted at that moment. A holder stops a job whose origin host has died 1.0 to 1.1 s after the last submission, so that it has ended before the caller submits it to another host after 1.3 s; a handover in that second, or one by a holder that had been frozen for seconds, gave the job a second more.

Evidence: the new test; without the change both runs of the job are active 1.2 s after the death of the origin.

Change: a handover carries the time since the last submission.

--- a/modules/rattanroad_shards/jobs/JobCodec.cpp
+++ b/modules/rattanroad_shards/jobs/JobCodec.cpp
@@ -43,8 +43,11 @@
 {
     protocol::JobHandover handed;
     *handed.mutable_job() = job.description;
-    const auto waited = std::chrono::duration_cast<std::chrono::milliseconds>(now - job.receivedAt);
-    handed.set_waited_ms(static_cast<std::uint32_t>(waited.count()));
+    const auto millisecondsSince = [now](TimePoint time) {
+        return static_cast<std::uint32_t>(std::chrono::duration_cast<std::chrono::milliseconds>(now - time).count());
+    };
+    handed.set_waited_ms(millisecondsSince(job.receivedAt));
+    handed.set_silent_ms(millisecondsSince(job.lastSubmittedAt));
     handed.set_entrance(job.originAddress);
     for (std::size_t phase = 0; phase < job.phases.size(); ++phase) {
         for (std::size_t index = 0; index < job.phases[phase].size(); ++index) {
--- a/tests/shards/RecoveryTests.cpp
+++ b/tests/shards/RecoveryTests.cpp
@@ -228,6 +228,24 @@
     requireNoViolations(fleet);
 }
 
+TEST_CASE("a job whose origin host dies ends before its caller resubmits it, also when its shard changes hands")
+{
+    EmulatedFleet fleet;
+    fleet.startAll();
+    fleet.run(5s);
+    const HostId origin = hostWithoutShard(fleet, "north");
+    fleet.submit(origin, "a", 2, 3s, true);
+    fleet.run(100ms);
+    REQUIRE(fleet.targets().running() == 2);
+    fleet.kill(origin);
+    fleet.run(600ms);
+    fleet.node(fleet.holderOf("north")).drain();
+    fleet.run(600ms);
+    REQUIRE(fleet.targets().running() == 0);
+    fleet.run(4s);
+    requireNoViolations(fleet);
+}
+
 TEST_CASE("best-effort jobs are served while the store is unavailable")
 {
     EmulatedFleet fleet;
