Read the target list again after a handover

What callers saw: a task could run in two places at once.

Cause: a holder whose keys were revoked goes on until it learns of its successor, and can meanwhile start tasks on targets that were added after the successor had read the target list. The jobs that it hands over were started again at once, as all targets that the successor knew had answered.

Evidence: the new test; without the change the task of a handed-over job starts again before the list is read.

Change: a handover makes the list outdated until it was read once more. By then the previous holder has stopped starting tasks.

--- a/modules/rattanroad_shards/jobs/ShardDispatcher.cpp
+++ b/modules/rattanroad_shards/jobs/ShardDispatcher.cpp
@@ -142,6 +142,7 @@
         m_jobs.announce(added.id);
     }
     m_hooks.log("handover_received", JobId(), std::to_string(handover.jobs_size()) + " jobs");
+    m_targets.listOutdated();
     if (m_isLoaded)
         openSessions();
 }
--- a/modules/rattanroad_shards/node/ShardNode.cpp
+++ b/modules/rattanroad_shards/node/ShardNode.cpp
@@ -68,8 +68,11 @@
                 shard->second.election->displaced();
         } else if (message.has_shard_handover()) {
             const auto shard = m_shards.find(ShardId(message.shard_handover().shard()));
-            if (shard != m_shards.end())
-                shard->second.dispatcher->handoverReceived(message.shard_handover());
+            if (shard == m_shards.end())
+                return;
+            shard->second.dispatcher->handoverReceived(message.shard_handover());
+            // The previous holder can have used targets that were added after the last read.
+            m_targetReader.start();
             return;
         }
         m_entrance.received(message);
--- a/modules/rattanroad_shards/targets/ShardTargets.h
+++ b/modules/rattanroad_shards/targets/ShardTargets.h
@@ -45,6 +45,8 @@
     void listInterrupted() { m_lastListGap = m_clock.now(); }
     /** The whole target list was read after the shard was acquired. */
     void listRead() { m_isListRead = true; }
+    /** An earlier holder may have used targets that were added after the list was read. */
+    void listOutdated() { m_isListRead = false; }
 
     /** Opens a session with each listed target, and with each that is listed later. */
     void open(FencingToken token);
--- a/tests/shards/DispatcherTests.cpp
+++ b/tests/shards/DispatcherTests.cpp
@@ -72,6 +72,18 @@
             [](SubmitVerdict, std::chrono::milliseconds) {});
     }
 
+    /** Hands over a best-effort job with one task of 3 s that an earlier holder has started. */
+    void handOver(const std::string& job)
+    {
+        protocol::ShardHandover handover;
+        protocol::JobHandover* const handed = handover.add_jobs();
+        *handed->mutable_job() = description(job, 3000ms, true);
+        handed->add_tasks()->set_attempt(1);
+        m_dispatcher.handoverReceived(handover);
+    }
+
+    void targetListRead() { m_dispatcher.targetListRead(); }
+
     void begin(std::uint64_t generation)
     {
         m_dispatcher.begin({ FencingToken(generation), Generation(generation), false });
@@ -170,6 +182,18 @@
     REQUIRE(fixture.targets().runs().begin()->second.size() == 2);
 }
 
+TEST_CASE("a job that was handed over starts again only after the target list was read once more")
+{
+    DispatcherFixture fixture;
+    fixture.begin(2);
+    fixture.run(5s);
+    fixture.handOver("a");
+    fixture.run(400ms);
+    REQUIRE(fixture.targets().running() == 0);
+    fixture.targetListRead();
+    REQUIRE(fixture.runUntil([&] { return fixture.targets().running() == 1; }));
+}
+
 TEST_CASE("a target retains the completion of a stored job's task until the job's record covers it")
 {
     DispatcherFixture fixture;
