--- a/benchmarks/ShardBenchmark.cpp
+++ b/benchmarks/ShardBenchmark.cpp
@@ -1,5 +1,6 @@
 // Prints what a shard's holder costs by the length of its backlog: processor time per started task, for 117 targets on
 // a virtual clock. It includes the emulation of the targets. Usage: benchmark_shard [virtual seconds per measurement]
+// [open jobs]
 #include "emulator/EmulatedStore.h"
 #include "emulator/EmulatedTargets.h"
 #include "rattanroad_shards/jobs/ShardDispatcher.h"
@@ -8,6 +9,7 @@
 #include <cstdlib>
 #include <ctime>
 #include <string>
+#include <vector>
 
 using namespace rattanroad;
 using namespace rattanroad::emulator;
@@ -166,7 +168,9 @@
 int main(int argc, char** argv)
 {
     const std::chrono::seconds duration(argc > 1 ? std::atoi(argv[1]) : 5);
-    for (const int jobCount : { 25, 50, 100, 200, 400, 800 })
+    const std::vector<int> jobCounts
+        = argc > 2 ? std::vector<int> { std::atoi(argv[2]) } : std::vector<int> { 25, 50, 100, 200, 400, 800 };
+    for (const int jobCount : jobCounts)
         measure(jobCount, duration);
     return 0;
 }
