--- a/modules/rattanroad_shards/rattanroad_shards.h
+++ b/modules/rattanroad_shards/rattanroad_shards.h
@@ -8,7 +8,8 @@
 
     Dependencies: rattanroad_core, rattanroad_protocol.
     Read node/ShardNode.h first, then the path of a job: entrance/JobEntrance.h, entrance/ShardLoads.h,
-    jobs/ShardDispatcher.h, jobs/TaskRunner.h, targets/ShardTargets.h, placing/TaskPlacer.h and targets/TargetSession.h.
+    jobs/ShardDispatcher.h, jobs/TaskRunner.h, targets/ShardTargets.h, targets/PlacementPass.h, placing/TaskPlacer.h and
+    targets/TargetSession.h.
     holding/ShardElection.h elects the holder of a shard.
 */
 #pragma once
