Accept a job whose record was stored before its shard was handed over

What callers saw: not reported. A holder could end with a segmentation fault, and with it all requests that it had taken in.

Cause: a holder that has released its shard forgets its jobs when the next holder appears. A write of a record that was still on the way then reported that the record is stored, and insertCompleted used the forgotten job.

The new test of DispatcherTests ended with SIGSEGV before the change. The code is that of: any release of a shard, such as in a drain, can come to it.

Change: the job is accepted all the same, as the record is in the store and the new holder reads it; nothing is opened on the old holder.

--- a/modules/rattanroad_shards/jobs/ShardDispatcher.cpp
+++ b/modules/rattanroad_shards/jobs/ShardDispatcher.cpp
@@ -273,11 +273,13 @@
     m_submitReplies.erase(id);
     const bool isRefused = result == RecordWriter::InsertResult::Refused;
     if (result == RecordWriter::InsertResult::Stored) {
-        ShardJob& job = *m_jobs.find(id);
-        job.isAccepted = true;
-        m_jobs.open(job);
-        m_hooks.log("job_stored", id, "shard " + m_settings.shard.value() + " for " + job.originAddress);
-        m_runner.scheduleSoon();
+        // Not found when the shard was handed over meanwhile: its new holder reads the job from the record.
+        if (ShardJob* const job = m_jobs.find(id)) {
+            job->isAccepted = true;
+            m_jobs.open(*job);
+            m_hooks.log("job_stored", id, "shard " + m_settings.shard.value() + " for " + job->originAddress);
+            m_runner.scheduleSoon();
+        }
     } else {
         m_jobs.remove(id);
         m_hooks.log(isRefused ? "job_refused" : "job_resubmitted", id,
--- a/tests/shards/DispatcherTests.cpp
+++ b/tests/shards/DispatcherTests.cpp
@@ -186,3 +186,23 @@
     REQUIRE(fixture.dispatcher().state(JobId("a")) == JobState::Done);
     REQUIRE(fixture.targets().runs().begin()->second.size() == 1);
 }
+
+// The reply of the store arrives when the shard has another holder already, which reads the record.
+TEST_CASE("a job whose record was stored before its shard was handed over is accepted")
+{
+    DispatcherFixture fixture;
+    // The revision of this write is the token of the holder.
+    fixture.store().put(storekeys::holder(ShardId("north")), "host");
+    fixture.begin(2);
+    fixture.run(1s);
+    std::optional<SubmitVerdict> verdict;
+    fixture.dispatcher().submit(DispatcherFixture::description("a", 60ms, false), 0ms, false, "entrance",
+        [&verdict](SubmitVerdict result, std::chrono::milliseconds) { verdict = result; });
+    REQUIRE(fixture.runUntil([&] { return fixture.store().transactions() != 0; }));
+    fixture.dispatcher().end();
+    fixture.dispatcher().takeHandover();
+    REQUIRE(!verdict);
+    fixture.run(1s);
+    REQUIRE(fixture.store().value(storekeys::job(JobId("a"))).has_value());
+    REQUIRE(verdict == SubmitVerdict::Accepted);
+}
