Discard reads of the target list that a removal has overtaken

Cause: the list that a new holder reads beside its watch was applied key by key. A page that was served before a target left and that arrived after the watch had reported the removal listed the target again, for good: the holder's targets then never counted as reconciled, and jobs that were submitted again were not accepted.

Change: PrefixWatcher does the read itself and discards pages that are older than its last watched revision, as it does with its first read. A read that was replaced by a later one no longer counts as done.

--- a/benchmarks/ShardBenchmark.cpp
+++ b/benchmarks/ShardBenchmark.cpp
@@ -125,7 +125,8 @@
 
     void submit(const protocol::PlacedJob& job)
     {
-        m_dispatcher.submit(job, 0ms, false, "entrance", [](SubmitVerdict, std::chrono::milliseconds) {});
+        m_dispatcher.submit(
+            job, 0ms, false, { "entrance", m_clock.now() }, [](SubmitVerdict, std::chrono::milliseconds) {});
     }
 
     void repeatSubmissions()
--- a/modules/rattanroad_shards/jobs/ShardDispatcher.h
+++ b/modules/rattanroad_shards/jobs/ShardDispatcher.h
@@ -87,7 +87,8 @@
     void targetUnlisted(const TargetId& target) { m_targets.unlisted(target); }
     /** Updates of the target list were interrupted, so targets may be missing from it. */
     void targetListInterrupted() { m_targets.listInterrupted(); }
-    /** The whole target list was read after begin(). Until then, targets may have runs that this host cannot see. */
+    /** The whole target list was read after the previous holder had stopped. Until then, targets may have runs that
+       this host cannot see. */
     void targetListRead();
 
     /** Submits a job that its origin received @p waited ago. @p isResent tells that it was sent before, so this or an
--- a/modules/rattanroad_shards/node/ShardNode.cpp
+++ b/modules/rattanroad_shards/node/ShardNode.cpp
@@ -22,8 +22,6 @@
         })
         , m_configuration({ m_settings.configurationKey }, m_store, m_timers, configurationHooks())
         , m_targetList({ m_settings.targetPrefix }, m_store, m_timers, targetHooks())
-        , m_targetReader({ m_settings.targetPrefix }, m_store, m_timers,
-              { [this](const StoredItem& item) { m_targetList.itemRead(item); }, [this] { targetListRead(); } })
         , m_fleetList({ storekeys::fleetPrefix }, m_store, m_timers, fleetHooks())
         , m_entrance(entranceSettings(), m_store, m_fleet, m_timers, clock, entranceHooks())
     {
@@ -71,8 +69,7 @@
             if (shard == m_shards.end())
                 return;
             shard->second.dispatcher->handoverReceived(message.shard_handover());
-            // The previous holder can have used targets that were added after the last read.
-            m_targetReader.start();
+            readTargetList();
             return;
         }
         m_entrance.received(message);
@@ -126,8 +123,8 @@
                         { "millicores", std::to_string(m_settings.processor.value()) } });
                 m_targetList.watchNow();
                 m_shards[shard].dispatcher->begin(holding);
-                // Watches can be told of changes late.
-                m_targetReader.start();
+                if (!holding.isContinued)
+                    readTargetList();
             };
             electionHooks.lost = [this, shard](const char* reason) {
                 m_hooks.log("shard_lost", { { "shard", shard.value() }, { "reason", reason } });
@@ -230,10 +227,13 @@
         return hooks;
     }
 
-    void targetListRead()
+    /** Called when the previous holder of a shard has stopped. By then it can have used targets that are new here. */
+    void readTargetList()
     {
-        for (auto& entry : m_shards)
-            entry.second.dispatcher->targetListRead();
+        m_targetList.readNow([this] {
+            for (auto& entry : m_shards)
+                entry.second.dispatcher->targetListRead();
+        });
     }
 
     PrefixWatcher::Hooks fleetHooks()
@@ -445,8 +445,6 @@
     std::optional<QueueTable> m_queues;
     PrefixWatcher m_configuration;
     PrefixWatcher m_targetList;
-    /** Reads the target list when this host has acquired a shard. */
-    PageReader m_targetReader;
     PrefixWatcher m_fleetList;
     JobEntrance m_entrance;
     /** Incarnations of the other hosts to which links were opened. */
--- a/modules/rattanroad_shards/store/PrefixWatcher.cpp
+++ b/modules/rattanroad_shards/store/PrefixWatcher.cpp
@@ -25,8 +25,7 @@
 
 void PrefixWatcher::handlePage(const ReadReply& reply)
 {
-    // A read that is older than the last watched revision would bring removed keys back.
-    if (reply.status != StoreStatus::Done || reply.storeRevision < m_watchRevision) {
+    if (isUnusable(reply)) {
         retryReadLater();
         return;
     }
@@ -43,6 +42,34 @@
     finishReading(m_firstPageRevision);
 }
 
+bool PrefixWatcher::isUnusable(const ReadReply& reply) const
+{
+    return reply.status != StoreStatus::Done || reply.storeRevision < m_watchRevision;
+}
+
+void PrefixWatcher::readNow(std::function<void()> done) { readAfter("", ++m_readCount, done); }
+
+void PrefixWatcher::readAfter(const std::string& key, std::uint64_t readNumber, const std::function<void()>& done)
+{
+    m_store.readPage(m_settings.prefix, key, [this, key, readNumber, done](const ReadReply& reply) {
+        if (readNumber != m_readCount)
+            return;
+        if (isUnusable(reply)) {
+            m_timers.after(m_settings.retryPause, [this, key, readNumber, done] {
+                if (readNumber == m_readCount)
+                    readAfter(key, readNumber, done);
+            });
+            return;
+        }
+        for (const StoredItem& item : reply.items)
+            applyWrite(item);
+        if (reply.hasMore && !reply.items.empty())
+            readAfter(reply.items.back().key, readNumber, done);
+        else
+            done();
+    });
+}
+
 void PrefixWatcher::finishReading(KeyRevision storeRevision)
 {
     std::vector<std::string> missing;
--- a/modules/rattanroad_shards/store/PrefixWatcher.h
+++ b/modules/rattanroad_shards/store/PrefixWatcher.h
@@ -36,8 +36,9 @@
     PrefixWatcher& operator=(const PrefixWatcher&) = delete;
 
     void start();
-    /** Processes an item that was read separately, unless a newer write of its key is known. */
-    void itemRead(const StoredItem& item) { applyWrite(item); }
+    /** Reads all keys beside the watch, which can be told of changes late. Calls @p done when all writes before this
+        call were processed. A later call replaces one that is not done. */
+    void readNow(std::function<void()> done);
     /** Ends a pause between two watches, if there is one. */
     void watchNow();
     /** Returns whether all keys have been read at least once. */
@@ -46,6 +47,11 @@
 private:
     void readPage(const std::string& after);
     void handlePage(const ReadReply& reply);
+    /** Reads the page after @p key, and the following ones, for readNow(). */
+    void readAfter(const std::string& key, std::uint64_t readNumber, const std::function<void()>& done);
+    /** Returns whether the read has failed, or is older than the last watched revision and would bring removed keys
+        back. */
+    bool isUnusable(const ReadReply& reply) const;
     void finishReading(KeyRevision storeRevision);
     void watch();
     void watchAfterPause();
@@ -68,6 +74,8 @@
     /** Number of pauses so far; identifies the pause of a timer, so that the timer of an ended pause does nothing. */
     std::uint64_t m_pauseCount { 0 };
     bool m_isPausing { false };
+    /** Number of calls of readNow(); identifies the latest one. */
+    std::uint64_t m_readCount { 0 };
 };
 
 }
--- a/modules/rattanroad_shards/targets/ShardTargets.h
+++ b/modules/rattanroad_shards/targets/ShardTargets.h
@@ -43,10 +43,10 @@
     void unlisted(const TargetId& target);
     /** Updates of the target list were interrupted, so targets may be missing from it. */
     void listInterrupted() { m_lastListGap = m_clock.now(); }
-    /** The whole target list was read after the shard was acquired. */
-    void listRead() { m_isListRead = true; }
+    /** The whole target list was read after the previous holder had stopped. */
+    void listRead() { m_isListCurrent = true; }
     /** An earlier holder may have used targets that were added after the list was read. */
-    void listOutdated() { m_isListRead = false; }
+    void listOutdated() { m_isListCurrent = false; }
 
     /** Opens a session with each listed target, and with each that is listed later. */
     void open(FencingToken token);
@@ -103,8 +103,8 @@
     /** Present from open() to clear(). */
     std::optional<FencingToken> m_token;
     bool m_isClosed { false };
-    /** The list was read after open(), so it contains the targets that an earlier holder has used. */
-    bool m_isListRead { false };
+    /** The list contains all targets that an earlier holder has used. */
+    bool m_isListCurrent { false };
     /** When the list may last have been incomplete. */
     TimePoint m_lastListGap;
     std::map<TargetId, TargetReport> m_reports;
--- a/tests/shards/DispatcherTests.cpp
+++ b/tests/shards/DispatcherTests.cpp
@@ -89,6 +89,7 @@
         m_dispatcher.begin({ FencingToken(generation), Generation(generation), false });
         m_dispatcher.targetListRead();
     }
+    const Clock& clock() const { return m_clock; }
     void run(Duration duration) { m_queue.runUntil(m_clock.now() + duration); }
     /** Runs until @p isDone returns true or 10 s have passed; returns whether it did. */
     bool runUntil(const std::function<bool()>& isDone)
@@ -221,7 +222,8 @@
     fixture.begin(2);
     fixture.run(1s);
     std::optional<SubmitVerdict> verdict;
-    fixture.dispatcher().submit(DispatcherFixture::description("a", 60ms, false), 0ms, false, "entrance",
+    fixture.dispatcher().submit(DispatcherFixture::description("a", 60ms, false), 0ms, false,
+        { "entrance", fixture.clock().now() },
         [&verdict](SubmitVerdict result, std::chrono::milliseconds) { verdict = result; });
     REQUIRE(fixture.runUntil([&] { return fixture.store().transactions() != 0; }));
     fixture.dispatcher().end();
