Read the target list when the previous holder has stopped

What callers saw: a task could run in two places at once.

Cause: a holder whose lease was revoked goes on until a load of its successor reaches it. It can start tasks on targets that were added after the successor had read the list. A handover made the list outdated, but a job can also reach the successor by the next submission of its origin.

Evidence: by reading, in the review: acquisition at 100 ms, list read at 150 ms, target added at 160 ms and used by the previous holder, which is displaced at 250 ms; the origin submits to the new holder at 300 ms.

--- a/modules/rattanroad_shards/node/ShardNode.cpp
+++ b/modules/rattanroad_shards/node/ShardNode.cpp
@@ -124,7 +124,7 @@
                 m_targetList.watchNow();
                 m_shards[shard].dispatcher->begin(holding);
                 if (!holding.isContinued)
-                    readTargetList();
+                    m_timers.after(m_settings.displacementTime, [this] { readTargetList(); });
             };
             electionHooks.lost = [this, shard](const char* reason) {
                 m_hooks.log("shard_lost", { { "shard", shard.value() }, { "reason", reason } });
--- a/modules/rattanroad_shards/node/ShardNode.h
+++ b/modules/rattanroad_shards/node/ShardNode.h
@@ -44,6 +44,9 @@
         std::chrono::milliseconds targetListPause { 400 };
         /** Pause while this host holds no shard: it needs the list of targets only when it acquires one. */
         std::chrono::milliseconds idleTargetListPause { 4000 };
+        /** Time after the acquisition of a shard within which its previous holder, if it lives, learns of it from a
+           load and stops: the records are loaded from a slow store, and two loads are sent. */
+        std::chrono::milliseconds displacementTime { 500 };
         /** The process is taken to have been paused when the load timer is overdue by more than this. */
         std::chrono::milliseconds pauseThreshold { 500 };
         /** The event loop is logged as late when the load timer is overdue by more than this. */
