Count any interruption of the store as a gap of the target list

What callers saw: a task could run in two places at once.

Cause: a host without a shard pauses 4 s between two watches of the targets and missed an outage of the store that fell into the pause. Entries of live targets that lapsed in the outage were then missing from a list that counted as complete.

Evidence: by reading, in the review; no run has shown it.

Change: an interruption of any watch counts as a gap of the target list.

--- a/modules/rattanroad_shards/node/ShardNode.cpp
+++ b/modules/rattanroad_shards/node/ShardNode.cpp
@@ -216,11 +216,7 @@
             m_shards[shard->second].dispatcher->targetUnlisted(id);
             m_shardByTarget.erase(shard);
         };
-        hooks.interrupted = [this] {
-            storeInterrupted();
-            for (auto& entry : m_shards)
-                entry.second.dispatcher->targetListInterrupted();
-        };
+        hooks.interrupted = [this] { storeInterrupted(); };
         hooks.pause = [this]() -> Duration {
             return isHolding() ? m_settings.targetListPause : m_settings.idleTargetListPause;
         };
@@ -272,6 +268,9 @@
 
     void storeInterrupted()
     {
+        // The watch of the targets may have paused meanwhile.
+        for (auto& entry : m_shards)
+            entry.second.dispatcher->targetListInterrupted();
         if (m_clock.now() - m_lastInterruptionLog < m_settings.interruptionLogInterval)
             return;
         m_lastInterruptionLog = m_clock.now();
