--- a/scripts/check-mutations.sh
+++ b/scripts/check-mutations.sh
@@ -61,6 +61,13 @@
 guard unsettled-targets targets/ShardTargets.cpp 'return isListComplete && !m_sessions.empty()' \
     'return true || !m_sessions.empty()'
 guard unsettled-list targets/ShardTargets.cpp 'm_clock.now() - m_lastListGap >= m_settings.listRecoveryTime;' 'true;'
+guard outdated-list targets/ShardTargets.cpp 'm_isListCurrent && ' ''
+guard overtaken-read store/PrefixWatcher.cpp ' || reply.storeRevision < m_watchRevision;' ';'
+guard open-job-unannounced jobs/JobTable.cpp 'if (entry.second->description.best_effort())' 'if (false)'
+guard outdated-submission jobs/ShardDispatcher.cpp \
+    'm_clock.now() - origin.sentAt >= m_settings.running.originTimeout' 'false'
+guard handover-renews-job jobs/ShardDispatcher.cpp \
+    'job->lastSubmittedAt = m_clock.now() - std::chrono::milliseconds(handed.silent_ms());' ''
 guard second-run jobs/TaskRunner.cpp 'if (m_targets.hasRun(id))' 'if (false)'
 guard attempt-again jobs/TaskRunner.cpp 'std::max(first, task.attempt + 1)' 'std::max(first, task.attempt)'
 guard job-moves entrance/JobEntrance.cpp 'if (auto placed = m_jobShards.shardOf(JobId(submission.job.id())))' \
