--- a/modules/rattanroad_shards/store/PrefixWatcher.cpp
+++ b/modules/rattanroad_shards/store/PrefixWatcher.cpp
@@ -47,7 +47,7 @@
     return reply.status != StoreStatus::Done || reply.storeRevision < m_watchRevision;
 }
 
-void PrefixWatcher::readNow(std::function<void()> done) { readAfter("", ++m_readCount, done); }
+void PrefixWatcher::readNow(const std::function<void()>& done) { readAfter("", ++m_readCount, done); }
 
 void PrefixWatcher::readAfter(const std::string& key, std::uint64_t readNumber, const std::function<void()>& done)
 {
--- a/modules/rattanroad_shards/store/PrefixWatcher.h
+++ b/modules/rattanroad_shards/store/PrefixWatcher.h
@@ -38,7 +38,7 @@
     void start();
     /** Reads all keys beside the watch, which can be told of changes late. Calls @p done when all writes before this
         call were processed. A later call replaces one that is not done. */
-    void readNow(std::function<void()> done);
+    void readNow(const std::function<void()>& done);
     /** Ends a pause between two watches, if there is one. */
     void watchNow();
     /** Returns whether all keys have been read at least once. */
