Read the target list for each shard by itself

What callers saw: nothing; found when the change was read again.

Cause: a read that was due for one shard counted for all shards of the host, also for one that it had acquired a moment before and whose previous holder could still start tasks.

Evidence: by reading. The test of PrefixWatcher now has two readers.

Change: each shard has its own read; a later one of the same shard replaces it, one of another shard does not.

Measured: 58 cases of test_shards.

--- a/modules/rattanroad_shards/node/ShardNode.cpp
+++ b/modules/rattanroad_shards/node/ShardNode.cpp
@@ -69,7 +69,7 @@
             if (shard == m_shards.end())
                 return;
             shard->second.dispatcher->handoverReceived(message.shard_handover());
-            readTargetList();
+            readTargetList(shard->first);
             return;
         }
         m_entrance.received(message);
@@ -124,7 +124,7 @@
                 m_targetList.watchNow();
                 m_shards[shard].dispatcher->begin(holding);
                 if (!holding.isContinued)
-                    m_timers.after(m_settings.displacementTime, [this] { readTargetList(); });
+                    m_timers.after(m_settings.displacementTime, [this, shard] { readTargetList(shard); });
             };
             electionHooks.lost = [this, shard](const char* reason) {
                 m_hooks.log("shard_lost", { { "shard", shard.value() }, { "reason", reason } });
@@ -223,13 +223,10 @@
         return hooks;
     }
 
-    /** Called when the previous holder of a shard has stopped. By then it can have used targets that are new here. */
-    void readTargetList()
+    /** Called when the previous holder of the shard has stopped. By then it can have used targets that are new here. */
+    void readTargetList(const ShardId& shard)
     {
-        m_targetList.readNow([this] {
-            for (auto& entry : m_shards)
-                entry.second.dispatcher->targetListRead();
-        });
+        m_targetList.readNow(shard.value(), [this, shard] { m_shards[shard].dispatcher->targetListRead(); });
     }
 
     PrefixWatcher::Hooks fleetHooks()
--- a/modules/rattanroad_shards/store/PrefixWatcher.cpp
+++ b/modules/rattanroad_shards/store/PrefixWatcher.cpp
@@ -47,26 +47,28 @@
     return reply.status != StoreStatus::Done || reply.storeRevision < m_watchRevision;
 }
 
-void PrefixWatcher::readNow(const std::function<void()>& done) { readAfter("", ++m_readCount, done); }
+void PrefixWatcher::readNow(const std::string& reader, const std::function<void()>& done)
+{
+    readAfter("", { reader, ++m_latestReads[reader], done });
+}
 
-void PrefixWatcher::readAfter(const std::string& key, std::uint64_t readNumber, const std::function<void()>& done)
+void PrefixWatcher::readAfter(const std::string& key, const Read& read)
 {
-    m_store.readPage(m_settings.prefix, key, [this, key, readNumber, done](const ReadReply& reply) {
-        if (readNumber != m_readCount)
+    if (read.number != m_latestReads[read.reader])
+        return;
+    m_store.readPage(m_settings.prefix, key, [this, key, read](const ReadReply& reply) {
+        if (read.number != m_latestReads[read.reader])
             return;
         if (isUnusable(reply)) {
-            m_timers.after(m_settings.retryPause, [this, key, readNumber, done] {
-                if (readNumber == m_readCount)
-                    readAfter(key, readNumber, done);
-            });
+            m_timers.after(m_settings.retryPause, [this, key, read] { readAfter(key, read); });
             return;
         }
         for (const StoredItem& item : reply.items)
             applyWrite(item);
         if (reply.hasMore && !reply.items.empty())
-            readAfter(reply.items.back().key, readNumber, done);
+            readAfter(reply.items.back().key, read);
         else
-            done();
+            read.done();
     });
 }
 
--- a/modules/rattanroad_shards/store/PrefixWatcher.h
+++ b/modules/rattanroad_shards/store/PrefixWatcher.h
@@ -37,8 +37,8 @@
 
     void start();
     /** Reads all keys beside the watch, which can be told of changes late. Calls @p done when all writes before this
-        call were processed. A later call replaces one that is not done. */
-    void readNow(const std::function<void()>& done);
+        call were processed. A later call of the same reader replaces one that is not done. */
+    void readNow(const std::string& reader, const std::function<void()>& done);
     /** Ends a pause between two watches, if there is one. */
     void watchNow();
     /** Returns whether all keys have been read at least once. */
@@ -47,8 +47,14 @@
 private:
     void readPage(const std::string& after);
     void handlePage(const ReadReply& reply);
-    /** Reads the page after @p key, and the following ones, for readNow(). */
-    void readAfter(const std::string& key, std::uint64_t readNumber, const std::function<void()>& done);
+    struct Read {
+        std::string reader;
+        /** Counts the reads of the reader. */
+        std::uint64_t number;
+        std::function<void()> done;
+    };
+    /** Reads the page after @p key and the following ones, unless the read was replaced. */
+    void readAfter(const std::string& key, const Read& read);
     /** Returns whether the read has failed, or is older than the last watched revision and would bring removed keys
         back. */
     bool isUnusable(const ReadReply& reply) const;
@@ -74,8 +80,8 @@
     /** Number of pauses so far; identifies the pause of a timer, so that the timer of an ended pause does nothing. */
     std::uint64_t m_pauseCount { 0 };
     bool m_isPausing { false };
-    /** Number of calls of readNow(); identifies the latest one. */
-    std::uint64_t m_readCount { 0 };
+    /** Number of the latest read of each reader. */
+    std::map<std::string, std::uint64_t> m_latestReads;
 };
 
 }
--- a/tests/shards/PrefixWatcherTests.cpp
+++ b/tests/shards/PrefixWatcherTests.cpp
@@ -55,7 +55,7 @@
 {
     WatcherFixture fixture;
     bool isDone = false;
-    fixture.watcher->readNow([&isDone] { isDone = true; });
+    fixture.watcher->readNow("reader", [&isDone] { isDone = true; });
     fixture.watches.back()({ StoreStatus::Done, { KeyChange { itemAt("t/a", 101), true } }, KeyRevision(101) });
     REQUIRE(fixture.keys.empty());
     fixture.replyToRead({ itemAt("t/a", 5) }, 100);
@@ -67,16 +67,20 @@
     REQUIRE(fixture.keys == std::set<std::string> { "t/b" });
 }
 
-TEST_CASE("a read that was replaced by a later one does not count as done")
+TEST_CASE("a read that was replaced by a later one of the same reader does not count as done")
 {
     WatcherFixture fixture;
     int earlier = 0;
     int later = 0;
-    fixture.watcher->readNow([&earlier] { ++earlier; });
+    int other = 0;
+    fixture.watcher->readNow("reader", [&earlier] { ++earlier; });
     const auto earlierReply = fixture.pages.back();
-    fixture.watcher->readNow([&later] { ++later; });
-    earlierReply({ StoreStatus::Done, {}, false, KeyRevision(102) });
-    fixture.replyToRead({}, 102);
+    fixture.watcher->readNow("other reader", [&other] { ++other; });
+    const auto otherReply = fixture.pages.back();
+    fixture.watcher->readNow("reader", [&later] { ++later; });
+    for (const auto& reply : { earlierReply, otherReply, fixture.pages.back() })
+        reply({ StoreStatus::Done, {}, false, KeyRevision(102) });
     REQUIRE(earlier == 0);
+    REQUIRE(other == 1);
     REQUIRE(later == 1);
 }
