Leave single test cases out of a run when KNOWN-RED.txt lists them

Cause: a line in KNOWN-RED.txt could only leave out a whole test program, so one failing case would have hidden all others of its module.

Change: `case: <title>` lines are passed to the test programs through RATTANROAD_KNOWN_RED. Programs that are run by hand ignore the file.

--- a/scripts/test.sh
+++ b/scripts/test.sh
@@ -10,5 +10,6 @@
     cat KNOWN-RED.txt
     names=$(sed -n 's/^test: *//p' KNOWN-RED.txt | paste -sd'|')
     [ -n "$names" ] && exclude=(-E "^($names)\$")
+    export RATTANROAD_KNOWN_RED=$PWD/KNOWN-RED.txt
 fi
 ctest --test-dir build --output-on-failure -j "${RATTANROAD_TEST_JOBS:-4}" "${exclude[@]}"
