Log why a shard counts as recovered and what is known of its targets

Callers saw two runs of one task. The log said that the second holder had recovered the shard, but not on what grounds.

Change: `shard_recovered` names the reason, the number of targets that are listed and that have reported, and the age of the last gap of the list.

--- a/modules/rattanroad_shards/jobs/ShardDispatcher.cpp
+++ b/modules/rattanroad_shards/jobs/ShardDispatcher.cpp
@@ -434,7 +434,10 @@
     m_isRecovering = false;
     for (const auto& entry : m_jobs.openJobs())
         entry.second->setMayHaveEarlierRun(false);
-    m_hooks.log("shard_recovered", JobId(), std::to_string(m_jobs.openJobs().size()) + " open jobs");
+    m_hooks.log("shard_recovered", JobId(),
+        std::to_string(m_jobs.openJobs().size()) + " open jobs; "
+            + (isReconciled ? "all listed targets have reported" : "the time of the previous holder is over") + "; "
+            + m_targets.describeList());
     m_runner.scheduleSoon();
 }
 
--- a/modules/rattanroad_shards/targets/ShardTargets.cpp
+++ b/modules/rattanroad_shards/targets/ShardTargets.cpp
@@ -99,6 +99,15 @@
         && std::all_of(m_sessions.begin(), m_sessions.end(), [](const auto& entry) { return entry.second->isReady(); });
 }
 
+std::string ShardTargets::describeList() const
+{
+    const auto reconciled = std::count_if(
+        m_sessions.begin(), m_sessions.end(), [](const auto& entry) { return entry.second->isReady(); });
+    const auto sinceGap = std::chrono::duration_cast<std::chrono::milliseconds>(m_clock.now() - m_lastListGap);
+    return std::to_string(m_reports.size()) + " targets listed, " + std::to_string(reconciled) + " of "
+        + std::to_string(m_sessions.size()) + " have reported, no gap for " + std::to_string(sinceGap.count()) + " ms";
+}
+
 bool ShardTargets::hasRun(const TaskId& task) const
 {
     return std::any_of(m_sessions.begin(), m_sessions.end(),
--- a/modules/rattanroad_shards/targets/ShardTargets.h
+++ b/modules/rattanroad_shards/targets/ShardTargets.h
@@ -63,6 +63,9 @@
     /** Returns whether the target list is complete and every target has reported its runs under the current token, so
         that no unknown run of an earlier holder can be left. */
     bool areReconciled() const;
+    /** Describes the target list for the log: how many targets it has, how many have reported their runs under the
+        current token, and the time since it may last have been incomplete. */
+    std::string describeList() const;
     /** Returns whether some target has a run of the task or may have one. */
     bool hasRun(const TaskId& task) const;
     /** Returns whether some listed target could run the task if it had room. */
