Show that a job runs twice after its failure domain was cut off

Cause, as shown here: entries of targets that are cut off from the store end, and a new holder that cannot see these targets takes the rest for all of them. It restarts jobs whose runs are on the others.

--- a/tests/emulator/EmulatedFleet.cpp
+++ b/tests/emulator/EmulatedFleet.cpp
@@ -256,6 +256,44 @@
         m_targets.faults.disconnectedPairs.erase({ id, target.first });
 }
 
+void EmulatedFleet::cutOff(const std::string& domain)
+{
+    m_domainsCutOff.insert(domain);
+    for (const auto& host : m_hosts) {
+        if (host.second.domain == domain)
+            m_store.faults.isolatedHosts.insert(host.first);
+    }
+    updateTargetConnections();
+}
+
+void EmulatedFleet::endCutOff(const std::string& domain)
+{
+    m_domainsCutOff.erase(domain);
+    for (const auto& host : m_hosts) {
+        if (host.second.domain == domain)
+            m_store.faults.isolatedHosts.erase(host.first);
+    }
+    updateTargetConnections();
+}
+
+bool EmulatedFleet::isCutOff(const std::string& domain, const std::string& otherDomain) const
+{
+    return domain != otherDomain && (m_domainsCutOff.count(domain) != 0 || m_domainsCutOff.count(otherDomain) != 0);
+}
+
+void EmulatedFleet::updateTargetConnections()
+{
+    auto& disconnectedPairs = m_targets.faults.disconnectedPairs;
+    for (const auto& host : m_hosts) {
+        for (const auto& target : m_targets.reports()) {
+            if (isCutOff(host.second.domain, target.second.failureDomain.value()))
+                disconnectedPairs.insert({ host.first, target.first });
+            else
+                disconnectedPairs.erase({ host.first, target.first });
+        }
+    }
+}
+
 bool EmulatedFleet::isLinked(const Host& from, const HostId& to) const
 {
     const Host& peer = m_hosts.at(to);
@@ -271,7 +309,7 @@
     const HostId to(address);
     const auto found = m_hosts.find(to);
     if (found == m_hosts.end() || !found->second.node || found->second.isIsolated || m_hosts[from].isIsolated
-        || !isLinked(m_hosts[from], to))
+        || isCutOff(m_hosts[from].domain, found->second.domain) || !isLinked(m_hosts[from], to))
         return;
     auto arrival = wrapInProcess(to, [this, to, message] { m_hosts[to].node->received(message); });
     const auto held = m_heldMessages.find(from);
--- a/tests/emulator/EmulatedFleet.h
+++ b/tests/emulator/EmulatedFleet.h
@@ -6,6 +6,7 @@
 
 #include <deque>
 #include <memory>
+#include <set>
 
 namespace rattanroad::emulator {
 
@@ -60,6 +61,13 @@
     /** Disconnects a host from the other hosts, the targets and the store; callers still reach it. */
     void isolate(const HostId& host);
     void reconnect(const HostId& host);
+    /** Cuts a failure domain off: its hosts reach neither the store nor the hosts and targets of other domains, and no
+        other host reaches its targets. Callers still reach its hosts. */
+    void cutOff(const std::string& domain);
+    void endCutOff(const std::string& domain);
+    /** Removes a target from the target list, as the store does when the lease of its entry ends. */
+    void unlistTarget(const TargetId& target) { m_store.remove("servers/" + target.value()); }
+    void listTarget(const TargetId& target) { m_store.put("servers/" + target.value(), target.value()); }
     /** Holds back the messages of a host to other hosts until releaseMessages(), as an interrupted connection does. */
     void holdMessages(const HostId& host) { m_heldMessages[host]; }
     void releaseMessages(const HostId& host);
@@ -116,6 +124,11 @@
     shards::TargetCalls targetCalls(const HostId& id);
     /** Returns whether the link between two processes is open. */
     bool isLinked(const Host& from, const HostId& to) const;
+    /** Returns whether one of two failure domains is cut off from the other. */
+    bool isCutOff(const std::string& domain, const std::string& otherDomain) const;
+    /** Disconnects the hosts of each failure domain from the targets of those that are cut off from it, and connects
+        all others. */
+    void updateTargetConnections();
     void send(const HostId& from, const std::string& address, const protocol::Envelope& message);
     void connectionBroken(Call* call);
 
@@ -126,6 +139,7 @@
     EmulatedTargets m_targets;
     std::map<HostId, Host> m_hosts;
     std::deque<Call> m_calls;
+    std::set<std::string> m_domainsCutOff;
     /** Messages that are held back, by sender. */
     std::map<HostId, std::vector<std::function<void()>>> m_heldMessages;
     std::vector<std::string> m_log;
--- /dev/null
+++ b/tests/shards/CutOffTests.cpp
@@ -0,0 +1,117 @@
+#include "shards/FleetChecks.h"
+
+using namespace rattanroad;
+using namespace rattanroad::emulator;
+using namespace rattanroad::shards;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr auto listEntryLease = 4500ms;
+
+/** A fleet of two failure domains, of which "south" is cut off and a host of "north" acquires its shard, while the
+    earlier holder continues without a lease.
+*/
+class CutOffFleet {
+public:
+    CutOffFleet()
+    {
+        m_fleet.startAll();
+        m_fleet.run(5s);
+        m_earlierHolder = m_fleet.holderOf("south");
+        m_origin = m_earlierHolder == HostId("south-0") ? HostId("south-1") : HostId("south-0");
+    }
+
+    EmulatedFleet& fleet() { return m_fleet; }
+
+    void cutOff()
+    {
+        REQUIRE(m_earlierHolder.value().compare(0, 5, "south") == 0);
+        m_fleet.cutOff("south");
+    }
+    void unlistTargets()
+    {
+        for (const TargetId& target : southTargets())
+            m_fleet.unlistTarget(target);
+    }
+    /** Starts a job on the side that is cut off. */
+    void startJob()
+    {
+        m_fleet.submit(m_origin, "a", 1, 2s, true);
+        m_fleet.run(100ms);
+        REQUIRE(m_fleet.targets().running() == 1);
+    }
+    /** Ends the cut. The target with the run is listed again later than the others. */
+    void reconnect()
+    {
+        m_fleet.endCutOff("south");
+        for (const TargetId& target : southTargets()) {
+            if (!hasRun(target))
+                m_fleet.listTarget(target);
+        }
+        m_fleet.run(1500ms);
+        for (const TargetId& target : southTargets())
+            m_fleet.listTarget(target);
+        m_fleet.run(4s);
+    }
+    void restartNorth()
+    {
+        for (const char* const host : { "north-0", "north-1" })
+            m_fleet.kill(HostId(host));
+        m_fleet.run(500ms);
+        for (const char* const host : { "north-0", "north-1" })
+            m_fleet.start(HostId(host));
+    }
+
+private:
+    std::vector<TargetId> southTargets() const
+    {
+        std::vector<TargetId> targets;
+        for (const auto& report : m_fleet.targets().reports()) {
+            if (report.second.failureDomain == FailureDomainId("south"))
+                targets.push_back(report.first);
+        }
+        return targets;
+    }
+    bool hasRun(const TargetId& target) const
+    {
+        for (const auto& task : m_fleet.targets().runs()) {
+            for (const auto& run : task.second) {
+                if (run.target == target && run.ending.empty())
+                    return true;
+            }
+        }
+        return false;
+    }
+
+    mutable EmulatedFleet m_fleet;
+    HostId m_earlierHolder;
+    HostId m_origin;
+};
+
+}
+
+TEST_CASE("a new holder that was started during a cut restarts no job whose run is on a target that is not listed yet")
+{
+    CutOffFleet cut;
+    cut.cutOff();
+    cut.fleet().run(listEntryLease);
+    cut.unlistTargets();
+    cut.restartNorth();
+    cut.fleet().run(4400ms);
+    cut.startJob();
+    cut.reconnect();
+    requireNoViolations(cut.fleet());
+}
+
+TEST_CASE("a new holder restarts no job whose run is on a target that it knew before a cut and that is not listed yet")
+{
+    CutOffFleet cut;
+    cut.cutOff();
+    cut.fleet().run(listEntryLease);
+    cut.unlistTargets();
+    cut.fleet().run(4400ms);
+    cut.startJob();
+    cut.reconnect();
+    requireNoViolations(cut.fleet());
+}
--- a/tests/shards/RecoveryTests.cpp
+++ b/tests/shards/RecoveryTests.cpp
@@ -1,6 +1,4 @@
-#include "emulator/EmulatedFleet.h"
-
-#include <catch2/catch.hpp>
+#include "shards/FleetChecks.h"
 
 using namespace rattanroad;
 using namespace rattanroad::emulator;
@@ -14,22 +12,6 @@
     return !call.verdicts.empty() && call.verdicts.back() == EntranceVerdict::Done;
 }
 
-/** Adds the log of the hosts to the message of the next assertion if it fails. */
-void showLog(const EmulatedFleet& fleet)
-{
-    for (const std::string& line : fleet.log())
-        UNSCOPED_INFO(line);
-}
-
-void requireNoViolations(EmulatedFleet& fleet)
-{
-    showLog(fleet);
-    for (const std::string& violation : fleet.targets().violations())
-        UNSCOPED_INFO(violation);
-    REQUIRE(fleet.targets().violations().empty());
-    showLog(fleet);
-}
-
 HostId otherThan(EmulatedFleet& fleet, const HostId& host)
 {
     for (const HostId& other : fleet.hosts()) {
