Show that a holder without a lease never stops

Cause: a host that has lost its lease is not registered, and a host that is not registered does not review its elections, so the limit of 10 s is never checked while the store cannot be reached. A successor counts on it: after 13 s it takes all earlier runs to have ended.

--- a/tests/shards/CutOffTests.cpp
+++ b/tests/shards/CutOffTests.cpp
@@ -115,3 +115,12 @@
     cut.reconnect();
     requireNoViolations(cut.fleet());
 }
+
+TEST_CASE("a holder that cannot renew its lease stops before its successor restarts jobs")
+{
+    CutOffFleet cut;
+    cut.cutOff();
+    cut.fleet().run(12s);
+    REQUIRE(!cut.fleet().node(HostId("south-0")).isHolding());
+    REQUIRE(!cut.fleet().node(HostId("south-1")).isHolding());
+}
