Stop a holder that has had no lease for 10 s

Callers could see a task run twice: a holder whose host cannot reach the store went on for as long as that lasted, while its successor takes all earlier runs to have ended 13 s after it has acquired the shard.

Cause: only reevaluate() checks the limit, and a host without a lease is not registered and so does not call it.

Change: endExpiredHolding() is called at each review, whether or not the host may take part in elections.

--- a/modules/rattanroad_shards/holding/ShardElection.cpp
+++ b/modules/rattanroad_shards/holding/ShardElection.cpp
@@ -44,10 +44,9 @@
         // The watch may lag behind this host's own write, so only a newer token counts.
         if (holder && holder->token > m_holding->token)
             lose("another host holds the shard");
-        else if (m_leaseLostAt && m_clock.now() - *m_leaseLostAt >= m_settings.maximumTimeWithoutLease)
-            lose("held too long without a lease");
         else if (!m_leaseLostAt && shouldFailBack())
             release();
+        endExpiredHolding();
         if (!m_holding || !m_leaseLostAt)
             return;
     }
@@ -57,6 +56,12 @@
     attemptAfter(isOwnKey ? Duration(0) : m_settings.attemptSpacing * rank());
 }
 
+void ShardElection::endExpiredHolding()
+{
+    if (m_leaseLostAt && m_clock.now() - *m_leaseLostAt >= m_settings.maximumTimeWithoutLease)
+        lose("held too long without a lease");
+}
+
 bool ShardElection::isAvailable() const
 {
     const ShardHolder* const holder = m_fleet.holder(m_settings.shard);
--- a/modules/rattanroad_shards/node/ShardNode.cpp
+++ b/modules/rattanroad_shards/node/ShardNode.cpp
@@ -313,9 +313,12 @@
     void reviewElections()
     {
         // Before the keys of the other hosts are known, every host would rank itself first.
-        if (m_fleetList.isSynchronized() && m_isRegistered) {
-            for (auto& entry : m_shards)
+        const bool canTakePart = m_fleetList.isSynchronized() && m_isRegistered;
+        for (auto& entry : m_shards) {
+            if (canTakePart)
                 entry.second.election->reevaluate();
+            else
+                entry.second.election->endExpiredHolding();
         }
         m_timers.after(m_settings.electionInterval, [this] { reviewElections(); });
     }
