Trust the target list only after a gapless time that outlasts earlier holders

Cause: a new holder took the target list for complete 4 s after its own last gap. That covers targets whose entries ended during an outage of the store and return with it, but not targets that cannot reach the store: their entries end and stay away, while a holder that is cut off with them goes on for 10 s. The rest of the targets had answered, so jobs that had been submitted before could start again.

Change: the list counts as complete when it has had no gap for as long as an earlier holder can go on (13 s), or when this host is the first holder. Without a complete list, jobs that may have been started wait until no earlier holder can be active; a host that has held the shard for that long accepts them although its list had a gap.

Class: a decision on a copy of state whose completeness is assumed.

--- a/modules/rattanroad_shards/jobs/ShardDispatcher.cpp
+++ b/modules/rattanroad_shards/jobs/ShardDispatcher.cpp
@@ -265,8 +265,7 @@
 
 void ShardDispatcher::submitBestEffort(std::unique_ptr<ShardJob> job, bool isResent, const SubmitReply& reply)
 {
-    // A target that has not answered yet may still have a run of an earlier holder.
-    if (isResent && !m_targets.areReconciled()) {
+    if (isResent && mayHaveEarlierRuns()) {
         reply(SubmitVerdict::NotReconciled, {});
         return;
     }
@@ -419,6 +418,13 @@
     m_timers.after(m_settings.sweepInterval, [this] { sweep(); });
 }
 
+bool ShardDispatcher::mayHaveEarlierRuns() const
+{
+    const bool isFirstHolder = m_holding && m_holding->generation == Generation(1);
+    const bool areEarlierHoldersExpired = m_clock.now() - m_acquiredAt >= m_settings.targets.earlierHolderExpiry;
+    return !isFirstHolder && !areEarlierHoldersExpired && !m_targets.areReconciled();
+}
+
 void ShardDispatcher::updateRecovery()
 {
     if (!m_isLoaded)
@@ -428,15 +434,14 @@
         if (isReconciled && entry.second->description.best_effort())
             entry.second->setMayHaveEarlierRun(false);
     }
-    const bool hasPreviousHolderExpired = m_clock.now() - m_acquiredAt >= m_settings.previousHolderExpiry;
-    if (!m_isRecovering || (!isReconciled && !hasPreviousHolderExpired))
+    if (!m_isRecovering || mayHaveEarlierRuns())
         return;
     m_isRecovering = false;
     for (const auto& entry : m_jobs.openJobs())
         entry.second->setMayHaveEarlierRun(false);
     m_hooks.log("shard_recovered", JobId(),
         std::to_string(m_jobs.openJobs().size()) + " open jobs; "
-            + (isReconciled ? "all listed targets have reported" : "the time of the previous holder is over") + "; "
+            + (isReconciled ? "all listed targets have reported" : "no earlier holder can be active") + "; "
             + m_targets.describeList());
     m_runner.scheduleSoon();
 }
--- a/modules/rattanroad_shards/jobs/ShardDispatcher.h
+++ b/modules/rattanroad_shards/jobs/ShardDispatcher.h
@@ -29,9 +29,6 @@
         ShardTargets::Settings targets;
         JobTable::Settings jobs;
         TaskRunner::Settings running;
-        /** Time after acquiring the shard until no run of an earlier holder can be active: the host's lease, the time
-            that a holder goes on without one, the lease of a target and the drift of its clock. */
-        std::chrono::milliseconds previousHolderExpiry { 13000 };
         /** A job's progress is stored when a target has retained one of its completions for this long. */
         std::chrono::milliseconds progressDelay { 700 };
         /** The jobs of a shard that was lost longer ago are not handed over, because their callers have submitted them
@@ -125,6 +122,8 @@
     void acknowledgeCompletions(ShardJob& job, std::uint64_t lastSequence);
 
     void sweep();
+    /** Returns whether a run of an earlier holder may be active that this host has not found. */
+    bool mayHaveEarlierRuns() const;
     void updateRecovery();
     void cancelAbandonedJobs();
     void recordRetainedCompletions();
--- a/modules/rattanroad_shards/targets/ShardTargets.cpp
+++ b/modules/rattanroad_shards/targets/ShardTargets.cpp
@@ -93,8 +93,7 @@
 
 bool ShardTargets::areReconciled() const
 {
-    // A target that is missing from the list may still have runs.
-    const bool isListComplete = m_isListCurrent && m_clock.now() - m_lastListGap >= m_settings.listRecoveryTime;
+    const bool isListComplete = m_isListCurrent && m_clock.now() - m_lastListGap >= m_settings.earlierHolderExpiry;
     return isListComplete && !m_sessions.empty()
         && std::all_of(m_sessions.begin(), m_sessions.end(), [](const auto& entry) { return entry.second->isReady(); });
 }
--- a/modules/rattanroad_shards/targets/ShardTargets.h
+++ b/modules/rattanroad_shards/targets/ShardTargets.h
@@ -18,10 +18,9 @@
         TargetSession::Settings session;
         TaskPlacer::Settings placement;
         OutlierDetector::Settings outliers;
-        /** Time after an interruption, or after the start of this process, until the target list is complete again:
-            entries whose leases expired during an outage of the store are back within two seconds, and targets write
-            every 1.5 s. */
-        std::chrono::seconds listRecoveryTime { 4 };
+        /** Time after the acquisition of a shard until no run of an earlier holder can be active: the host's lease, the
+            time that a holder goes on without one, the lease of a target and the drift of its clock. */
+        std::chrono::milliseconds earlierHolderExpiry { 13000 };
         /** Time for which a target without a list entry is kept: entries whose leases expired during an outage of the
             store are back within two seconds. */
         std::chrono::milliseconds unlistedRetention { 3500 };
@@ -60,8 +59,9 @@
 
     /** Returns null for a target without a session. */
     TargetSession* session(const TargetId& target) const;
-    /** Returns whether the target list is complete and every target has reported its runs under the current token, so
-        that no unknown run of an earlier holder can be left. */
+    /** Returns whether every target that an earlier holder may still use has reported its runs under the current token,
+        so that no unknown run can be left. The list loses targets that cannot reach the store, so it names all of them
+        only when it has had no gap for as long as an earlier holder can go on. */
     bool areReconciled() const;
     /** Describes the target list for the log: how many targets it has, how many have reported their runs under the
         current token, and the time since it may last have been incomplete. */
