Remember that a forgotten target may have runs of an earlier holder

Callers could see a task run twice: a holder removes a target 3.5 s after its list entry has ended if it has no runs there. It also did so with targets that had never reported their runs, such as those that are cut off, and then took the remaining ones for all.

Cause: a session without a report has no runs that this host knows of, so it looked like one of a target that is gone.

Change: removing a target that has not reported its runs counts as a gap of the target list.

--- a/modules/rattanroad_shards/targets/ShardTargets.cpp
+++ b/modules/rattanroad_shards/targets/ShardTargets.cpp
@@ -186,6 +186,9 @@
         const TargetSession& session = *entry->second;
         const bool isGone = !session.isListed() && now - session.unlistedSince() >= m_settings.unlistedRetention
             && session.runs().empty();
+        // A target that has not reported its runs may still have some of an earlier holder.
+        if (isGone && !session.isReady())
+            m_lastListGap = now;
         entry = isGone ? m_sessions.erase(entry) : std::next(entry);
     }
 }
--- a/scripts/check-mutations.sh
+++ b/scripts/check-mutations.sh
@@ -61,6 +61,7 @@
 guard unsettled-targets targets/ShardTargets.cpp 'return isListComplete && !m_sessions.empty()' \
     'return true || !m_sessions.empty()'
 guard unsettled-list targets/ShardTargets.cpp 'm_clock.now() - m_lastListGap >= m_settings.earlierHolderExpiry;' 'true;'
+guard forgotten-target targets/ShardTargets.cpp 'if (isGone && !session.isReady())' 'if (false)'
 guard outdated-list targets/ShardTargets.cpp 'm_isListCurrent && ' ''
 guard overtaken-read store/PrefixWatcher.cpp ' || reply.storeRevision < m_watchRevision;' ';'
 guard open-job-unannounced jobs/JobTable.cpp 'if (entry.second->description.best_effort())' 'if (false)'
