Let jobs start at once that every holder has declined so far

Callers lost jobs that reached a host while its shard changed hands: the earlier holder declined them, the next one made them wait for the targets of earlier holders, although nobody had started them.

Cause: an entrance marks a submission as resent when it knows the shard of the job, and it notes the shard itself when it first sends the job.

Change: a submission counts as resent when an earlier attempt of it has no definite answer, or when the job was known from another submission or a holder's announcement.

Evidence: "a job that every holder has declined so far does not wait for the targets of earlier holders" got no answer before and is done now.

--- a/modules/rattanroad_shards/entrance/JobEntrance.cpp
+++ b/modules/rattanroad_shards/entrance/JobEntrance.cpp
@@ -50,7 +50,8 @@
     }
     const TimePoint now = m_clock.now();
     const std::uint64_t id = ++m_lastSubmission;
-    m_submissions[id] = { job, now, now + effectiveWait(wait), std::move(reply), ShardId(), 0, 0 };
+    m_submissions[id] = { job, now, now + effectiveWait(wait), std::move(reply), ShardId(), 0, 0,
+        m_jobShards.shardOf(JobId(job.id())).has_value() };
     if (job.best_effort())
         m_bestEffortSubmissions.emplace(JobId(job.id()), id);
     trySubmit(id);
@@ -126,7 +127,7 @@
     Submission& submission = m_submissions[id];
     const JobId job(submission.job.id());
     submission.shard = shard;
-    const bool isResent = submission.unresolvedAttempts > 0 || m_jobShards.shardOf(job);
+    const bool isResent = submission.unresolvedAttempts > 0 || submission.wasSubmittedBefore;
     if (submission.job.best_effort())
         m_jobShards.insert(job, shard);
     ++submission.attempt;
@@ -251,8 +252,13 @@
 {
     if (!m_loads.received(load))
         return;
-    for (const std::string& job : load.new_jobs())
-        m_jobShards.insert(JobId(job), ShardId(load.shard()));
+    for (const std::string& announced : load.new_jobs()) {
+        const JobId job(announced);
+        m_jobShards.insert(job, ShardId(load.shard()));
+        const auto waiting = m_bestEffortSubmissions.equal_range(job);
+        for (auto entry = waiting.first; entry != waiting.second; ++entry)
+            m_submissions[entry->second].wasSubmittedBefore = true;
+    }
 }
 
 void JobEntrance::received(const protocol::Envelope& message)
--- a/modules/rattanroad_shards/entrance/JobEntrance.h
+++ b/modules/rattanroad_shards/entrance/JobEntrance.h
@@ -85,6 +85,8 @@
         std::uint64_t attempt { 0 };
         /** Attempts without a definite negative reply, after any of which the job may have been accepted. */
         std::uint32_t unresolvedAttempts { 0 };
+        /** A holder may have the job from another submission. */
+        bool wasSubmittedBefore { false };
     };
     void trySubmit(std::uint64_t id);
     /** Sends a submission to the holder of a shard; @p address may be null if this host is the holder. */
--- a/tests/shards/CutOffTests.cpp
+++ b/tests/shards/CutOffTests.cpp
@@ -124,3 +124,21 @@
     REQUIRE(!cut.fleet().node(HostId("south-0")).isHolding());
     REQUIRE(!cut.fleet().node(HostId("south-1")).isHolding());
 }
+
+TEST_CASE("a job that every holder has declined so far does not wait for the targets of earlier holders")
+{
+    EmulatedFleet fleet;
+    fleet.startAll();
+    const HostId earlierHolder = fleet.holderOf("north");
+    const HostId origin = earlierHolder == HostId("north-0") ? HostId("north-1") : HostId("north-0");
+    fleet.kill(origin);
+    fleet.run(500ms);
+    fleet.start(origin);
+    fleet.run(3s);
+    fleet.node(earlierHolder).drain();
+    REQUIRE(fleet.runUntil([&] { return fleet.holderOf("north").value().empty(); }, 2s));
+    const EmulatedFleet::Call& call = fleet.submit(earlierHolder, "a", 1, 60ms, true);
+    fleet.run(1s);
+    REQUIRE(call.verdicts == std::vector<EntranceVerdict> { EntranceVerdict::Done });
+    requireNoViolations(fleet);
+}
