Show six ways to overlapping runs that were open or unknown

Cause, one for each case: - the holder dies 0.3 to 1 s after the origin: the lease of the targets outlasts the 1.3 s after which the caller submits the job again; - the origin dies, the stop is lost, and the caller turns to a host that has just started and has not heard from the holder of the run; - a handover counts from its arrival, however long it was under way; - a target that has restarted is told once to reject a start that is still under way; - the second restart of a target is not told of it at all; - a poll that was sent before the restart of its target extends the lease by a whole length, because the clock starts anew.

--- /dev/null
+++ b/tests/shards/OverlapTests.cpp
@@ -0,0 +1,197 @@
+#include "shards/FleetChecks.h"
+
+using namespace rattanroad;
+using namespace rattanroad::emulator;
+using namespace rattanroad::shards;
+using namespace std::chrono_literals;
+
+namespace {
+
+/** A fleet in which a job of "north" runs whose caller submits it next to a host that has just started and so does not
+    know its shard.
+*/
+class ForgetfulFleet {
+public:
+    ForgetfulFleet()
+        : m_fleet(settings())
+    {
+        m_fleet.startAll();
+        m_fleet.run(5s);
+        m_holder = m_fleet.holderOf("north");
+        m_origin = hostWithoutShard("north");
+        m_restarted = hostWithoutShard("south");
+        m_fleet.submit(m_origin, "a", 1, 3s, true).nextHost = m_restarted;
+        m_fleet.run(300ms);
+        REQUIRE(m_fleet.targets().running() == 1);
+    }
+
+    EmulatedFleet& fleet() { return m_fleet; }
+    const HostId& holder() const { return m_holder; }
+    const HostId& origin() const { return m_origin; }
+    const HostId& restarted() const { return m_restarted; }
+
+private:
+    static EmulatedFleet::Settings settings()
+    {
+        EmulatedFleet::Settings settings;
+        settings.hostsPerDomain = 3;
+        return settings;
+    }
+    HostId hostWithoutShard(const std::string& domain)
+    {
+        for (const HostId& host : m_fleet.hosts()) {
+            const bool isOfDomain = host.value().compare(0, domain.size(), domain) == 0;
+            if (isOfDomain && host != m_fleet.holderOf("north") && host != m_fleet.holderOf("south"))
+                return host;
+        }
+        return HostId();
+    }
+
+    EmulatedFleet m_fleet;
+    HostId m_holder;
+    HostId m_origin;
+    HostId m_restarted;
+};
+
+/** A fleet of one failure domain with two targets, on one of which a job runs. */
+class TwoTargetFleet {
+public:
+    TwoTargetFleet()
+        : m_fleet(settings())
+    {
+        m_fleet.startAll();
+        m_fleet.run(5s);
+        m_fleet.setCallerWait(8s);
+    }
+
+    EmulatedFleet& fleet() { return m_fleet; }
+    void submit() { m_fleet.submit(m_fleet.hosts().front(), "a", 1, 4s, true); }
+    void restartTargets()
+    {
+        for (const auto& report : std::map<TargetId, TargetReport>(m_fleet.targets().reports()))
+            m_fleet.targets().restart(report.first);
+    }
+    TargetId targetWithRun() const
+    {
+        for (const auto& task : m_fleet.targets().runs()) {
+            for (const auto& run : task.second) {
+                if (run.endedAt == TimePoint::max())
+                    return run.target;
+            }
+        }
+        return TargetId();
+    }
+
+private:
+    static EmulatedFleet::Settings settings()
+    {
+        EmulatedFleet::Settings settings;
+        settings.domains = { "north" };
+        settings.targetsPerDomain = 2;
+        return settings;
+    }
+
+    mutable EmulatedFleet m_fleet;
+};
+
+}
+
+TEST_CASE("a run ends before its caller resubmits the job when the holder dies soon after the origin")
+{
+    ForgetfulFleet forgetful;
+    EmulatedFleet& fleet = forgetful.fleet();
+    fleet.kill(forgetful.restarted());
+    fleet.kill(forgetful.origin());
+    fleet.run(700ms);
+    fleet.kill(forgetful.holder());
+    fleet.start(forgetful.restarted());
+    fleet.run(5s);
+    requireNoViolations(fleet);
+}
+
+TEST_CASE("a run that cannot be stopped ends before its caller resubmits the job to a host that has just started")
+{
+    ForgetfulFleet forgetful;
+    EmulatedFleet& fleet = forgetful.fleet();
+    fleet.targets().faults.lateStops = 100;
+    fleet.kill(forgetful.restarted());
+    fleet.kill(forgetful.origin());
+    fleet.run(1100ms);
+    fleet.holdMessages(forgetful.holder());
+    fleet.start(forgetful.restarted());
+    fleet.run(400ms);
+    fleet.releaseMessages(forgetful.holder());
+    fleet.run(5s);
+    requireNoViolations(fleet);
+}
+
+TEST_CASE("a handover that was held up revives no job that its caller has submitted to another host")
+{
+    ForgetfulFleet forgetful;
+    EmulatedFleet& fleet = forgetful.fleet();
+    fleet.kill(forgetful.restarted());
+    fleet.holdMessages(forgetful.holder());
+    fleet.node(forgetful.holder()).drain();
+    fleet.run(100ms);
+    fleet.kill(forgetful.origin());
+    fleet.run(700ms);
+    REQUIRE(fleet.holderOf("north") != forgetful.holder());
+    fleet.start(forgetful.restarted());
+    fleet.run(1s);
+    REQUIRE(fleet.targets().running() == 1);
+    fleet.releaseMessages(forgetful.holder());
+    fleet.run(5s);
+    requireNoViolations(fleet);
+}
+
+TEST_CASE("a start that arrives after its target has restarted does not run when the first stop to it is lost")
+{
+    TwoTargetFleet pair;
+    EmulatedFleet& fleet = pair.fleet();
+    auto& faults = fleet.targets().faults;
+    faults.lateStarts = 1;
+    faults.lateBy = 2s;
+    pair.submit();
+    fleet.run(600ms);
+    faults.lateStops = 1;
+    faults.lateBy = 4s;
+    pair.restartTargets();
+    fleet.run(8s);
+    requireNoViolations(fleet);
+}
+
+TEST_CASE("a start that arrives after its target has restarted twice does not run")
+{
+    TwoTargetFleet pair;
+    EmulatedFleet& fleet = pair.fleet();
+    auto& faults = fleet.targets().faults;
+    faults.lateStarts = 1;
+    faults.lateBy = 2s;
+    pair.submit();
+    fleet.run(600ms);
+    pair.restartTargets();
+    fleet.run(600ms);
+    pair.restartTargets();
+    fleet.run(8s);
+    requireNoViolations(fleet);
+}
+
+TEST_CASE("a run on a target that was lost is not started again while a late poll may have extended its lease")
+{
+    TwoTargetFleet pair;
+    EmulatedFleet& fleet = pair.fleet();
+    auto& faults = fleet.targets().faults;
+    // The late polls arrive shortly before the lease of the run would end.
+    faults.lateBy = GENERATE(2000ms, 2100ms, 2200ms, 2300ms, 2400ms, 2500ms, 2600ms, 2700ms);
+    faults.delayEvery = 1;
+    fleet.run(420ms);
+    faults.delayEvery = 0;
+    pair.restartTargets();
+    fleet.run(500ms);
+    pair.submit();
+    fleet.run(800ms);
+    REQUIRE(fleet.targets().running() == 1);
+    faults.unreachableTargets.insert(pair.targetWithRun());
+    fleet.run(6s);
+    requireNoViolations(fleet);
+}
