Repeat stops to a restarted target until it has answered

Cause: a start that got no answer may be carried out seconds later. A target that has restarted in the meantime knows no stopped attempts, so it is told to reject the start, but only once and only after its first restart: a lost stop or a second restart let the start run beside the next attempt. A run that was lost in the restart was also started again before the target had answered the stop.

A start that arrives between the restart and the first answer of the target still runs.

--- a/modules/rattanroad_shards/targets/TargetSession.cpp
+++ b/modules/rattanroad_shards/targets/TargetSession.cpp
@@ -133,7 +133,7 @@
         return;
     Run& run = found->second;
     if (reply.result == TargetCallResult::Unknown)
-        m_unansweredStarts.push_back({ task, attempt, m_clock.now() });
+        recordUnansweredStart(task, attempt);
     // A definite reply to the last send says nothing about earlier sends, which may still be in flight.
     const bool mayRun = reply.result == TargetCallResult::Unknown || run.sends > 1;
     if (mayRun && reply.result != TargetCallResult::Done) {
@@ -156,6 +156,29 @@
     m_hooks.roomChanged();
 }
 
+void TargetSession::recordUnansweredStart(const TaskId& task, std::uint32_t attempt)
+{
+    const TimePoint now = m_clock.now();
+    while (!m_unansweredStarts.empty() && now - m_unansweredStarts.front().sentAt >= m_settings.lateRequestWindow)
+        m_unansweredStarts.pop_front();
+    m_unansweredStarts.push_back({ task, attempt, now });
+}
+
+bool TargetSession::mayStartLate(const TaskId& task, std::uint32_t highestAttempt) const
+{
+    return std::any_of(m_unansweredStarts.begin(), m_unansweredStarts.end(), [&](const UnansweredStart& start) {
+        return start.task == task && start.attempt <= highestAttempt
+            && m_clock.now() - start.sentAt < m_settings.lateRequestWindow;
+    });
+}
+
+bool TargetSession::isStopNeeded(const TaskId& task, std::uint32_t attempt) const
+{
+    const auto found = m_runs.find(task);
+    const bool isOfRun = found != m_runs.end() && found->second.attempt == attempt;
+    return isOfRun ? found->second.state == Run::State::Stopping : mayStartLate(task, attempt);
+}
+
 void TargetSession::resolveUnconfirmedStart(const TaskId& task, Run& run, TargetCallResult result)
 {
     if (run.state != Run::State::Starting)
@@ -189,11 +212,15 @@
     if (m_isClosed)
         return;
     m_calls.stop({ m_report.id, m_report.address, task, attempt, m_token, callTimeout() },
-        [this, isAlive = m_isAlive, task, attempt, token = m_token, sentAt = m_clock.now()](const TargetReply& reply) {
+        [this, isAlive = m_isAlive, task, attempt, token = m_token, sentAt = m_clock.now(),
+            incarnationMs = m_incarnationMs](const TargetReply& reply) {
             if (!*isAlive)
                 return;
             recordResponse(reply, sentAt);
-            processStopReply(task, attempt, reply);
+            updateTargetClock(reply);
+            // A new incarnation was sent a stop of its own.
+            if (incarnationMs == m_incarnationMs)
+                processStopReply(task, attempt, reply);
             checkFencing(reply, token);
         });
 }
@@ -207,11 +234,12 @@
 
 void TargetSession::processStopReply(const TaskId& task, std::uint32_t attempt, const TargetReply& reply)
 {
-    updateTargetClock(reply);
-    const auto found = m_runs.find(task);
-    if (found == m_runs.end() || found->second.attempt != attempt || found->second.state != Run::State::Stopping)
+    if (!isStopNeeded(task, attempt))
         return;
     if (reply.result == TargetCallResult::Done) {
+        const auto found = m_runs.find(task);
+        if (found == m_runs.end() || found->second.attempt != attempt)
+            return;
         found->second.confirmedAt = m_clock.now();
         // A run that never started has no completion that the polling loop would report.
         pollNow();
@@ -220,11 +248,8 @@
     // An unanswered call has already waited for its timeout.
     const Duration pause
         = reply.result == TargetCallResult::Unknown ? m_settings.pollRetryPause : m_settings.callTimeout;
-    m_timers.after(pause, [this, isAlive = m_isAlive, task, attempt] {
-        if (!*isAlive)
-            return;
-        const auto run = m_runs.find(task);
-        if (run != m_runs.end() && run->second.attempt == attempt && run->second.state == Run::State::Stopping)
+    m_timers.after(pause, [this, isAlive = m_isAlive, task, attempt, incarnationMs = m_incarnationMs] {
+        if (*isAlive && incarnationMs == m_incarnationMs && isStopNeeded(task, attempt))
             sendStop(task, attempt);
     });
 }
@@ -316,22 +341,26 @@
     std::vector<TaskId> lostRuns;
     for (auto& entry : m_runs) {
         Run& run = entry.second;
-        if (run.state == Run::State::Running) {
+        // A start without a reply may have reached the new incarnation, so a run in state Starting is kept.
+        if (run.state == Run::State::Starting)
+            continue;
+        if (run.state == Run::State::Running && !mayStartLate(entry.first, run.attempt)) {
             lostRuns.push_back(entry.first);
-        } else if (run.state == Run::State::Stopping) {
-            // The start may still be in flight, and the new incarnation has not seen the stop.
-            run.confirmedAt.reset();
-            sendStop(entry.first, run.attempt);
+            continue;
         }
-        // A start without a reply may have reached the new incarnation, so a run in state Starting is kept.
+        // The start may still be in flight, and the new incarnation has not seen the stop.
+        run.state = Run::State::Stopping;
+        run.confirmedAt.reset();
+        sendStop(entry.first, run.attempt);
     }
     interrupt(lostRuns);
     // The new incarnation does not know the stopped attempts and would run a start that arrives late.
     for (const UnansweredStart& start : m_unansweredStarts) {
-        if (m_clock.now() - start.sentAt < m_settings.lateRequestWindow)
+        const auto found = m_runs.find(start.task);
+        const bool isOfRun = found != m_runs.end() && found->second.attempt == start.attempt;
+        if (!isOfRun && mayStartLate(start.task, start.attempt))
             sendStop(start.task, start.attempt);
     }
-    m_unansweredStarts.clear();
 }
 
 bool TargetSession::processCompletions(const PollReply& reply)
--- a/modules/rattanroad_shards/targets/TargetSession.h
+++ b/modules/rattanroad_shards/targets/TargetSession.h
@@ -2,6 +2,7 @@
 
 #include "rattanroad_shards/targets/TargetCalls.h"
 
+#include <deque>
 #include <map>
 #include <memory>
 #include <set>
@@ -127,6 +128,11 @@
     /** Handles a reply that leaves open whether a start was carried out: sends it again, stops the run, or polls for
         its completion. */
     void resolveUnconfirmedStart(const TaskId& task, Run& run, TargetCallResult result);
+    void recordUnansweredStart(const TaskId& task, std::uint32_t attempt);
+    /** Returns whether an unanswered start of the task, up to this attempt, may still be carried out. */
+    bool mayStartLate(const TaskId& task, std::uint32_t highestAttempt) const;
+    /** Returns whether the target has to stop the attempt, or to reject it when it arrives. */
+    bool isStopNeeded(const TaskId& task, std::uint32_t attempt) const;
     /** Updates the response time, or records that there was no answer. */
     void recordResponse(const TargetReply& reply, TimePoint sentAt);
     void recordLoss(const TargetReply& reply);
@@ -184,7 +190,8 @@
         std::uint32_t attempt;
         TimePoint sentAt;
     };
-    std::vector<UnansweredStart> m_unansweredStarts;
+    /** Unanswered starts within the late request window, oldest first. */
+    std::deque<UnansweredStart> m_unansweredStarts;
     std::shared_ptr<bool> m_isAlive { std::make_shared<bool>(true) };
 };
 
