Remember unanswered starts whose runs were stopped in the meantime

Cause: an unanswered start was only remembered if its run was still known when the call timed out. A run that was stopped in the meantime, and that a poll had shown not to run, was forgotten together with its start, and a target that restarted later was not told to reject it.

Change: the start is remembered in either case.

--- a/modules/rattanroad_shards/targets/TargetSession.cpp
+++ b/modules/rattanroad_shards/targets/TargetSession.cpp
@@ -128,12 +128,13 @@
 void TargetSession::processStartReply(const TaskId& task, std::uint32_t attempt, const TargetReply& reply)
 {
     const bool isCurrentIncarnation = updateTargetClock(reply);
+    // The run may have been stopped meanwhile.
+    if (reply.result == TargetCallResult::Unknown)
+        recordUnansweredStart(task, attempt);
     const auto found = m_runs.find(task);
     if (found == m_runs.end() || found->second.attempt != attempt)
         return;
     Run& run = found->second;
-    if (reply.result == TargetCallResult::Unknown)
-        recordUnansweredStart(task, attempt);
     // A definite reply to the last send says nothing about earlier sends, which may still be in flight.
     const bool mayRun = reply.result == TargetCallResult::Unknown || run.sends > 1;
     if (mayRun && reply.result != TargetCallResult::Done) {
--- a/tests/shards/OverlapTests.cpp
+++ b/tests/shards/OverlapTests.cpp
@@ -53,11 +53,11 @@
     HostId m_restarted;
 };
 
-/** A fleet of one failure domain with two targets, on one of which a job runs. */
-class TwoTargetFleet {
+/** A fleet of one failure domain with few targets, on one of which a job runs. */
+class SmallFleet {
 public:
-    TwoTargetFleet()
-        : m_fleet(settings())
+    explicit SmallFleet(int targets)
+        : m_fleet(settings(targets))
     {
         m_fleet.startAll();
         m_fleet.run(5s);
@@ -83,11 +83,11 @@
     }
 
 private:
-    static EmulatedFleet::Settings settings()
+    static EmulatedFleet::Settings settings(int targets)
     {
         EmulatedFleet::Settings settings;
         settings.domains = { "north" };
-        settings.targetsPerDomain = 2;
+        settings.targetsPerDomain = targets;
         return settings;
     }
 
@@ -146,52 +146,75 @@
 
 TEST_CASE("a start that arrives after its target has restarted does not run when the first stop to it is lost")
 {
-    TwoTargetFleet pair;
-    EmulatedFleet& fleet = pair.fleet();
+    SmallFleet small(2);
+    EmulatedFleet& fleet = small.fleet();
     auto& faults = fleet.targets().faults;
     faults.lateStarts = 1;
     faults.lateBy = 2s;
-    pair.submit();
+    small.submit();
     fleet.run(600ms);
     faults.lateStops = 1;
     faults.lateBy = 4s;
-    pair.restartTargets();
+    small.restartTargets();
     fleet.run(8s);
     requireNoViolations(fleet);
 }
 
 TEST_CASE("a start that arrives after its target has restarted twice does not run")
 {
-    TwoTargetFleet pair;
-    EmulatedFleet& fleet = pair.fleet();
+    SmallFleet small(2);
+    EmulatedFleet& fleet = small.fleet();
     auto& faults = fleet.targets().faults;
     faults.lateStarts = 1;
     faults.lateBy = 2s;
-    pair.submit();
+    small.submit();
     fleet.run(600ms);
-    pair.restartTargets();
+    small.restartTargets();
     fleet.run(600ms);
-    pair.restartTargets();
+    small.restartTargets();
     fleet.run(8s);
     requireNoViolations(fleet);
 }
 
+TEST_CASE("a start that was stopped before its call timed out does not run after its target has restarted")
+{
+    SmallFleet small(1);
+    EmulatedFleet& fleet = small.fleet();
+    auto& faults = fleet.targets().faults;
+    // Polls return when runs end, and one of them shows that the stopped start has not been carried out.
+    fleet.submit(fleet.hosts().front(), "b", 1, 40ms, true);
+    fleet.run(10ms);
+    faults.lateStarts = 1;
+    faults.lateBy = 2s;
+    small.submit();
+    fleet.run(10ms);
+    fleet.submit(fleet.hosts().front(), "c", 1, 20ms, true);
+    fleet.node(fleet.holderOf("north")).dispatcher(ShardId("north"))->cancel(JobId("a"), [](bool, JobState) {});
+    // The origin still repeats the submission, which reopens the job.
+    fleet.run(800ms);
+    REQUIRE(fleet.targets().running() == 1);
+    REQUIRE(fleet.startCount("a") == 1);
+    small.restartTargets();
+    fleet.run(6s);
+    requireNoViolations(fleet);
+}
+
 TEST_CASE("a run on a target that was lost is not started again while a late poll may have extended its lease")
 {
-    TwoTargetFleet pair;
-    EmulatedFleet& fleet = pair.fleet();
+    SmallFleet small(2);
+    EmulatedFleet& fleet = small.fleet();
     auto& faults = fleet.targets().faults;
     // The late polls arrive shortly before the lease of the run would end.
     faults.lateBy = GENERATE(2000ms, 2100ms, 2200ms, 2300ms, 2400ms, 2500ms, 2600ms, 2700ms);
     faults.delayEvery = 1;
     fleet.run(420ms);
     faults.delayEvery = 0;
-    pair.restartTargets();
+    small.restartTargets();
     fleet.run(500ms);
-    pair.submit();
+    small.submit();
     fleet.run(800ms);
     REQUIRE(fleet.targets().running() == 1);
-    faults.unreachableTargets.insert(pair.targetWithRun());
+    faults.unreachableTargets.insert(small.targetWithRun());
     fleet.run(6s);
     requireNoViolations(fleet);
 }
