Count the silence of jobs that are handed over from the acquisition

Callers saw: nothing so far; found by reading.

Cause: a handover tells how long the origin of a job has been silent, but the message itself may be under way for seconds. The new holder took the job for wanted for another second and started it again, while its caller had submitted it elsewhere 1.3 s after the origin died.

Change: a handover is sent after the shard was acquired, so the origin has been silent since the acquisition, and as long before as the message says. An origin that lives repeats its submission every 0.3 s.

The case "a job that was handed over starts again only after the target list was read once more" handed a job over 5 s after the acquisition, which is now a held-up handover. It does so 0.2 s after it, and waits for the 5 s before the acquisition instead; without listOutdated() it fails as before.

Measured: "a handover that was held up revives no job that its caller has submitted to another host" failed with "overlapping runs of one task: a.0 on target-south-0 and target-north-0" and passes. test_shards fails in no other case than those that were listed before.

--- a/modules/rattanroad_shards/jobs/ShardDispatcher.cpp
+++ b/modules/rattanroad_shards/jobs/ShardDispatcher.cpp
@@ -134,7 +134,8 @@
         auto job = m_jobs.makeJob(handed.job(), std::chrono::milliseconds(handed.waited_ms()));
         job->acceptedIn = m_holding->generation;
         job->originAddress = handed.entrance();
-        job->lastSubmittedAt = m_clock.now() - std::chrono::milliseconds(handed.silent_ms());
+        // The handover may have been under way since this host acquired the shard.
+        job->lastSubmittedAt = m_acquiredAt - std::chrono::milliseconds(handed.silent_ms());
         job->isAccepted = true;
         applyHandover(handed, *job);
         ShardJob& added = m_jobs.add(std::move(job));
--- a/tests/shards/DispatcherTests.cpp
+++ b/tests/shards/DispatcherTests.cpp
@@ -186,8 +186,9 @@
 TEST_CASE("a job that was handed over starts again only after the target list was read once more")
 {
     DispatcherFixture fixture;
-    fixture.begin(2);
     fixture.run(5s);
+    fixture.begin(2);
+    fixture.run(200ms);
     fixture.handOver("a");
     fixture.run(400ms);
     REQUIRE(fixture.targets().running() == 0);
