End leases of best-effort runs before their callers submit the jobs again

Cause: a caller submits its job to another host 1.3 s after its origin died. The holder stops the run 1.0 s after the last submission. When it dies or loses the shard before that, or when the stop is lost, the run goes on until the lease of its target ends, up to 1 s after the last poll and so up to 2 s after the origin died. A host that has just started, or that was cut off, does not know the shard of the job and starts it in another.

Change: a target gets no lease that ends later than 1.25 s after the last submission of a job with a run on it, and none while it has the run of an unknown job. It gets no starts while its lease is short. Other runs on the target are lost if the stop is not confirmed within 0.15 to 0.25 s.

--- a/modules/rattanroad_shards/jobs/ShardDispatcher.cpp
+++ b/modules/rattanroad_shards/jobs/ShardDispatcher.cpp
@@ -175,6 +175,7 @@
     hooks.rejected = [this](TargetSession& session, const TaskId& task, std::uint32_t attempt,
                          TargetCallResult ending) { m_runner.startRejected(session, task, attempt, ending); };
     hooks.roomChanged = [this] { m_runner.scheduleSoon(); };
+    hooks.leaseLimit = [this](const TaskId& task) { return m_runner.leaseLimit(task); };
     hooks.fenced = [this] {
         if (m_holding)
             m_hooks.displaced();
--- a/modules/rattanroad_shards/jobs/TaskRunner.cpp
+++ b/modules/rattanroad_shards/jobs/TaskRunner.cpp
@@ -111,6 +111,16 @@
     return taskResources(job.description.phases(static_cast<int>(running.task.phase)));
 }
 
+TimePoint TaskRunner::leaseLimit(const TaskId& task) const
+{
+    const ShardJob* const job = m_jobs.find(task.job);
+    // The origin of an unknown job may have died a while ago.
+    if (!job)
+        return distantPast;
+    return job->description.best_effort() ? job->lastSubmittedAt + m_settings.maximumLeaseAfterSubmission
+                                          : TimePoint::max();
+}
+
 void TaskRunner::startRejected(TargetSession& session, const TaskId& id, std::uint32_t attempt, TargetCallResult result)
 {
     const auto [job, task] = find(id);
--- a/modules/rattanroad_shards/jobs/TaskRunner.h
+++ b/modules/rattanroad_shards/jobs/TaskRunner.h
@@ -16,6 +16,9 @@
         /** No task of a best-effort job starts when its origin has not repeated the submission for this long: the
             caller may submit the job to another host 1.3 s after its connection broke. */
         std::chrono::milliseconds originTimeout { 1000 };
+        /** No lease of a run of a best-effort job ends later than this after its origin has last repeated the
+            submission, so that the run has ended by then even if it cannot be stopped or its holder dies. */
+        std::chrono::milliseconds maximumLeaseAfterSubmission { 1250 };
     };
     struct Hooks {
         /** All tasks are done, or one has used up its attempts. */
@@ -46,6 +49,8 @@
     /** Adopts a run that an earlier holder started. Returns the resources that it uses, or nothing when it must be
         stopped. */
     std::optional<Resources> adoptRun(TargetSession& session, const RunningTask& running);
+    /** Returns the latest time at which the lease of a run of this task may end. */
+    TimePoint leaseLimit(const TaskId& task) const;
     void startRejected(TargetSession& session, const TaskId& id, std::uint32_t attempt, TargetCallResult result);
 
     /** Estimates the wait of a job with this soft deadline: the work scheduled before it, divided by the capacity of
--- a/modules/rattanroad_shards/targets/TargetSession.cpp
+++ b/modules/rattanroad_shards/targets/TargetSession.cpp
@@ -49,8 +49,26 @@
 bool TargetSession::canStart() const
 {
     const TimePoint now = m_clock.now();
+    const bool isLeaseLongEnough = m_leaseLimit - now >= m_settings.startLease / 2;
     return !m_isClosed && m_isReady && m_isListed && !m_report.isDraining && now >= m_startsPausedUntil
-        && now - m_lastResponseAt < m_settings.silenceTimeout;
+        && isLeaseLongEnough && now - m_lastResponseAt < m_settings.silenceTimeout;
+}
+
+TimePoint TargetSession::leaseLimit() const
+{
+    TimePoint limit = TimePoint::max();
+    for (const auto& entry : m_runs) {
+        if (m_hooks.leaseLimit)
+            limit = std::min(limit, m_hooks.leaseLimit(entry.first));
+    }
+    return limit;
+}
+
+std::chrono::milliseconds TargetSession::limitedLease(std::chrono::milliseconds length) const
+{
+    const TimePoint now = m_clock.now();
+    const Duration limited = std::min<Duration>(length, std::max(leaseLimit(), now) - now);
+    return std::chrono::duration_cast<std::chrono::milliseconds>(limited);
 }
 
 std::uint64_t TargetSession::leaseEnd(std::chrono::milliseconds length) const
@@ -81,9 +99,11 @@
 void TargetSession::sendStart(const TaskId& task, Run& run)
 {
     ++run.sends;
-    extendLease(m_settings.startLease);
-    const StartRequest request { m_report.id, m_report.address, task, run.attempt, run.payload,
-        leaseEnd(m_settings.startLease), m_token, run.savedProgress, callTimeout() };
+    const auto lease = limitedLease(m_settings.startLease);
+    m_leaseLimit = std::min(m_leaseLimit, leaseLimit());
+    extendLease(lease);
+    const StartRequest request { m_report.id, m_report.address, task, run.attempt, run.payload, leaseEnd(lease),
+        m_token, run.savedProgress, callTimeout() };
     m_calls.start(request,
         [this, isAlive = m_isAlive, task, attempt = run.attempt, token = m_token, sentAt = m_clock.now()](
             const TargetReply& reply) {
@@ -280,9 +300,13 @@
     }
     const TimePoint now = m_clock.now();
     PollRequest request { m_report.id, m_report.address, m_token, m_acknowledged, std::nullopt, wait, callTimeout() };
+    m_leaseLimit = leaseLimit();
     if (m_targetClockMs && now - m_lastResponseAt < m_settings.silenceTimeout) {
-        request.leaseEndMs = leaseEnd(m_settings.leaseDuration);
-        extendLease(m_settings.leaseDuration);
+        const auto lease = limitedLease(m_settings.leaseDuration);
+        request.leaseEndMs = leaseEnd(lease);
+        // A short lease is renewed in time.
+        request.wait = std::min(wait, std::max(lease / 2, m_settings.lossyPollWait));
+        extendLease(lease);
     }
     m_calls.poll(request, [this, isAlive = m_isAlive, sentAt = now, isLoop, token = m_token](const PollReply& reply) {
         if (!*isAlive)
--- a/modules/rattanroad_shards/targets/TargetSession.h
+++ b/modules/rattanroad_shards/targets/TargetSession.h
@@ -83,6 +83,9 @@
         std::function<void()> roomChanged;
         /** The target has seen a higher token. */
         std::function<void()> fenced;
+        /** Returns the latest time at which the lease of a target with a run of this task may end. An empty hook means
+            no limit. */
+        std::function<TimePoint(const TaskId&)> leaseLimit;
     };
 
     TargetSession(Settings settings, TargetReport report, FencingToken token, TargetCalls& calls, Timers timers,
@@ -154,6 +157,10 @@
     void interrupt(const std::vector<TaskId>& tasks);
     void interruptAll();
     void checkLease();
+    /** Returns the latest time at which the lease may end because of the runs on the target. */
+    TimePoint leaseLimit() const;
+    /** Returns the part of a lease of this length that ends in time; at least 0. */
+    std::chrono::milliseconds limitedLease(std::chrono::milliseconds length) const;
     std::uint64_t leaseEnd(std::chrono::milliseconds length) const;
     void extendLease(std::chrono::milliseconds length);
 
@@ -180,6 +187,8 @@
     Duration m_responseTime { 0 };
     /** Local time by which all runs on the target have ended unless the lease is renewed. */
     TimePoint m_leaseEnd;
+    /** The lease limit at the last poll, or that of a run that was started since. */
+    TimePoint m_leaseLimit { TimePoint::max() };
     TimePoint m_startsPausedUntil { distantPast };
     std::uint64_t m_lastCompletion { 0 };
     std::uint64_t m_acknowledged { 0 };
