--- a/modules/rattanroad_shards/targets/TargetSession.h
+++ b/modules/rattanroad_shards/targets/TargetSession.h
@@ -2,6 +2,7 @@
 
 #include "rattanroad_shards/targets/TargetCalls.h"
 
+#include <deque>
 #include <map>
 #include <memory>
 #include <set>
@@ -82,6 +83,9 @@
         std::function<void()> roomChanged;
         /** The target has seen a higher token. */
         std::function<void()> fenced;
+        /** Returns the latest time at which the lease of a target with a run of this task may end. An empty hook means
+            no limit. */
+        std::function<TimePoint(const TaskId&)> leaseLimit;
     };
 
     TargetSession(Settings settings, TargetReport report, FencingToken token, TargetCalls& calls, Timers timers,
@@ -127,6 +131,11 @@
     /** Handles a reply that leaves open whether a start was carried out: sends it again, stops the run, or polls for
         its completion. */
     void resolveUnconfirmedStart(const TaskId& task, Run& run, TargetCallResult result);
+    void recordUnansweredStart(const TaskId& task, std::uint32_t attempt);
+    /** Returns whether an unanswered start of the task, up to this attempt, may still be carried out. */
+    bool mayStartLate(const TaskId& task, std::uint32_t highestAttempt) const;
+    /** Returns whether the target has to stop the attempt, or to reject it when it arrives. */
+    bool isStopNeeded(const TaskId& task, std::uint32_t attempt) const;
     /** Updates the response time, or records that there was no answer. */
     void recordResponse(const TargetReply& reply, TimePoint sentAt);
     void recordLoss(const TargetReply& reply);
@@ -148,6 +157,10 @@
     void interrupt(const std::vector<TaskId>& tasks);
     void interruptAll();
     void checkLease();
+    /** Returns the latest time at which the lease may end because of the runs on the target. */
+    TimePoint leaseLimit() const;
+    /** Returns the part of a lease of this length that ends in time; at least 0. */
+    std::chrono::milliseconds limitedLease(std::chrono::milliseconds length) const;
     std::uint64_t leaseEnd(std::chrono::milliseconds length) const;
     void extendLease(std::chrono::milliseconds length);
 
@@ -174,6 +187,8 @@
     Duration m_responseTime { 0 };
     /** Local time by which all runs on the target have ended unless the lease is renewed. */
     TimePoint m_leaseEnd;
+    /** The lease limit at the last poll, or that of a run that was started since. */
+    TimePoint m_leaseLimit { TimePoint::max() };
     TimePoint m_startsPausedUntil { distantPast };
     std::uint64_t m_lastCompletion { 0 };
     std::uint64_t m_acknowledged { 0 };
@@ -184,7 +199,8 @@
         std::uint32_t attempt;
         TimePoint sentAt;
     };
-    std::vector<UnansweredStart> m_unansweredStarts;
+    /** Unanswered starts within the late request window, oldest first. */
+    std::deque<UnansweredStart> m_unansweredStarts;
     std::shared_ptr<bool> m_isAlive { std::make_shared<bool>(true) };
 };
 
