Show three more ways in which a new holder misses runs

Cause, one for each group of cases: - a holder that was paused counts its 10 s without a lease from its resumption instead of the end of the lease; - a target that leaves the list between two holdings of the same host leaves no gap, since its old session is still there; - a holder renews the run of a target that left the list longer ago than a new holder looks back.

Two others guard fixes that are in: a host that did not hold the shard before waits, and so does a new holder while an earlier one that is cut off may go on without its lease.

--- a/tests/shards/CutOffTests.cpp
+++ b/tests/shards/CutOffTests.cpp
@@ -1,3 +1,4 @@
+#include "rattanroad_shards/targets/ShardTargets.h"
 #include "shards/FleetChecks.h"
 
 using namespace rattanroad;
@@ -37,9 +38,10 @@
             m_fleet.unlistTarget(target);
     }
     /** Starts a job on the side that is cut off. */
-    void startJob()
+    void submitJob(std::chrono::milliseconds duration = 2s) { m_fleet.submit(m_origin, "a", 1, duration, true); }
+    void startJob(std::chrono::milliseconds duration = 2s)
     {
-        m_fleet.submit(m_origin, "a", 1, 2s, true);
+        submitJob(duration);
         m_fleet.run(100ms);
         REQUIRE(m_fleet.targets().running() == 1);
     }
@@ -56,6 +58,31 @@
             m_fleet.listTarget(target);
         m_fleet.run(4s);
     }
+    void drainEarlierHolder() { m_fleet.node(m_earlierHolder).drain(); }
+    void holdMessagesOfEarlierHolder() { m_fleet.holdMessages(m_earlierHolder); }
+    void pauseEarlierHolder() { m_fleet.pause(m_earlierHolder); }
+    void resumeEarlierHolder() { m_fleet.resume(m_earlierHolder); }
+    void unlistTargetsWithRuns()
+    {
+        for (const TargetId& target : southTargets()) {
+            if (hasRun(target))
+                m_fleet.unlistTarget(target);
+        }
+    }
+    /** Lets a host of "north" hold the shard for a while. */
+    void moveShardNorthAndBack()
+    {
+        for (const char* const host : { "south-0", "south-1" })
+            m_fleet.kill(HostId(host));
+        m_fleet.run(5s);
+        REQUIRE(m_fleet.holderOf("south").value().compare(0, 5, "north") == 0);
+        for (const char* const host : { "south-0", "south-1" })
+            m_fleet.start(HostId(host));
+        m_fleet.run(6s);
+        m_earlierHolder = m_fleet.holderOf("south");
+        m_origin = m_earlierHolder == HostId("south-0") ? HostId("south-1") : HostId("south-0");
+        m_fleet.setCallerWait(30s);
+    }
     void restartNorth()
     {
         for (const char* const host : { "north-0", "north-1" })
@@ -161,3 +188,140 @@
     showLog(cut.fleet());
     REQUIRE(cut.fleet().startCount("a") == 1);
 }
+
+TEST_CASE("a holder that was paused past its lease and is cut off stops before its successor restarts jobs")
+{
+    CutOffFleet cut;
+    cut.cutOff();
+    cut.pauseEarlierHolder();
+    cut.fleet().run(listEntryLease);
+    cut.unlistTargets();
+    cut.fleet().run(1500ms);
+    cut.resumeEarlierHolder();
+    cut.fleet().run(9400ms);
+    cut.fleet().setCallerWait(30s);
+    cut.submitJob(3s);
+    cut.fleet().run(100ms);
+    cut.holdMessagesOfEarlierHolder();
+    cut.reconnect();
+    requireNoViolations(cut.fleet());
+}
+
+TEST_CASE("a holder that was paused past its lease counts its time without one from the end of the lease")
+{
+    CutOffFleet cut;
+    cut.cutOff();
+    cut.pauseEarlierHolder();
+    cut.fleet().run(6s);
+    cut.resumeEarlierHolder();
+    cut.fleet().run(7s);
+    showLog(cut.fleet());
+    REQUIRE(!cut.fleet().node(HostId("south-0")).isHolding());
+    REQUIRE(!cut.fleet().node(HostId("south-1")).isHolding());
+}
+
+TEST_CASE("a host that held a shard before restarts no job whose run is on a target that left the list meanwhile")
+{
+    CutOffFleet cut;
+    cut.moveShardNorthAndBack();
+    cut.fleet().run(14s);
+    cut.startJob(12s);
+    cut.unlistTargetsWithRuns();
+    cut.fleet().run(1s);
+    cut.cutOff();
+    cut.fleet().run(4s);
+    REQUIRE(cut.fleet().targets().running() == 1);
+    cut.reconnect();
+    requireNoViolations(cut.fleet());
+}
+
+TEST_CASE("the target list has a gap when a target left it between two holdings")
+{
+    VirtualClock clock;
+    EventQueue queue(clock);
+    EmulatedTargets emulated(queue);
+    TargetCalls calls = emulated.callsFrom(HostId("host"));
+    const auto after
+        = [&queue](Duration delay, std::function<void()> action) { queue.after(delay, std::move(action)); };
+    TargetSession::Hooks hooks;
+    hooks.ready = [](TargetSession&) {};
+    hooks.ended = [](TargetSession&, const RunCompletion&) {};
+    hooks.foundRun = [](TargetSession&, const RunningTask&) { return std::nullopt; };
+    hooks.rejected = [](TargetSession&, const TaskId&, std::uint32_t, TargetCallResult) {};
+    hooks.roomChanged = [] {};
+    hooks.fenced = [] {};
+    ShardTargets targets({}, calls, { after }, clock, hooks);
+    for (const char* const id : { "a", "b" }) {
+        TargetReport report;
+        report.id = TargetId(id);
+        report.service = ServiceId("quotes");
+        report.address = id;
+        report.capacity = { 32000, 65536, 0 };
+        report.bornMs = 1;
+        emulated.add(report);
+        targets.listed(report);
+    }
+    targets.open(FencingToken(1));
+    targets.listRead();
+    queue.runUntil(clock.now() + 14s);
+    REQUIRE(targets.areReconciled());
+    targets.close();
+    queue.runUntil(clock.now() + 14s);
+    targets.unlisted(TargetId("b"));
+    targets.clear();
+    targets.open(FencingToken(3));
+    targets.listRead();
+    queue.runUntil(clock.now() + 500ms);
+    REQUIRE(!targets.areReconciled());
+}
+
+TEST_CASE("a new holder restarts no job whose run is on a target that left the list long ago")
+{
+    const bool isReleased = GENERATE(true, false);
+    CAPTURE(isReleased);
+    CutOffFleet cut;
+    cut.fleet().setCallerWait(60s);
+    cut.startJob(40s);
+    cut.unlistTargetsWithRuns();
+    cut.fleet().run(15s);
+    REQUIRE(cut.fleet().targets().running() == 1);
+    if (isReleased) {
+        cut.drainEarlierHolder();
+        cut.fleet().run(4s);
+    } else {
+        cut.cutOff();
+        cut.fleet().run(4s);
+        REQUIRE(cut.fleet().targets().running() == 1);
+        cut.reconnect();
+    }
+    requireNoViolations(cut.fleet());
+}
+
+TEST_CASE("a host that did not hold the shard before waits after a target left the list")
+{
+    CutOffFleet cut;
+    cut.fleet().setCallerWait(30s);
+    cut.fleet().run(14s);
+    cut.startJob(12s);
+    cut.unlistTargetsWithRuns();
+    cut.fleet().run(1s);
+    cut.cutOff();
+    cut.fleet().run(4s);
+    REQUIRE(cut.fleet().targets().running() == 1);
+    cut.reconnect();
+    requireNoViolations(cut.fleet());
+}
+
+TEST_CASE("a new holder restarts no job while an earlier holder that is cut off may go on without its lease")
+{
+    CutOffFleet cut;
+    cut.cutOff();
+    cut.fleet().run(listEntryLease);
+    cut.unlistTargets();
+    cut.fleet().run(4900ms);
+    cut.fleet().setCallerWait(30s);
+    cut.startJob(4s);
+    cut.holdMessagesOfEarlierHolder();
+    cut.reconnect();
+    requireNoViolations(cut.fleet());
+}
