Count a holder's time without a lease from the end of the lease

Callers could see a task run twice: a holder that was paused past its lease, and cut off, went on for 10 s from its resumption, while its successor takes it to have stopped 10 s after the end of the lease.

Cause: the loss of a lease counted from the timer that notices it, which fires late after a pause.

Change: HostLease::endedAt() tells when the lease ended, a holding without a lease counts from then, and one whose time is over ends at once.

--- a/modules/rattanroad_shards/holding/HostLease.cpp
+++ b/modules/rattanroad_shards/holding/HostLease.cpp
@@ -78,6 +78,7 @@
 
 void HostLease::dropAndGrant()
 {
+    m_endedAt = endedAt();
     m_lease = StoreLeaseId(0);
     m_validUntil = distantPast;
     grant();
--- a/modules/rattanroad_shards/holding/HostLease.h
+++ b/modules/rattanroad_shards/holding/HostLease.h
@@ -3,6 +3,8 @@
 #include "rattanroad_shards/store/KeyValueStore.h"
 #include "rattanroad_shards/types/ShardTypes.h"
 
+#include <algorithm>
+
 namespace rattanroad::shards {
 
 /** A host's single lease in the store. The host's key and the keys of the shards that it holds are attached to it and
@@ -36,6 +38,9 @@
     /** Returns whether the lease has not expired. The store may have revoked it all the same. */
     bool isValid() const { return m_lease.value() != 0 && m_clock.now() < m_validUntil; }
     StoreLeaseId lease() const { return m_lease; }
+    /** Returns when the latest lease expired or was given up, or the current time if it is valid. After a pause, this
+       is earlier than the time at which the end was noticed. */
+    TimePoint endedAt() const { return m_lease.value() == 0 ? m_endedAt : std::min(m_clock.now(), m_validUntil); }
     /** Gives the lease up and requests a new one. Used when one of its keys is gone or in doubt. */
     void replace();
 
@@ -53,6 +58,7 @@
     Hooks m_hooks;
     StoreLeaseId m_lease;
     TimePoint m_validUntil { distantPast };
+    TimePoint m_endedAt { distantPast };
     /** Rises with each grant, so that replies about an earlier lease are ignored. */
     std::uint64_t m_grantEpoch { 0 };
 };
--- a/modules/rattanroad_shards/holding/ShardElection.cpp
+++ b/modules/rattanroad_shards/holding/ShardElection.cpp
@@ -201,7 +201,8 @@
 void ShardElection::leaseLost()
 {
     if (m_holding && !m_leaseLostAt)
-        m_leaseLostAt = m_clock.now();
+        m_leaseLostAt = m_lease.endedAt();
+    endExpiredHolding();
 }
 
 void ShardElection::keyChanged()
