Note the targets that leave the list between two holdings of a host

Callers could see a task run twice: a host that had held the shard before and acquires it again trusted a list that lacks a target which its predecessor still uses.

Cause: sessions stay when a holding ends, and a target with a session that leaves the list counts as no gap; the next acquisition erases the session.

Change: while the shard is not held, each target that leaves the list is a gap, and so is a session of an unlisted target that clear() erases.

--- a/modules/rattanroad_shards/targets/ShardTargets.cpp
+++ b/modules/rattanroad_shards/targets/ShardTargets.cpp
@@ -41,7 +41,8 @@
     TargetSession* const opened = session(target);
     if (opened)
         opened->setListed(false);
-    else
+    // Another host may hold the shard and use the target, and the session does not outlast the next acquisition.
+    if (!opened || m_isClosed)
         m_lastListGap = m_clock.now();
 }
 
@@ -82,6 +83,10 @@
 {
     m_token.reset();
     m_isListCurrent = false;
+    const bool areAllListed = std::all_of(
+        m_sessions.begin(), m_sessions.end(), [](const auto& entry) { return entry.second->isListed(); });
+    if (!areAllListed)
+        m_lastListGap = m_clock.now();
     m_sessions.clear();
 }
 
