Let runs on targets end that have left the target list for long

Callers could see a task run twice: a holder renewed the run of a target that had left the list 15 s before; a new holder whose list had no gap for 13 s did not know of the target and started the task again, at an ordinary handover as well as after a cut.

Cause: a new holder looks back as far as an earlier holder can go on, but a run on an unlisted target had no limit.

Change: the lease of a target that has been unlisted for 8 s is not renewed. earlierHolderExpiry is 13.5 s: the lease of the host (1.8 s), the time without one (10 s) and the lease of a target (1.02 s) add up to 12.82 s, and a change of the target list can reach a holder 0.4 s late.

--- a/modules/rattanroad_shards/targets/ShardTargets.cpp
+++ b/modules/rattanroad_shards/targets/ShardTargets.cpp
@@ -83,8 +83,8 @@
 {
     m_token.reset();
     m_isListCurrent = false;
-    const bool areAllListed = std::all_of(
-        m_sessions.begin(), m_sessions.end(), [](const auto& entry) { return entry.second->isListed(); });
+    const bool areAllListed
+        = std::all_of(m_sessions.begin(), m_sessions.end(), [](const auto& entry) { return entry.second->isListed(); });
     if (!areAllListed)
         m_lastListGap = m_clock.now();
     m_sessions.clear();
--- a/modules/rattanroad_shards/targets/ShardTargets.h
+++ b/modules/rattanroad_shards/targets/ShardTargets.h
@@ -19,8 +19,9 @@
         TaskPlacer::Settings placement;
         OutlierDetector::Settings outliers;
         /** Time after the acquisition of a shard until no run of an earlier holder can be active: the host's lease, the
-            time that a holder goes on without one, the lease of a target and the drift of its clock. */
-        std::chrono::milliseconds earlierHolderExpiry { 13000 };
+            time that a holder goes on without one, the lease of a target, the drift of its clock, and the delay of the
+            target list. */
+        std::chrono::milliseconds earlierHolderExpiry { 13500 };
         /** Time for which a target without a list entry is kept: entries whose leases expired during an outage of the
             store are back within two seconds. */
         std::chrono::milliseconds unlistedRetention { 3500 };
--- a/modules/rattanroad_shards/targets/TargetSession.cpp
+++ b/modules/rattanroad_shards/targets/TargetSession.cpp
@@ -77,6 +77,13 @@
     return *m_targetClockMs + static_cast<std::uint64_t>((elapsed + length).count());
 }
 
+bool TargetSession::mayRenewLease() const
+{
+    const TimePoint now = m_clock.now();
+    const bool isListed = m_isListed || now - m_unlistedSince < m_settings.unlistedTimeout;
+    return m_targetClockMs && isListed && now - m_lastResponseAt < m_settings.silenceTimeout;
+}
+
 void TargetSession::extendLease(std::chrono::milliseconds length)
 {
     const auto longest = std::chrono::duration_cast<Duration>(length * (1 + m_settings.clockDrift));
@@ -301,7 +308,7 @@
     const TimePoint now = m_clock.now();
     PollRequest request { m_report.id, m_report.address, m_token, m_acknowledged, std::nullopt, wait, callTimeout() };
     m_leaseLimit = leaseLimit();
-    if (m_targetClockMs && now - m_lastResponseAt < m_settings.silenceTimeout) {
+    if (mayRenewLease()) {
         const auto lease = limitedLease(m_settings.leaseDuration);
         request.leaseEndMs = leaseEnd(lease);
         // A short lease is renewed in time.
--- a/modules/rattanroad_shards/targets/TargetSession.h
+++ b/modules/rattanroad_shards/targets/TargetSession.h
@@ -42,6 +42,9 @@
         std::chrono::milliseconds startLease { 500 };
         /** The lease of a target that has been silent for longer is not renewed, so that its runs end. */
         std::chrono::milliseconds silenceTimeout { 650 };
+        /** The lease of a target that has been missing from the target list for longer is not renewed. A later holder
+           may not know the target, and waits only for as long as an earlier holder without a lease can go on. */
+        std::chrono::seconds unlistedTimeout { 8 };
         /** Delay before the next poll when a poll failed, or returned at once without a new completion. */
         std::chrono::milliseconds pollRetryPause { 20 };
         /** Largest relative error by which a target's clock runs slow. */
@@ -163,6 +166,7 @@
     std::chrono::milliseconds limitedLease(std::chrono::milliseconds length) const;
     std::uint64_t leaseEnd(std::chrono::milliseconds length) const;
     void extendLease(std::chrono::milliseconds length);
+    bool mayRenewLease() const;
 
     Settings m_settings;
     TargetReport m_report;
