Stop a holder whose key is gone when it releases its shard

Callers could see a task run twice: a holder that released its shard and got no answer went on under a valid lease, with no limit, while another host acquired the shard.

Cause: a retried removal whose condition fails was taken for a failed call, though the first one was carried out.

Change: a failed condition ends the holding.

Evidence: "a holder stops when the removal of its key was carried out but not answered" failed before and passes now.

--- a/modules/rattanroad_shards/holding/ShardElection.cpp
+++ b/modules/rattanroad_shards/holding/ShardElection.cpp
@@ -228,7 +228,8 @@
     transaction.conditions.push_back({ storekeys::holder(m_settings.shard), KeyRevision(m_holding->token.value()) });
     transaction.removals.push_back(storekeys::holder(m_settings.shard));
     m_store.transact(transaction, [this](const TransactionReply& reply) {
-        if (reply.status == StoreStatus::Done) {
+        // The key is gone or another's if the condition fails, for instance because the reply to a removal was lost.
+        if (reply.status == StoreStatus::Done || reply.status == StoreStatus::ConditionFailed) {
             m_isReleasing = false;
             lose("released for another host");
             return;
--- a/tests/shards/ElectionTests.cpp
+++ b/tests/shards/ElectionTests.cpp
@@ -146,3 +146,17 @@
     REQUIRE(logLines(fleet, "loop_late").size() <= 2);
     REQUIRE_FALSE(logLines(fleet, host.value() + " loop_late").empty());
 }
+
+TEST_CASE("a holder stops when the removal of its key was carried out but not answered")
+{
+    EmulatedFleet fleet;
+    fleet.startAll();
+    const HostId holder = fleet.holderOf("north");
+    fleet.store().faults.deafPrefix = "rattanroad/fleet/";
+    fleet.node(holder).drain();
+    fleet.run(145ms);
+    fleet.store().faults.repliesToLose = 1;
+    fleet.run(1500ms);
+    REQUIRE(fleet.store().keys("rattanroad/fleet/shard/north").empty());
+    REQUIRE(!fleet.node(holder).dispatcher(ShardId("north")));
+}
