Start a best-effort task only on a target whose lease ends early enough

Cause: a lease applies to all runs on its target. A run that starts between the death of its origin and the time at which the job is given up inherits the lease that the target has, which may end up to 2 s after the origin died. When the holder dies too, the run outlasts the 1.3 s after which its caller submits the job again.

Change: a task starts on a target only when the present lease ends early enough for its job; otherwise it waits for the next submission, which comes within 0.3 s from an origin that lives. A new holder assumes that an earlier one has just renewed the leases.

--- a/modules/rattanroad_shards/jobs/TaskRunner.cpp
+++ b/modules/rattanroad_shards/jobs/TaskRunner.cpp
@@ -198,6 +198,9 @@
     if (!choice)
         return false;
     TargetSession& session = *choice->session;
+    // The present lease, which applies to the new run too, may end too late. The task waits for the next submission.
+    if (session.leaseEnd() > leaseLimit(id))
+        return true;
     ShardTask& task = job.phases[phase][index];
     task.attempt = nextAttempt(job, task);
     task.state = ShardTask::State::Placed;
--- a/modules/rattanroad_shards/targets/TargetSession.cpp
+++ b/modules/rattanroad_shards/targets/TargetSession.cpp
@@ -16,6 +16,8 @@
     , m_hooks(std::move(hooks))
     , m_leaseEnd(clock.now())
 {
+    // An earlier holder may have renewed the lease just now.
+    extendLease(m_settings.leaseDuration);
 }
 
 TargetSession::~TargetSession() { *m_isAlive = false; }
@@ -71,7 +73,7 @@
     return std::chrono::duration_cast<std::chrono::milliseconds>(limited);
 }
 
-std::uint64_t TargetSession::leaseEnd(std::chrono::milliseconds length) const
+std::uint64_t TargetSession::targetLeaseEndMs(std::chrono::milliseconds length) const
 {
     const auto elapsed = std::chrono::duration_cast<std::chrono::milliseconds>(m_clock.now() - m_targetClockReadAt);
     return *m_targetClockMs + static_cast<std::uint64_t>((elapsed + length).count());
@@ -102,7 +104,7 @@
     const auto lease = limitedLease(m_settings.startLease);
     m_leaseLimit = std::min(m_leaseLimit, leaseLimit());
     extendLease(lease);
-    const StartRequest request { m_report.id, m_report.address, task, run.attempt, run.payload, leaseEnd(lease),
+    const StartRequest request { m_report.id, m_report.address, task, run.attempt, run.payload, targetLeaseEndMs(lease),
         m_token, run.savedProgress, callTimeout() };
     m_calls.start(request,
         [this, isAlive = m_isAlive, task, attempt = run.attempt, token = m_token, sentAt = m_clock.now()](
@@ -303,7 +305,7 @@
     m_leaseLimit = leaseLimit();
     if (m_targetClockMs && now - m_lastResponseAt < m_settings.silenceTimeout) {
         const auto lease = limitedLease(m_settings.leaseDuration);
-        request.leaseEndMs = leaseEnd(lease);
+        request.leaseEndMs = targetLeaseEndMs(lease);
         // A short lease is renewed in time.
         request.wait = std::min(wait, std::max(lease / 2, m_settings.lossyPollWait));
         extendLease(lease);
--- a/modules/rattanroad_shards/targets/TargetSession.h
+++ b/modules/rattanroad_shards/targets/TargetSession.h
@@ -120,6 +120,8 @@
     std::uint64_t incarnationMs() const { return m_incarnationMs; }
     const std::map<TaskId, Run>& runs() const { return m_runs; }
     TimePoint unlistedSince() const { return m_unlistedSince; }
+    /** Returns the local time by which all runs on the target have ended unless the lease is renewed. */
+    TimePoint leaseEnd() const { return m_leaseEnd; }
 
 private:
     void poll();
@@ -161,7 +163,8 @@
     TimePoint leaseLimit() const;
     /** Returns the part of a lease of this length that ends in time; at least 0. */
     std::chrono::milliseconds limitedLease(std::chrono::milliseconds length) const;
-    std::uint64_t leaseEnd(std::chrono::milliseconds length) const;
+    /** Returns the time of the target's clock at which a lease of this length ends. */
+    std::uint64_t targetLeaseEndMs(std::chrono::milliseconds length) const;
     void extendLease(std::chrono::milliseconds length);
 
     Settings m_settings;
@@ -185,7 +188,6 @@
     TimePoint m_lastLoss { distantPast };
     /** Recent response time of starts and stops; rises at once and falls slowly. */
     Duration m_responseTime { 0 };
-    /** Local time by which all runs on the target have ended unless the lease is renewed. */
     TimePoint m_leaseEnd;
     /** The lease limit at the last poll, or that of a run that was started since. */
     TimePoint m_leaseLimit { TimePoint::max() };
