Keep jobs that are handed over late until their origin repeats them

Cause: counts the silence of an origin from the acquisition. After a cut the handover is sent seconds later, and its origins live.

--- a/modules/rattanroad_shards/jobs/JobTable.cpp
+++ b/modules/rattanroad_shards/jobs/JobTable.cpp
@@ -20,6 +20,7 @@
     job->id = JobId(description.id());
     job->description = description;
     job->lastSubmittedAt = m_clock.now();
+    job->certainlySubmittedAt = job->lastSubmittedAt;
     job->receivedAt = job->lastSubmittedAt - waited;
     job->softDeadline = job->receivedAt + latencyObjective(description);
     for (const protocol::PhaseDescription& phase : description.phases())
--- a/modules/rattanroad_shards/jobs/ShardDispatcher.cpp
+++ b/modules/rattanroad_shards/jobs/ShardDispatcher.cpp
@@ -134,8 +134,10 @@
         auto job = m_jobs.makeJob(handed.job(), std::chrono::milliseconds(handed.waited_ms()));
         job->acceptedIn = m_holding->generation;
         job->originAddress = handed.entrance();
+        const std::chrono::milliseconds silence(handed.silent_ms());
+        job->lastSubmittedAt = m_clock.now() - silence;
         // The handover may have been under way since this host acquired the shard.
-        job->lastSubmittedAt = m_acquiredAt - std::chrono::milliseconds(handed.silent_ms());
+        job->certainlySubmittedAt = m_acquiredAt - silence;
         job->isAccepted = true;
         applyHandover(handed, *job);
         ShardJob& added = m_jobs.add(std::move(job));
@@ -211,6 +213,7 @@
         ShardJob& job = *known;
         job.originAddress = origin.address;
         job.lastSubmittedAt = std::max(job.lastSubmittedAt, origin.sentAt);
+        job.certainlySubmittedAt = std::max(job.certainlySubmittedAt, origin.sentAt);
         // The job was cancelled because its origin was silent; the repeated submission shows that it is still wanted.
         if (job.description.best_effort() && job.state == JobState::Cancelled)
             reopen(job);
@@ -226,6 +229,7 @@
     job->acceptedIn = m_holding->generation;
     job->originAddress = origin.address;
     job->lastSubmittedAt = origin.sentAt;
+    job->certainlySubmittedAt = origin.sentAt;
     const auto wait = m_runner.expectedWait(job->softDeadline);
     const bool isStoreNeeded = !description.best_effort();
     const bool isStoreUnavailable = isStoreNeeded && m_writer.isStoreUnavailable();
--- a/modules/rattanroad_shards/jobs/ShardJob.h
+++ b/modules/rattanroad_shards/jobs/ShardJob.h
@@ -65,6 +65,8 @@
     std::string originAddress;
     /** When the origin last sent the submission. For a best-effort job it repeats it while the caller waits. */
     TimePoint lastSubmittedAt;
+    /** The same without a doubt: a handover may have been under way for long. Runs start and go on by this time. */
+    TimePoint certainlySubmittedAt;
     /** The record with the final state is in the store, or the job is best effort and needs none. */
     bool isFinalStateStored { false };
     std::vector<std::function<void()>> onFinalStateStored;
--- a/modules/rattanroad_shards/jobs/TaskRunner.cpp
+++ b/modules/rattanroad_shards/jobs/TaskRunner.cpp
@@ -117,7 +117,7 @@
     // The origin of an unknown job may have died a while ago.
     if (!job)
         return distantPast;
-    return job->description.best_effort() ? job->lastSubmittedAt + m_settings.maximumLeaseAfterSubmission
+    return job->description.best_effort() ? job->certainlySubmittedAt + m_settings.maximumLeaseAfterSubmission
                                           : TimePoint::max();
 }
 
@@ -170,7 +170,7 @@
 {
     const TimePoint now = m_clock.now();
     // After a pause of this process the caller may have submitted the job to another host.
-    if (job.description.best_effort() && now - job.lastSubmittedAt >= m_settings.originTimeout)
+    if (job.description.best_effort() && now - job.certainlySubmittedAt >= m_settings.originTimeout)
         return;
     for (std::size_t phase = 0; phase < job.phases.size(); ++phase) {
         if (!job.isPhaseReady(phase))
