--- a/tests/emulator/EmulatedFleet.cpp
+++ b/tests/emulator/EmulatedFleet.cpp
@@ -43,6 +43,7 @@
     report.labels = { "a", "rack-" + domain };
     report.bornMs = 1;
     m_targets.add(report);
+    updateConnections();
     m_store.put("servers/" + name, name);
 }
 
@@ -240,40 +241,28 @@
         m_queue.after(0ms, wrapInProcess(id, std::move(action)));
 }
 
-void EmulatedFleet::isolate(const HostId& id)
+void EmulatedFleet::isolate(const HostId& host)
 {
-    m_hosts[id].isIsolated = true;
-    m_store.faults.isolatedHosts.insert(id);
-    for (const auto& target : m_targets.reports())
-        m_targets.faults.disconnectedPairs.insert({ id, target.first });
+    m_hosts[host].isIsolated = true;
+    updateConnections();
 }
 
-void EmulatedFleet::reconnect(const HostId& id)
+void EmulatedFleet::reconnect(const HostId& host)
 {
-    m_hosts[id].isIsolated = false;
-    m_store.faults.isolatedHosts.erase(id);
-    for (const auto& target : m_targets.reports())
-        m_targets.faults.disconnectedPairs.erase({ id, target.first });
+    m_hosts[host].isIsolated = false;
+    updateConnections();
 }
 
 void EmulatedFleet::cutOff(const std::string& domain)
 {
     m_domainsCutOff.insert(domain);
-    for (const auto& host : m_hosts) {
-        if (host.second.domain == domain)
-            m_store.faults.isolatedHosts.insert(host.first);
-    }
-    updateTargetConnections();
+    updateConnections();
 }
 
 void EmulatedFleet::endCutOff(const std::string& domain)
 {
     m_domainsCutOff.erase(domain);
-    for (const auto& host : m_hosts) {
-        if (host.second.domain == domain)
-            m_store.faults.isolatedHosts.erase(host.first);
-    }
-    updateTargetConnections();
+    updateConnections();
 }
 
 bool EmulatedFleet::isCutOff(const std::string& domain, const std::string& otherDomain) const
@@ -281,12 +270,17 @@
     return domain != otherDomain && (m_domainsCutOff.count(domain) != 0 || m_domainsCutOff.count(otherDomain) != 0);
 }
 
-void EmulatedFleet::updateTargetConnections()
+void EmulatedFleet::updateConnections()
 {
+    auto& isolatedHosts = m_store.faults.isolatedHosts;
     auto& disconnectedPairs = m_targets.faults.disconnectedPairs;
     for (const auto& host : m_hosts) {
+        if (host.second.isIsolated || m_domainsCutOff.count(host.second.domain) != 0)
+            isolatedHosts.insert(host.first);
+        else
+            isolatedHosts.erase(host.first);
         for (const auto& target : m_targets.reports()) {
-            if (isCutOff(host.second.domain, target.second.failureDomain.value()))
+            if (host.second.isIsolated || isCutOff(host.second.domain, target.second.failureDomain.value()))
                 disconnectedPairs.insert({ host.first, target.first });
             else
                 disconnectedPairs.erase({ host.first, target.first });
--- a/tests/emulator/EmulatedFleet.h
+++ b/tests/emulator/EmulatedFleet.h
@@ -126,9 +126,9 @@
     bool isLinked(const Host& from, const HostId& to) const;
     /** Returns whether one of two failure domains is cut off from the other. */
     bool isCutOff(const std::string& domain, const std::string& otherDomain) const;
-    /** Disconnects the hosts of each failure domain from the targets of those that are cut off from it, and connects
-        all others. */
-    void updateTargetConnections();
+    /** Disconnects isolated hosts from the store and all targets, and the hosts of each failure domain from what a cut
+        separates them from; connects all others. */
+    void updateConnections();
     void send(const HostId& from, const std::string& address, const protocol::Envelope& message);
     void connectionBroken(Call* call);
 
--- a/tests/emulator/EmulatedTargets.cpp
+++ b/tests/emulator/EmulatedTargets.cpp
@@ -40,6 +40,12 @@
     m_reports[id].bornMs = incarnation;
 }
 
+void EmulatedTargets::remove(const TargetId& id)
+{
+    restart(id);
+    m_removed.insert(id);
+}
+
 std::uint64_t EmulatedTargets::clockMs(const Target& target) const
 {
     return static_cast<std::uint64_t>(
@@ -53,7 +59,8 @@
 
 bool EmulatedTargets::isReachable(const HostId& host, const TargetId& target) const
 {
-    return !faults.unreachableTargets.count(target) && !faults.disconnectedPairs.count({ host, target });
+    return !isRemoved(target) && !faults.unreachableTargets.count(target)
+        && !faults.disconnectedPairs.count({ host, target });
 }
 
 TargetReply EmulatedTargets::reply(const TargetId& target, TargetCallResult ending) const
@@ -73,13 +80,21 @@
     return true;
 }
 
+void EmulatedTargets::executeLate(const TargetId& target, std::function<void()> carryOut)
+{
+    m_queue.after(faults.lateBy, [this, target, carryOut = std::move(carryOut)] {
+        if (!isRemoved(target))
+            carryOut();
+    });
+}
+
 bool EmulatedTargets::arrivesInTime(const HostId& host, const TargetId& target, std::function<void()> carryOut)
 {
     if (!isReachable(host, target))
         return false;
     if (faults.delayEvery == 0 || ++m_requests % faults.delayEvery != 0)
         return true;
-    m_queue.after(faults.lateBy, std::move(carryOut));
+    executeLate(target, std::move(carryOut));
     return false;
 }
 
@@ -99,7 +114,7 @@
             } else if (faults.lateStarts > 0) {
                 --faults.lateStarts;
                 m_lateStarts.insert({ request.task, request.attempt });
-                m_queue.after(faults.lateBy, [this, request] { start(request); });
+                executeLate(request.target, [this, request] { start(request); });
                 unanswered();
             } else {
                 const TargetCallResult ending = start(request);
@@ -118,7 +133,7 @@
             const bool isLate = faults.lateStops > 0;
             if (isLate) {
                 --faults.lateStops;
-                m_queue.after(faults.lateBy, carryOut);
+                executeLate(request.target, carryOut);
             }
             if (!isLate && arrivesInTime(host, request.target, carryOut))
                 stop(request, callback);
--- a/tests/emulator/EmulatedTargets.h
+++ b/tests/emulator/EmulatedTargets.h
@@ -59,6 +59,9 @@
     void add(const shards::TargetReport& report);
     /** Restarts a target: ends all its runs and discards its state. */
     void restart(const TargetId& target);
+    /** Stops a target for good: ends all its runs. Requests to it are lost, also those that are late. */
+    void remove(const TargetId& target);
+    bool isRemoved(const TargetId& target) const { return m_removed.count(target) != 0; }
     /** Returns the target interface for a host, subject to the faults of that host. */
     shards::TargetCalls callsFrom(const HostId& host);
 
@@ -94,6 +97,7 @@
     /** Returns whether the caller has to execute and answer a request now. Schedules @p carryOut for a delayed request.
      */
     bool arrivesInTime(const HostId& host, const TargetId& target, std::function<void()> carryOut);
+    void executeLate(const TargetId& target, std::function<void()> carryOut);
     void stop(const shards::StopRequest& request, const std::function<void(const shards::TargetReply&)>& callback);
     void poll(const shards::PollRequest& request, const std::function<void(const shards::PollReply&)>& callback);
     shards::TargetReply reply(const TargetId& target, shards::TargetCallResult ending) const;
@@ -109,6 +113,7 @@
     EventQueue& m_queue;
     std::map<TargetId, shards::TargetReport> m_reports;
     std::map<TargetId, Target> m_targets;
+    std::set<TargetId> m_removed;
     std::map<shards::TaskId, std::vector<Run>> m_runs;
     std::vector<std::string> m_violations;
     std::uint64_t m_lastRunId { 0 };
