Log the runs that are lost with their targets

No log line told that a run was lost, nor how many runs a task had lost, nor whether the target had crashed or was only cut off.

Cause: TargetSession reports a run that is lost with its target as interrupted, like one that was stopped.

Change: a session reports each run that its target has lost, or may have lost, before it ends the run. A task keeps the target incarnations that it has lost, and TaskRunner settles a silent target when it answers again: a later incarnation shows a crash, the same one a cut. Events run_lost and run_loss_settled; no decision depends on them yet.

--- a/modules/rattanroad_shards/jobs/ShardDispatcher.cpp
+++ b/modules/rattanroad_shards/jobs/ShardDispatcher.cpp
@@ -163,12 +163,14 @@
 TargetSession::Hooks ShardDispatcher::sessionHooks()
 {
     TargetSession::Hooks hooks;
-    hooks.ready = [this](TargetSession&) {
+    hooks.ready = [this](TargetSession& session) {
+        m_runner.targetReported(session);
         updateRecovery();
         m_runner.scheduleSoon();
     };
     hooks.ended
         = [this](TargetSession& session, const RunCompletion& completion) { m_runner.runEnded(session, completion); };
+    hooks.lost = [this](TargetSession& session, const RunLoss& loss) { m_runner.runLost(session, loss); };
     hooks.foundRun
         = [this](TargetSession& session, const RunningTask& running) { return m_runner.adoptRun(session, running); };
     hooks.rejected = [this](TargetSession& session, const TaskId& task, std::uint32_t attempt,
--- a/modules/rattanroad_shards/jobs/ShardJob.h
+++ b/modules/rattanroad_shards/jobs/ShardJob.h
@@ -8,6 +8,21 @@
 
 namespace rattanroad::shards {
 
+/** A run of a task that was lost together with its target, or with the connection to it. */
+struct LostRun {
+    TargetId target;
+    /** Start time of the target incarnation that had the run. */
+    std::uint64_t incarnationMs { 0 };
+    /** The target had confirmed the start. */
+    bool isStartConfirmed { false };
+    /** The incarnation has ended. Otherwise the target may only have been cut off. */
+    bool hasTargetRestarted { false };
+    /** The target had no other run. */
+    bool wasAlone { false };
+
+    bool isCrashProven() const { return isStartConfirmed && hasTargetRestarted; }
+};
+
 /** State of one task of a job in the memory of the shard's holder. */
 struct ShardTask {
     enum class State {
@@ -20,6 +35,8 @@
     std::uint32_t failedRuns { 0 };
     /** Targets on which the task has failed, most recent last. */
     std::vector<TargetId> failedOn;
+    /** Distinct target incarnations that were lost under a run of the task, oldest first. */
+    std::vector<LostRun> lostRuns;
     TargetId target;
     /** When the start of the current run was requested; absent for a run that an earlier holder started. */
     std::optional<TimePoint> startedAt;
--- a/modules/rattanroad_shards/jobs/TaskRunner.cpp
+++ b/modules/rattanroad_shards/jobs/TaskRunner.cpp
@@ -9,6 +9,16 @@
 namespace {
     /** Size of the range of attempt numbers of each holder generation. Later holders use higher ranges. */
     constexpr std::uint32_t attemptsPerGeneration = 1000;
+
+    std::string describeLoss(const TaskId& id, const ShardTask& task, const LostRun& run)
+    {
+        const auto crashes = std::count_if(
+            task.lostRuns.begin(), task.lostRuns.end(), [](const LostRun& lost) { return lost.isCrashProven(); });
+        return "task " + std::to_string(id.index) + " on " + run.target.value() + ", incarnation "
+            + std::to_string(run.incarnationMs) + (run.hasTargetRestarted ? ", restarted" : ", not restarted")
+            + (run.isStartConfirmed ? "" : ", start not confirmed") + (run.wasAlone ? ", no other run there" : "")
+            + "; " + std::to_string(task.lostRuns.size()) + " lost, " + std::to_string(crashes) + " by proven crashes";
+    }
 }
 
 TaskRunner::TaskRunner(
@@ -75,6 +85,50 @@
     return true;
 }
 
+void TaskRunner::runLost(const TargetSession& session, const RunLoss& loss)
+{
+    const auto [job, task] = find(loss.task);
+    if (!task || hasEnded(job->state) || task->state == ShardTask::State::Done)
+        return;
+    const TargetId& target = session.report().id;
+    const bool isKnown = std::any_of(task->lostRuns.begin(), task->lostRuns.end(),
+        [&](const LostRun& run) { return run.target == target && run.incarnationMs == loss.incarnationMs; });
+    if (isKnown)
+        return;
+    task->lostRuns.push_back({ target, loss.incarnationMs, loss.isStartConfirmed, loss.hasRestarted, loss.wasAlone });
+    if (!loss.hasRestarted)
+        m_unsettledTasks.insert(loss.task);
+    m_hooks.log("run_lost", job->id, describeLoss(loss.task, *task, task->lostRuns.back()));
+}
+
+void TaskRunner::targetReported(const TargetSession& session)
+{
+    for (const TaskId& id : std::set<TaskId>(m_unsettledTasks)) {
+        const auto [job, task] = find(id);
+        if (task && !hasEnded(job->state))
+            settleLosses(*job, *task, id, session);
+        const bool isUnsettled = task && !hasEnded(job->state)
+            && std::any_of(task->lostRuns.begin(), task->lostRuns.end(),
+                [](const LostRun& run) { return !run.hasTargetRestarted; });
+        if (!isUnsettled)
+            m_unsettledTasks.erase(id);
+    }
+}
+
+void TaskRunner::settleLosses(ShardJob& job, ShardTask& task, const TaskId& id, const TargetSession& session)
+{
+    for (auto run = task.lostRuns.begin(); run != task.lostRuns.end();) {
+        if (run->hasTargetRestarted || run->target != session.report().id) {
+            ++run;
+            continue;
+        }
+        run->hasTargetRestarted = session.incarnationMs() > run->incarnationMs;
+        m_hooks.log("run_loss_settled", job.id, describeLoss(id, task, *run));
+        // The lease of the run ended while its target was cut off.
+        run = run->hasTargetRestarted ? std::next(run) : task.lostRuns.erase(run);
+    }
+}
+
 void TaskRunner::taskDone(ShardJob& job, ShardTask& task, const TaskId& id)
 {
     const TargetId lastTarget = task.target;
--- a/modules/rattanroad_shards/jobs/TaskRunner.h
+++ b/modules/rattanroad_shards/jobs/TaskRunner.h
@@ -43,6 +43,9 @@
     void rescheduleOverdueRuns();
 
     void runEnded(TargetSession& session, const RunCompletion& completion);
+    void runLost(const TargetSession& session, const RunLoss& loss);
+    /** Settles for each run that was lost with a silent target whether the target crashed or was cut off. */
+    void targetReported(const TargetSession& session);
     /** Adopts a run that an earlier holder started. Returns the resources that it uses, or nothing when it must be
         stopped. */
     std::optional<Resources> adoptRun(TargetSession& session, const RunningTask& running);
@@ -71,6 +74,7 @@
     /** Returns whether the job has failed because the task has used up its attempts. */
     bool recordFailure(ShardJob& job, ShardTask& task, const TargetSession& session, const TaskId& id);
     void rescheduleOverdueRun(TargetSession& session, const TaskId& id);
+    void settleLosses(ShardJob& job, ShardTask& task, const TaskId& id, const TargetSession& session);
 
     Settings m_settings;
     JobTable& m_jobs;
@@ -80,6 +84,8 @@
     Hooks m_hooks;
     /** Absent while the shard is not held. */
     std::optional<Generation> m_generation;
+    /** Tasks that lost a run with a target that may also have been cut off. */
+    std::set<TaskId> m_unsettledTasks;
     bool m_isScheduled { false };
 };
 
--- a/modules/rattanroad_shards/targets/TargetCalls.h
+++ b/modules/rattanroad_shards/targets/TargetCalls.h
@@ -80,6 +80,19 @@
     std::string savedProgress;
 };
 
+/** A run whose target fell silent or restarted before it reported the completion. */
+struct RunLoss {
+    TaskId task;
+    /** Start time of the target incarnation that had the run. */
+    std::uint64_t incarnationMs { 0 };
+    /** The target has confirmed the start; otherwise the run may never have begun. */
+    bool isStartConfirmed { false };
+    /** A later incarnation has answered. Otherwise the target may also have been cut off. */
+    bool hasRestarted { false };
+    /** The target had no other run. */
+    bool wasAlone { false };
+};
+
 struct TargetReply {
     TargetCallResult result { TargetCallResult::Unknown };
     /** The target's clock when it answered, in milliseconds; absent without a body. */
--- a/modules/rattanroad_shards/targets/TargetSession.cpp
+++ b/modules/rattanroad_shards/targets/TargetSession.cpp
@@ -16,6 +16,8 @@
     , m_hooks(std::move(hooks))
     , m_leaseEnd(clock.now())
 {
+    if (m_report.isDraining)
+        m_drainingIncarnationMs = m_report.bornMs;
 }
 
 TargetSession::~TargetSession() { *m_isAlive = false; }
@@ -37,6 +39,8 @@
 {
     m_isListed = true;
     m_report = report;
+    if (report.isDraining)
+        m_drainingIncarnationMs = report.bornMs;
 }
 
 void TargetSession::setListed(bool isListed)
@@ -73,7 +77,7 @@
     assert(!m_isClosed && m_isReady && m_isListed && !m_report.isDraining && !m_runs.count(task));
     Run& run = m_runs[task];
     run = Run { attempt, payload, resources, Run::State::Starting, m_clock.now(), std::nullopt, predicted,
-        savedProgress, 0 };
+        savedProgress, 0, false };
     m_used += resources;
     sendStart(task, run);
 }
@@ -141,6 +145,8 @@
         return;
     }
     if (reply.result == TargetCallResult::Done) {
+        if (isCurrentIncarnation)
+            run.isStartConfirmed = true;
         if (isCurrentIncarnation && run.state == Run::State::Starting) {
             run.state = Run::State::Running;
             run.confirmedAt = m_clock.now();
@@ -164,6 +170,7 @@
         // An earlier send was carried out: the next poll reports the run's completion, or shows that it was stopped.
         run.state = Run::State::Running;
         run.confirmedAt = m_clock.now();
+        run.isStartConfirmed = true;
         pollNow();
         return;
     }
@@ -305,10 +312,11 @@
 
 void TargetSession::beginIncarnation(std::uint64_t incarnationMs)
 {
-    const bool isFirst = m_incarnationMs == 0;
+    const std::uint64_t earlierMs = m_incarnationMs;
     m_incarnationMs = incarnationMs;
-    if (isFirst)
+    if (earlierMs == 0)
         return;
+    reportLosses(earlierMs, true);
     m_isReady = false;
     m_lastCompletion = 0;
     m_acknowledged = 0;
@@ -324,6 +332,7 @@
             sendStop(entry.first, run.attempt);
         }
         // A start without a reply may have reached the new incarnation, so a run in state Starting is kept.
+        run.isStartConfirmed = false;
     }
     interrupt(lostRuns);
     // The new incarnation does not know the stopped attempts and would run a start that arrives late.
@@ -364,6 +373,7 @@
         if (found != m_runs.end() && found->second.attempt == running.attempt) {
             Run& run = found->second;
             run.savedProgress = running.savedProgress;
+            run.isStartConfirmed = true;
             if (run.state == Run::State::Starting) {
                 run.state = Run::State::Running;
                 run.confirmedAt = m_clock.now();
@@ -378,7 +388,7 @@
         const std::optional<Resources> adopted = m_hooks.foundRun(*this, running);
         const TimePoint now = m_clock.now();
         m_runs[running.task] = Run { running.attempt, "", adopted.value_or(m_report.capacity), Run::State::Running, now,
-            now, std::chrono::milliseconds(0), running.savedProgress, 0 };
+            now, std::chrono::milliseconds(0), running.savedProgress, 0, true };
         m_used += m_runs[running.task].resources;
         if (!adopted)
             stop(running.task);
@@ -419,11 +429,24 @@
     interrupt(tasks);
 }
 
+void TargetSession::reportLosses(std::uint64_t incarnationMs, bool hasRestarted)
+{
+    if (incarnationMs == m_drainingIncarnationMs)
+        return;
+    std::vector<RunLoss> losses;
+    for (const auto& entry : m_runs)
+        losses.push_back(
+            { entry.first, incarnationMs, entry.second.isStartConfirmed, hasRestarted, m_runs.size() == 1 });
+    for (const RunLoss& loss : losses)
+        m_hooks.lost(*this, loss);
+}
+
 void TargetSession::checkLease()
 {
     const TimePoint now = m_clock.now();
     if (now >= m_leaseEnd && now - m_lastResponseAt >= m_settings.silenceTimeout && !m_runs.empty() && !m_isClosed) {
         m_isReady = false;
+        reportLosses(m_incarnationMs, false);
         interruptAll();
     }
     m_timers.after(std::chrono::milliseconds(100), [this, isAlive = m_isAlive] {
--- a/modules/rattanroad_shards/targets/TargetSession.h
+++ b/modules/rattanroad_shards/targets/TargetSession.h
@@ -68,12 +68,17 @@
         std::string savedProgress;
         /** Number of times that the start was sent. */
         std::uint32_t sends { 0 };
+        /** The target has confirmed the start or reported the run as active. */
+        bool isStartConfirmed { false };
     };
     struct Hooks {
         /** The target has answered a poll under the current token for the first time. */
         std::function<void(TargetSession&)> ready;
         /** A run has ended. @c number is 0 when the target did not report the completion. */
         std::function<void(TargetSession&, const RunCompletion&)> ended;
+        /** The target fell silent for longer than its lease, or restarted, while it had this run or may have had it.
+            Not called for a target that was draining, because it ends by plan. */
+        std::function<void(TargetSession&, const RunLoss&)> lost;
         /** The target has a run that this session did not start. Returns its resources if it may continue. */
         std::function<std::optional<Resources>(TargetSession&, const RunningTask&)> foundRun;
         /** A start was refused; the task may start elsewhere. */
@@ -147,6 +152,8 @@
     void removeRun(const TaskId& task);
     void interrupt(const std::vector<TaskId>& tasks);
     void interruptAll();
+    /** Reports all runs as lost that the current incarnation has or may have. */
+    void reportLosses(std::uint64_t incarnationMs, bool hasRestarted);
     void checkLease();
     std::uint64_t leaseEnd(std::chrono::milliseconds length) const;
     void extendLease(std::chrono::milliseconds length);
@@ -165,6 +172,8 @@
     bool m_isListed { true };
     TimePoint m_unlistedSince;
     std::uint64_t m_incarnationMs { 0 };
+    /** The latest incarnation that was listed as draining. */
+    std::uint64_t m_drainingIncarnationMs { 0 };
     /** The target's clock at m_targetClockReadAt. */
     std::optional<std::uint64_t> m_targetClockMs;
     TimePoint m_targetClockReadAt;
--- a/tests/shards/SessionTests.cpp
+++ b/tests/shards/SessionTests.cpp
@@ -34,6 +34,7 @@
         TargetSession::Hooks hooks;
         hooks.ready = [](TargetSession&) {};
         hooks.ended = [](TargetSession&, const RunCompletion&) {};
+        hooks.lost = [](TargetSession&, const RunLoss&) {};
         hooks.foundRun = [](TargetSession&, const RunningTask&) { return std::nullopt; };
         hooks.rejected = [](TargetSession&, const TaskId&, std::uint32_t, TargetCallResult) {};
         hooks.roomChanged = [] {};
