Show that a task that crashes its targets is started without end

Cause, as shown here: runs that are lost with their targets count for nothing, under one holder as well as under several.

Change: emulated targets can crash under the tasks of chosen jobs and are back some seconds later as a new incarnation.

--- a/tests/emulator/EmulatedFleet.cpp
+++ b/tests/emulator/EmulatedFleet.cpp
@@ -30,6 +30,7 @@
             addTarget(domain, "target-" + domain + "-" + std::to_string(i));
     }
     m_store.put("config", "1");
+    m_targets.setReturnObserver([this](const TargetId& target) { listTarget(target); });
 }
 
 void EmulatedFleet::addTarget(const std::string& domain, const std::string& name)
--- a/tests/emulator/EmulatedTargets.cpp
+++ b/tests/emulator/EmulatedTargets.cpp
@@ -40,6 +40,25 @@
     m_reports[id].bornMs = incarnation;
 }
 
+void EmulatedTargets::crash(const TargetId& id)
+{
+    if (isCrashed(id))
+        return;
+    m_crashedTargets.insert(id);
+    for (const auto& live : m_targets[id].live) {
+        Run& run = m_runs[live.first][live.second.runIndex];
+        run.endedAt = m_queue.now();
+        run.ending = "crashed";
+    }
+    m_targets[id].live.clear();
+    m_queue.after(faults.crashDuration, [this, id] {
+        m_crashedTargets.erase(id);
+        restart(id);
+        if (m_returnObserver)
+            m_returnObserver(id);
+    });
+}
+
 std::uint64_t EmulatedTargets::clockMs(const Target& target) const
 {
     return static_cast<std::uint64_t>(
@@ -53,7 +72,8 @@
 
 bool EmulatedTargets::isReachable(const HostId& host, const TargetId& target) const
 {
-    return !faults.unreachableTargets.count(target) && !faults.disconnectedPairs.count({ host, target });
+    return !isCrashed(target) && !faults.unreachableTargets.count(target)
+        && !faults.disconnectedPairs.count({ host, target });
 }
 
 TargetReply EmulatedTargets::reply(const TargetId& target, TargetCallResult ending) const
@@ -103,6 +123,10 @@
                 unanswered();
             } else {
                 const TargetCallResult ending = start(request);
+                if (isCrashed(request.target)) {
+                    unanswered();
+                    return;
+                }
                 if (faults.startRepliesToLose > 0) {
                     --faults.startRepliesToLose;
                     unanswered();
@@ -178,7 +202,7 @@
     }
     auto isAnswered = std::make_shared<bool>(false);
     const auto answer = [this, request, callback, isAnswered, incarnation = target.incarnation] {
-        if (*isAnswered || m_targets[request.target].incarnation != incarnation)
+        if (*isAnswered || isCrashed(request.target) || m_targets[request.target].incarnation != incarnation)
             return;
         *isAnswered = true;
         answerPoll(request, callback);
@@ -215,6 +239,8 @@
 TargetCallResult EmulatedTargets::start(const StartRequest& request)
 {
     Target& target = m_targets[request.target];
+    if (isCrashed(request.target))
+        return TargetCallResult::Unknown;
     if (!acceptToken(target, request.token))
         return TargetCallResult::Fenced;
     const TimePoint now = m_queue.now();
@@ -246,6 +272,17 @@
     record.push_back({ request.target, request.attempt, now, TimePoint::max(), "" });
     const std::uint64_t runId = ++m_lastRunId;
     target.live[request.task] = { request.attempt, resources, runId, record.size() - 1 };
+    if (faults.crashingJobs.count(request.task.job)) {
+        if (faults.crashAfter.count() == 0)
+            crash(request.target);
+        else
+            m_queue.after(faults.crashAfter, [this, request, runId] {
+                const auto live = m_targets[request.target].live.find(request.task);
+                if (live != m_targets[request.target].live.end() && live->second.runId == runId)
+                    crash(request.target);
+            });
+        return TargetCallResult::Done;
+    }
     if (faults.hangingTargets.count(request.target))
         return TargetCallResult::Done;
     if (faults.failingTargets.count(request.target)) {
--- a/tests/emulator/EmulatedTargets.h
+++ b/tests/emulator/EmulatedTargets.h
@@ -24,6 +24,12 @@
         std::set<TargetId> hangingTargets;
         /** Targets on which runs fail almost at once. */
         std::set<TargetId> failingTargets;
+        /** Jobs whose tasks crash each target that starts them. */
+        std::set<shards::JobId> crashingJobs;
+        /** Time from the start of such a task to the crash; with 0 the start is not answered. */
+        Duration crashAfter { std::chrono::milliseconds(100) };
+        /** Time from a crash until the target is back as a new incarnation. */
+        Duration crashDuration { std::chrono::seconds(3) };
         /** Number of start requests to leave without a reply and execute later. */
         int lateStarts { 0 };
         /** Number of stop requests to leave without a reply and execute later. */
@@ -42,7 +48,8 @@
         std::uint32_t attempt { 0 };
         TimePoint startedAt;
         TimePoint endedAt { TimePoint::max() };
-        /** "done", "failed", "stopped", or "lapsed" if the lease of the target ended; empty while the task runs. */
+        /** "done", "failed", "stopped", "crashed" with the target, or "lapsed" if the lease of the target ended; empty
+            while the task runs. */
         std::string ending;
     };
 
@@ -59,6 +66,10 @@
     void add(const shards::TargetReport& report);
     /** Restarts a target: ends all its runs and discards its state. */
     void restart(const TargetId& target);
+    /** Ends all runs of a target, which is back with the next incarnation after Faults::crashDuration. */
+    void crash(const TargetId& target);
+    /** Sets a function that is called when a target is back after a crash. */
+    void setReturnObserver(std::function<void(const TargetId&)> observer) { m_returnObserver = std::move(observer); }
     /** Returns the target interface for a host, subject to the faults of that host. */
     shards::TargetCalls callsFrom(const HostId& host);
 
@@ -91,6 +102,7 @@
     };
 
     bool isReachable(const HostId& host, const TargetId& target) const;
+    bool isCrashed(const TargetId& target) const { return m_crashedTargets.count(target) != 0; }
     /** Returns whether the caller has to execute and answer a request now. Schedules @p carryOut for a delayed request.
      */
     bool arrivesInTime(const HostId& host, const TargetId& target, std::function<void()> carryOut);
@@ -109,6 +121,8 @@
     EventQueue& m_queue;
     std::map<TargetId, shards::TargetReport> m_reports;
     std::map<TargetId, Target> m_targets;
+    std::set<TargetId> m_crashedTargets;
+    std::function<void(const TargetId&)> m_returnObserver;
     std::map<shards::TaskId, std::vector<Run>> m_runs;
     std::vector<std::string> m_violations;
     std::uint64_t m_lastRunId { 0 };
