Give up a task under which targets have crashed

Callers saw a job whose task crashes its targets run without end, each start at the cost of a target and its other runs.

Cause: runs that are lost with their targets counted for nothing.

Change: CrashPolicy decides from a task's lost runs. The task is given up, and its job ends as failed, after the second proven crash if the target had no other run, after the third in any case, and after four restarts of a target that had not confirmed the start. A target that is silent shows only later whether it crashed, so a task with two unsettled losses waits for up to 2 s, and one with four until they are settled; a target that was only cut off counts for nothing.

--- a/modules/rattanroad_shards/jobs/ShardJob.h
+++ b/modules/rattanroad_shards/jobs/ShardJob.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "rattanroad_protocol/rattanroad_protocol.h"
+#include "rattanroad_shards/placing/CrashPolicy.h"
 #include "rattanroad_shards/types/ShardTypes.h"
 
 #include <optional>
@@ -8,21 +9,6 @@
 
 namespace rattanroad::shards {
 
-/** A run of a task that was lost together with its target, or with the connection to it. */
-struct LostRun {
-    TargetId target;
-    /** Start time of the target incarnation that had the run. */
-    std::uint64_t incarnationMs { 0 };
-    /** The target had confirmed the start. */
-    bool isStartConfirmed { false };
-    /** The incarnation has ended. Otherwise the target may only have been cut off. */
-    bool hasTargetRestarted { false };
-    /** The target had no other run. */
-    bool wasAlone { false };
-
-    bool isCrashProven() const { return isStartConfirmed && hasTargetRestarted; }
-};
-
 /** State of one task of a job in the memory of the shard's holder. */
 struct ShardTask {
     enum class State {
--- a/modules/rattanroad_shards/jobs/TaskRunner.cpp
+++ b/modules/rattanroad_shards/jobs/TaskRunner.cpp
@@ -24,6 +24,7 @@
 TaskRunner::TaskRunner(
     Settings settings, JobTable& jobs, ShardTargets& targets, Timers timers, const Clock& clock, Hooks hooks)
     : m_settings(settings)
+    , m_crashPolicy(settings.crashes)
     , m_jobs(jobs)
     , m_targets(targets)
     , m_timers(std::move(timers))
@@ -95,10 +96,18 @@
         [&](const LostRun& run) { return run.target == target && run.incarnationMs == loss.incarnationMs; });
     if (isKnown)
         return;
-    task->lostRuns.push_back({ target, loss.incarnationMs, loss.isStartConfirmed, loss.hasRestarted, loss.wasAlone });
+    task->lostRuns.push_back(
+        { target, loss.incarnationMs, loss.isStartConfirmed, loss.hasRestarted, loss.wasAlone, m_clock.now() });
     if (!loss.hasRestarted)
         m_unsettledTasks.insert(loss.task);
     m_hooks.log("run_lost", job->id, describeLoss(loss.task, *task, task->lostRuns.back()));
+    checkCrashes(*job, *task);
+}
+
+void TaskRunner::checkCrashes(ShardJob& job, const ShardTask& task)
+{
+    if (m_crashPolicy.isGivenUp(task.lostRuns))
+        m_hooks.finished(job, JobState::Failed, "a task crashes its targets");
 }
 
 void TaskRunner::targetReported(const TargetSession& session)
@@ -122,11 +131,13 @@
             ++run;
             continue;
         }
-        run->hasTargetRestarted = session.incarnationMs() > run->incarnationMs;
+        run->hasTargetRestarted
+            = session.incarnationMs() > run->incarnationMs && !m_crashPolicy.isForgotten(*run, m_clock.now());
         m_hooks.log("run_loss_settled", job.id, describeLoss(id, task, *run));
         // The lease of the run ended while its target was cut off.
         run = run->hasTargetRestarted ? std::next(run) : task.lostRuns.erase(run);
     }
+    checkCrashes(job, task);
 }
 
 void TaskRunner::taskDone(ShardJob& job, ShardTask& task, const TaskId& id)
@@ -221,7 +232,9 @@
             continue;
         for (std::uint32_t index = 0; index < job.phases[phase].size(); ++index) {
             const ShardTask& task = job.phases[phase][index];
-            if (task.state != ShardTask::State::Waiting || task.mayHaveEarlierRun || task.earliestStart > now)
+            const bool isWaiting
+                = task.state == ShardTask::State::Waiting && !task.mayHaveEarlierRun && task.earliestStart <= now;
+            if (!isWaiting || !m_crashPolicy.mayStart(task.lostRuns, now))
                 continue;
             if (!placeTask(job, phase, index, pass))
                 break;
--- a/modules/rattanroad_shards/jobs/TaskRunner.h
+++ b/modules/rattanroad_shards/jobs/TaskRunner.h
@@ -16,6 +16,7 @@
         /** No task of a best-effort job starts when its origin has not repeated the submission for this long: the
             caller may submit the job to another host 1.3 s after its connection broke. */
         std::chrono::milliseconds originTimeout { 1000 };
+        CrashPolicy::Settings crashes;
     };
     struct Hooks {
         /** All tasks are done, or one has used up its attempts. */
@@ -75,8 +76,11 @@
     bool recordFailure(ShardJob& job, ShardTask& task, const TargetSession& session, const TaskId& id);
     void rescheduleOverdueRun(TargetSession& session, const TaskId& id);
     void settleLosses(ShardJob& job, ShardTask& task, const TaskId& id, const TargetSession& session);
+    /** Ends the job as failed if the task has crashed its targets too often. */
+    void checkCrashes(ShardJob& job, const ShardTask& task);
 
     Settings m_settings;
+    CrashPolicy m_crashPolicy;
     JobTable& m_jobs;
     ShardTargets& m_targets;
     Timers m_timers;
