Run a task alone after it has lost a target

Callers saw runs of other jobs lost with each target that a task crashes, also at the second and third crash of the same task.

Cause: a task that has lost its target is placed like any other, and the placement fills targets that have runs.

Change: a task with a lost run prefers a target without other runs and occupies its whole capacity. At most a quarter of the targets are used in this way, as a failure domain that was cut off leaves many such tasks.

Measured: "CHECK( crashing.runsLostBeside() <= 1 )" failed with 3 before, for stored and best-effort jobs, at a quarter of the capacity in use.

--- a/modules/rattanroad_shards/jobs/TaskRunner.cpp
+++ b/modules/rattanroad_shards/jobs/TaskRunner.cpp
@@ -246,7 +246,8 @@
 {
     if (!pass.mayHaveRoom(taskResources(job.description.phases(static_cast<int>(phase)))))
         return false;
-    const PlacementRequest request = placementRequest(job.description, phase);
+    PlacementRequest request = placementRequest(job.description, phase);
+    request.prefersIdleTarget = !job.phases[phase][index].lostRuns.empty() && m_targets.mayIsolate();
     const TaskId id { job.id, static_cast<std::uint32_t>(phase), index };
     // A run of an earlier attempt or holder may still be active.
     if (m_targets.hasRun(id))
@@ -261,8 +262,8 @@
     task.target = session.report().id;
     task.startedAt = m_clock.now();
     job.state = JobState::Running;
-    session.start(
-        id, task.attempt, job.description.payload(), request.resources, choice->predicted, task.savedProgress);
+    session.start(id, task.attempt, job.description.payload(), request.resources, choice->predicted, task.savedProgress,
+        choice->isIsolated);
     pass.started(session);
     return true;
 }
--- a/modules/rattanroad_shards/placing/TaskPlacer.h
+++ b/modules/rattanroad_shards/placing/TaskPlacer.h
@@ -27,6 +27,8 @@
     std::string dataRack;
     /** Largest number of tasks of the phase on one target; 0 for no limit. */
     std::uint32_t maximumPerTarget { 0 };
+    /** The task may crash its target: it gets a target without other runs if there is one. */
+    bool prefersIdleTarget { false };
 };
 
 struct Placement {
--- a/modules/rattanroad_shards/targets/PlacementPass.cpp
+++ b/modules/rattanroad_shards/targets/PlacementPass.cpp
@@ -74,15 +74,30 @@
     Group& group = matching(task);
     if (!task.resources.fitsInto(largestRoom(group)))
         return std::nullopt;
-    m_hooks.examined(group.candidates.size());
-    const bool isAvoidable = !avoided.empty()
-        && std::any_of(group.candidates.begin(), group.candidates.end(), [&](const Candidate* candidate) {
-               return task.resources.fitsInto(candidate->session->report().capacity)
-                   && !contains(avoided, *candidate->session);
-           });
+    if (task.prefersIdleTarget) {
+        std::vector<Candidate*> idle;
+        std::copy_if(group.candidates.begin(), group.candidates.end(), std::back_inserter(idle),
+            [](const Candidate* candidate) { return candidate->session->runs().empty(); });
+        if (auto choice = chooseAmong(idle, id, task, avoided)) {
+            choice->isIsolated = true;
+            return choice;
+        }
+    }
+    return chooseAmong(group.candidates, id, task, avoided);
+}
+
+std::optional<PlacementPass::Choice> PlacementPass::chooseAmong(const std::vector<Candidate*>& candidates,
+    const TaskId& id, const PlacementRequest& task, const std::vector<TargetId>& avoided)
+{
+    m_hooks.examined(candidates.size());
+    const bool isAvoidable
+        = !avoided.empty() && std::any_of(candidates.begin(), candidates.end(), [&](const Candidate* candidate) {
+              return task.resources.fitsInto(candidate->session->report().capacity)
+                  && !contains(avoided, *candidate->session);
+          });
     std::vector<TargetSession*> sessions;
     std::vector<PlacementCandidate> targets;
-    for (Candidate* const candidate : group.candidates) {
+    for (Candidate* const candidate : candidates) {
         TargetSession& session = *candidate->session;
         if (!task.resources.fitsInto(session.free()) || (isAvoidable && contains(avoided, session)))
             continue;
@@ -93,7 +108,7 @@
     const Placement placement = m_placer.choose(task, targets);
     if (placement.target == targets.size())
         return std::nullopt;
-    return Choice { sessions[placement.target], placement.predicted };
+    return Choice { sessions[placement.target], placement.predicted, false };
 }
 
 void PlacementPass::started(const TargetSession& session)
--- a/modules/rattanroad_shards/targets/PlacementPass.h
+++ b/modules/rattanroad_shards/targets/PlacementPass.h
@@ -18,6 +18,8 @@
     struct Choice {
         TargetSession* session;
         std::chrono::milliseconds predicted;
+        /** No other task may start on the target beside this one. */
+        bool isIsolated { false };
     };
     struct Hooks {
         /** Returns whether the target may get new starts. */
@@ -35,7 +37,8 @@
     /** Returns false when no target has room for these resources; true does not promise that one has. */
     bool mayHaveRoom(const Resources& resources);
     /** Returns the target that is expected to finish the task first, or nothing when none has room. A target of
-        @p avoided is chosen only when no other usable target could run the task.
+        @p avoided is chosen only when no other usable target could run the task. A task that prefers an idle target is
+        isolated on one that has no run, if there is one.
     */
     std::optional<Choice> choose(const TaskId& id, const PlacementRequest& task, const std::vector<TargetId>& avoided);
     /** A run was started on the chosen target. */
@@ -54,6 +57,9 @@
         std::optional<Resources> largestRoom;
     };
 
+    /** Returns the target among these candidates that is expected to finish the task first. */
+    std::optional<Choice> chooseAmong(const std::vector<Candidate*>& candidates, const TaskId& id,
+        const PlacementRequest& task, const std::vector<TargetId>& avoided);
     Group& matching(const PlacementRequest& task);
     const Resources& largestRoom(Group& group) const;
     double factor(Candidate& candidate) const;
--- a/modules/rattanroad_shards/targets/ShardTargets.cpp
+++ b/modules/rattanroad_shards/targets/ShardTargets.cpp
@@ -114,6 +114,14 @@
         [&task](const auto& entry) { return entry.second->runs().count(task) != 0; });
 }
 
+bool ShardTargets::mayIsolate() const
+{
+    const auto isolated = std::count_if(
+        m_sessions.begin(), m_sessions.end(), [](const auto& entry) { return entry.second->hasIsolatedRun(); });
+    return static_cast<double>(isolated + 1) <= static_cast<double>(m_sessions.size()) * m_settings.maximumIsolatedShare
+        || isolated == 0;
+}
+
 bool ShardTargets::isEligibleSomewhere(const PlacementRequest& task) const
 {
     return std::any_of(m_reports.begin(), m_reports.end(),
--- a/modules/rattanroad_shards/targets/ShardTargets.h
+++ b/modules/rattanroad_shards/targets/ShardTargets.h
@@ -29,6 +29,9 @@
             by a few tenths, so less than one run in thirty is overdue on a healthy target. */
         double overdueFactor { 3 };
         std::chrono::milliseconds overdueMargin { 60 };
+        /** Largest share of the targets that run an isolated task at a time: after a whole failure domain was cut off,
+            most tasks may crash their targets. */
+        double maximumIsolatedShare { 0.25 };
     };
     struct OverdueRun {
         TargetSession* session;
@@ -68,6 +71,8 @@
     std::string describeList() const;
     /** Returns whether some target has a run of the task or may have one. */
     bool hasRun(const TaskId& task) const;
+    /** Returns whether another task may be isolated on a target. */
+    bool mayIsolate() const;
     /** Returns whether some listed target could run the task if it had room. */
     bool isEligibleSomewhere(const PlacementRequest& task) const;
     /** Returns whether a target other than that of @p session has room for the task now. */
--- a/modules/rattanroad_shards/targets/TargetSession.cpp
+++ b/modules/rattanroad_shards/targets/TargetSession.cpp
@@ -57,6 +57,11 @@
         && now - m_lastResponseAt < m_settings.silenceTimeout;
 }
 
+bool TargetSession::hasIsolatedRun() const
+{
+    return std::any_of(m_runs.begin(), m_runs.end(), [](const auto& run) { return run.second.isIsolated; });
+}
+
 std::uint64_t TargetSession::leaseEnd(std::chrono::milliseconds length) const
 {
     const auto elapsed = std::chrono::duration_cast<std::chrono::milliseconds>(m_clock.now() - m_targetClockReadAt);
@@ -71,14 +76,14 @@
 }
 
 void TargetSession::start(const TaskId& task, std::uint32_t attempt, const std::string& payload, Resources resources,
-    std::chrono::milliseconds predicted, const std::string& savedProgress)
+    std::chrono::milliseconds predicted, const std::string& savedProgress, bool isIsolated)
 {
     // The time limits of canStart() are not checked: they may have passed since the target was chosen.
     assert(!m_isClosed && m_isReady && m_isListed && !m_report.isDraining && !m_runs.count(task));
     Run& run = m_runs[task];
-    run = Run { attempt, payload, resources, Run::State::Starting, m_clock.now(), std::nullopt, predicted,
-        savedProgress, 0, false };
-    m_used += resources;
+    run = Run { attempt, payload, isIsolated ? m_report.capacity : resources, Run::State::Starting, m_clock.now(),
+        std::nullopt, predicted, savedProgress, 0, false, isIsolated };
+    m_used += run.resources;
     sendStart(task, run);
 }
 
@@ -388,7 +393,7 @@
         const std::optional<Resources> adopted = m_hooks.foundRun(*this, running);
         const TimePoint now = m_clock.now();
         m_runs[running.task] = Run { running.attempt, "", adopted.value_or(m_report.capacity), Run::State::Running, now,
-            now, std::chrono::milliseconds(0), running.savedProgress, 0, true };
+            now, std::chrono::milliseconds(0), running.savedProgress, 0, true, false };
         m_used += m_runs[running.task].resources;
         if (!adopted)
             stop(running.task);
--- a/modules/rattanroad_shards/targets/TargetSession.h
+++ b/modules/rattanroad_shards/targets/TargetSession.h
@@ -70,6 +70,8 @@
         std::uint32_t sends { 0 };
         /** The target has confirmed the start or reported the run as active. */
         bool isStartConfirmed { false };
+        /** No other run may start on the target; @c resources is its whole capacity. */
+        bool isIsolated { false };
     };
     struct Hooks {
         /** The target has answered a poll under the current token for the first time. */
@@ -104,9 +106,10 @@
     /** Tells whether the target is in the target list. */
     void setListed(bool isListed);
 
-    /** Starts a run. @pre canStart() was true when the target was chosen */
+    /** Starts a run. An isolated run occupies the whole capacity. @pre canStart() was true when the target was chosen
+     */
     void start(const TaskId& task, std::uint32_t attempt, const std::string& payload, Resources resources,
-        std::chrono::milliseconds predicted, const std::string& savedProgress);
+        std::chrono::milliseconds predicted, const std::string& savedProgress, bool isIsolated = false);
     /** Stops the run of a task, if there is one. */
     void stop(const TaskId& task);
     /** Lets the target forget a completion. Ignored for an earlier incarnation. */
@@ -120,6 +123,7 @@
     const TargetReport& report() const { return m_report; }
     std::uint64_t incarnationMs() const { return m_incarnationMs; }
     const std::map<TaskId, Run>& runs() const { return m_runs; }
+    bool hasIsolatedRun() const;
     TimePoint unlistedSince() const { return m_unlistedSince; }
 
 private:
--- a/tests/shards/CrashTests.cpp
+++ b/tests/shards/CrashTests.cpp
@@ -61,6 +61,17 @@
         return static_cast<std::size_t>(
             std::count_if(all.begin(), all.end(), [](const auto& run) { return run.ending == "crashed"; }));
     }
+    /** Returns how many runs of other jobs have ended with a crashed target. */
+    std::size_t runsLostBeside() const
+    {
+        std::size_t lost = 0;
+        for (const auto& task : m_fleet.targets().runs()) {
+            const bool isOther = !(task.first.job == JobId("a"));
+            lost += static_cast<std::size_t>(std::count_if(task.second.begin(), task.second.end(),
+                [isOther](const auto& run) { return isOther && run.ending == "crashed"; }));
+        }
+        return lost;
+    }
     std::size_t startsAfterThirdCrash() const
     {
         std::vector<TimePoint> ends;
@@ -280,3 +291,20 @@
     }
     requireNoViolations(crashing.fleet());
 }
+
+TEST_CASE("a task under which a target has crashed takes no other run with it at the next crash")
+{
+    CrashingFleet crashing;
+    const bool isBestEffort = GENERATE(false, true);
+    crashing.submit("a", 3s, isBestEffort);
+    // A quarter of the capacity is used.
+    for (int i = 0; i < 60; ++i) {
+        crashing.submit("b" + std::to_string(i), 300ms, isBestEffort);
+        crashing.fleet().run(100ms);
+    }
+    crashing.fleet().run(10s);
+    showLog(crashing.fleet());
+    REQUIRE(crashing.crashes() >= 2);
+    CHECK(crashing.runsLostBeside() <= 1);
+    requireNoViolations(crashing.fleet());
+}
