Keep the session of a target that is back at another address

Callers of a stored job wait for ever if the target of one of its tasks crashes and is back under its id, at another address, before its lease has ended.

Cause: ShardTargets::listed() replaced the session when the address had changed. The runs of the earlier session were forgotten, and their tasks stayed placed on a target that has no run of them.

Change: the session stays and gets the new address with the report. It learns of the new incarnation from the next reply, as at the same address, and reports its runs as lost.

Measured: "a job goes on after its target has crashed and is back at another address at once" failed with "CHECK( crashing.state("a") == JobState::Done )", the job runs on 6 s later.

--- a/modules/rattanroad_shards/targets/ShardTargets.cpp
+++ b/modules/rattanroad_shards/targets/ShardTargets.cpp
@@ -28,8 +28,8 @@
     m_reports[report.id] = report;
     if (!isOpen() || m_isClosed)
         return;
-    TargetSession* const opened = session(report.id);
-    if (opened && opened->report().address == report.address)
+    // A target that is back at another address keeps its session, which knows the runs of the earlier incarnation.
+    if (TargetSession* const opened = session(report.id))
         opened->setReport(report);
     else
         openSession(report);
--- a/tests/emulator/EmulatedTargets.cpp
+++ b/tests/emulator/EmulatedTargets.cpp
@@ -54,6 +54,8 @@
     m_queue.after(faults.crashDuration, [this, id] {
         m_crashedTargets.erase(id);
         restart(id);
+        if (faults.doAddressesChange)
+            m_reports[id].address += "-moved";
         if (m_returnObserver)
             m_returnObserver(id);
     });
--- a/tests/emulator/EmulatedTargets.h
+++ b/tests/emulator/EmulatedTargets.h
@@ -30,6 +30,8 @@
         Duration crashAfter { std::chrono::milliseconds(100) };
         /** Time from a crash until the target is back as a new incarnation. */
         Duration crashDuration { std::chrono::seconds(3) };
+        /** A target is back at another address after a crash. */
+        bool doAddressesChange { false };
         /** Number of start requests to leave without a reply and execute later. */
         int lateStarts { 0 };
         /** Number of stop requests to leave without a reply and execute later. */
--- a/tests/shards/CrashTests.cpp
+++ b/tests/shards/CrashTests.cpp
@@ -310,3 +310,21 @@
     CHECK(crashing.runsLostBeside() <= 1);
     requireNoViolations(crashing.fleet());
 }
+
+TEST_CASE("a job goes on after its target has crashed and is back at another address at once")
+{
+    CrashingFleet crashing;
+    EmulatedFleet& fleet = crashing.fleet();
+    auto& faults = fleet.targets().faults;
+    faults.crashingJobs.clear();
+    faults.doAddressesChange = true;
+    faults.crashDuration = 300ms;
+    crashing.submit("a", 1500ms, false);
+    fleet.run(500ms);
+    REQUIRE(fleet.targets().running() == 1);
+    fleet.targets().crash(crashing.runs().back().target);
+    fleet.run(6s);
+    showLog(fleet);
+    CHECK(crashing.state("a") == JobState::Done);
+    requireNoViolations(fleet);
+}
