Apply target reports that came while the shard was not held

Callers may see a target started beyond its capacity, or while it drains, after its holder has lost the shard for a moment and holds it again.

ShardTargets::listed() kept the report but did not pass it to the session while the sessions were closed, and setToken() did not make up for it. The session kept the earlier capacity until the entry changed again; a target that was listed meanwhile got no session.

Change: setToken() updates the session with each listed target, or opens it.

Measured: the new case failed while the shard was not held with "18000 == 6000" and no session with the other target; with the shard held it passed before.

--- a/modules/rattanroad_shards/targets/ShardTargets.cpp
+++ b/modules/rattanroad_shards/targets/ShardTargets.cpp
@@ -26,8 +26,12 @@
         m_outliers.forget(report.id);
     }
     m_reports[report.id] = report;
-    if (!isOpen() || m_isClosed)
-        return;
+    if (isOpen() && !m_isClosed)
+        updateSession(report);
+}
+
+void ShardTargets::updateSession(const TargetReport& report)
+{
     // A target that is back at another address keeps its session, which knows the runs of the earlier incarnation.
     if (TargetSession* const opened = session(report.id))
         opened->setReport(report);
@@ -69,6 +73,11 @@
     m_isClosed = false;
     for (const auto& entry : m_sessions)
         entry.second->setToken(token);
+    if (!isOpen())
+        return;
+    // Targets may have changed while the shard was not held.
+    for (const auto& entry : m_reports)
+        updateSession(entry.second);
 }
 
 void ShardTargets::close()
--- a/modules/rattanroad_shards/targets/ShardTargets.h
+++ b/modules/rattanroad_shards/targets/ShardTargets.h
@@ -97,6 +97,8 @@
 
 private:
     void openSession(const TargetReport& report);
+    /** Updates the session with a target, or opens one. */
+    void updateSession(const TargetReport& report);
     /** Returns whether the target may get new starts. */
     bool isUsable(const TargetSession& session) const;
 
--- a/tests/shards/PlacementTests.cpp
+++ b/tests/shards/PlacementTests.cpp
@@ -200,6 +200,29 @@
 }
 
 // A pass remembers which targets are usable and how much room they have, and must notice each start.
+TEST_CASE("a target whose capacity shrinks gets no further run, also when that was listed while the shard was not held")
+{
+    PlacementFixture fixture;
+    fixture.add(PlacementFixture::report("target", { 32000, 65536, 0 }));
+    fixture.run(50ms);
+    fixture.open("a", { 14000, 64, 0 });
+    fixture.examinedInPass();
+    fixture.run(50ms);
+    REQUIRE(fixture.emulated().running() == 1);
+    const bool isHeld = GENERATE(true, false);
+    if (!isHeld)
+        fixture.targets().close();
+    const TargetReport shrunken = PlacementFixture::report("target", { 20000, 65536, 0 });
+    fixture.targets().listed(shrunken);
+    fixture.targets().listed(PlacementFixture::report("another", { 20000, 65536, 0 }));
+    if (!isHeld)
+        fixture.targets().setToken(FencingToken(2));
+    fixture.run(50ms);
+    const TargetSession* const session = fixture.targets().session(TargetId("target"));
+    CHECK(session->free().millicores == 6000);
+    CHECK(fixture.targets().session(TargetId("another")) != nullptr);
+}
+
 TEST_CASE("each task of a scheduling pass is placed where a search of all targets places it")
 {
     const auto seed = GENERATE(range(1, 41));
