Keep the lost runs of stored jobs in their records

Callers saw a stored job whose task crashes its targets run on when its holder was killed, paused or replaced between the crashes: 5 to 10 starts after the third crash.

Cause: the lost runs of a task were known in the memory of its holder only.

Change: the record of a job names the lost runs of its tasks, with target and incarnation. A task whose lost runs have changed starts again once the record covers them. The record also names the current run of a task that has lost a run before, or whose target has fallen silent, so that a crash counts that the holder does not live to notice: the next holder settles it when the target reports, like a run that it lost itself. A run on a draining target does not count.

--- a/modules/rattanroad_shards/jobs/JobCodec.cpp
+++ b/modules/rattanroad_shards/jobs/JobCodec.cpp
@@ -1,8 +1,52 @@
 #include "rattanroad_shards/jobs/JobCodec.h"
 
+#include <algorithm>
+
 namespace rattanroad::shards {
 
-std::string encodeRecord(const ShardJob& job, const ShardId& shard)
+namespace {
+    void encode(const LostRun& run, protocol::LostRun& encoded)
+    {
+        encoded.set_target(run.target.value());
+        encoded.set_incarnation_ms(run.incarnationMs);
+        encoded.set_start_confirmed(run.isStartConfirmed);
+        encoded.set_target_restarted(run.hasTargetRestarted);
+        encoded.set_alone(run.wasAlone);
+    }
+
+    template <typename Message> std::vector<LostRun> lostRunsOf(const Message& message, TimePoint now)
+    {
+        std::vector<LostRun> runs;
+        for (const protocol::LostRun& run : message.lost_runs())
+            runs.push_back({ TargetId(run.target()), run.incarnation_ms(), run.start_confirmed(),
+                run.target_restarted(), run.alone(), now });
+        return runs;
+    }
+
+    /** Returns the lost runs of a task and its current run. */
+    std::vector<LostRun> runsToHandOver(const ShardTask& task, const TaskId& id, const CurrentRun& currentRun)
+    {
+        std::vector<LostRun> runs = task.lostRuns;
+        if (task.state != ShardTask::State::Placed)
+            return runs;
+        if (const auto run = currentRun(id))
+            runs.push_back(*run);
+        return runs;
+    }
+
+    void add(const std::vector<LostRun>& runs, ShardTask& task)
+    {
+        for (const LostRun& run : runs) {
+            const bool isKnown = std::any_of(task.lostRuns.begin(), task.lostRuns.end(), [&run](const LostRun& known) {
+                return known.target == run.target && known.incarnationMs == run.incarnationMs;
+            });
+            if (!isKnown)
+                task.lostRuns.push_back(run);
+        }
+    }
+}
+
+std::string encodeRecord(const ShardJob& job, const ShardId& shard, const CurrentRun& currentRun)
 {
     protocol::JobRecord record;
     record.set_shard(shard.value());
@@ -15,25 +59,32 @@
         for (std::size_t index = 0; index < job.phases[phase].size(); ++index) {
             const ShardTask& task = job.phases[phase][index];
             const bool isDone = task.state == ShardTask::State::Done;
-            if (!isDone && task.failedRuns == 0)
+            const bool hasRecordedRun = task.state == ShardTask::State::Placed && task.recordedAttempt == task.attempt;
+            if (!isDone && task.failedRuns == 0 && task.lostRuns.empty() && !hasRecordedRun)
                 continue;
             protocol::TaskProgress* const progress = record.add_progress();
             progress->set_phase(static_cast<std::uint32_t>(phase));
             progress->set_index(static_cast<std::uint32_t>(index));
             progress->set_done(isDone);
             progress->set_failed_runs(task.failedRuns);
+            if (isDone)
+                continue;
+            const TaskId id { job.id, progress->phase(), progress->index() };
+            for (const LostRun& run : hasRecordedRun ? runsToHandOver(task, id, currentRun) : task.lostRuns)
+                encode(run, *progress->add_lost_runs());
         }
     }
     return record.SerializeAsString();
 }
 
-void applyProgress(const protocol::JobRecord& record, ShardJob& job)
+void applyProgress(const protocol::JobRecord& record, ShardJob& job, TimePoint now)
 {
     for (const protocol::TaskProgress& progress : record.progress()) {
         ShardTask* const task = job.task({ job.id, progress.phase(), progress.index() });
         if (!task)
             continue;
         task->failedRuns = progress.failed_runs();
+        add(lostRunsOf(progress, now), *task);
         if (progress.done())
             task->state = ShardTask::State::Done;
     }
--- a/modules/rattanroad_shards/jobs/ShardDispatcher.cpp
+++ b/modules/rattanroad_shards/jobs/ShardDispatcher.cpp
@@ -1,7 +1,6 @@
 #include "rattanroad_shards/jobs/ShardDispatcher.h"
 
 #include "rattanroad_shards/holding/StoreKeys.h"
-#include "rattanroad_shards/jobs/JobCodec.h"
 #include "rattanroad_shards/jobs/JobRequirements.h"
 
 #include <algorithm>
@@ -76,15 +75,17 @@
     job->acceptedIn = Generation(record.generation());
     job->state = static_cast<JobState>(record.state());
     job->isAccepted = true;
-    applyProgress(record, *job);
+    applyProgress(record, *job, m_clock.now());
     job->setMayHaveEarlierRun(true);
     job->isFinalStateStored = hasEnded(job->state);
     if (job->isFinalStateStored)
         job->endedAt = m_clock.now();
     m_writer.setRevision(item.key, item.revision);
     ShardJob& added = m_jobs.add(std::move(job));
-    if (!added.isFinalStateStored)
-        m_jobs.open(added);
+    if (added.isFinalStateStored)
+        return;
+    m_jobs.open(added);
+    m_runner.trackLosses(added, true);
 }
 
 void ShardDispatcher::finishLoading()
@@ -191,10 +192,40 @@
     hooks.completionReported = [this](ShardJob& job, TargetSession& session, std::uint64_t number) {
         retainCompletion(job, session, number);
     };
+    hooks.lossesChanged = [this](ShardJob& job) { recordLosses(job); };
     hooks.log = m_hooks.log;
     return hooks;
 }
 
+CurrentRun ShardDispatcher::currentRuns() const
+{
+    return [this](const TaskId& task) { return m_runner.currentRun(task); };
+}
+
+std::string ShardDispatcher::encode(const ShardJob& job) const
+{
+    return encodeRecord(job, m_settings.shard, currentRuns());
+}
+
+void ShardDispatcher::recordLosses(const ShardJob& job)
+{
+    if (job.description.best_effort())
+        return;
+    m_writer.update(storekeys::job(job.id), encode(job), [this, id = job.id, sequence = job.lossSequence] {
+        ShardJob* const found = m_jobs.find(id);
+        if (!found)
+            return;
+        found->recordedLossSequence = std::max(found->recordedLossSequence, sequence);
+        m_runner.scheduleSoon();
+    });
+}
+
+void ShardDispatcher::recordRunsInDanger()
+{
+    for (const JobId& id : m_runner.jobsWithRunsToRecord())
+        recordLosses(*m_jobs.find(id));
+}
+
 void ShardDispatcher::submit(const protocol::PlacedJob& description, std::chrono::milliseconds waited, bool isResent,
     const Origin& origin, SubmitReply reply)
 {
@@ -243,7 +274,7 @@
         return;
     }
     m_submitReplies[id].push_back(std::move(reply));
-    const std::string value = encodeRecord(*job, m_settings.shard);
+    const std::string value = encode(*job);
     m_jobs.add(std::move(job));
     m_writer.insert(storekeys::job(id), value,
         [this, id](RecordWriter::InsertResult result, const StoredItem& item) { insertCompleted(id, result, item); });
@@ -353,8 +384,7 @@
         acknowledgeCompletions(job, m_lastCompletionSequence);
         return;
     }
-    m_writer.update(
-        storekeys::job(job.id), encodeRecord(job, m_settings.shard), [this, id = job.id] { finalStateStored(id); });
+    m_writer.update(storekeys::job(job.id), encode(job), [this, id = job.id] { finalStateStored(id); });
 }
 
 void ShardDispatcher::finalStateStored(const JobId& id)
@@ -415,6 +445,7 @@
         m_runner.rescheduleOverdueRuns();
         cancelAbandonedJobs();
         recordRetainedCompletions();
+        recordRunsInDanger();
         removeExpiredJobs();
         m_runner.scheduleSoon();
     }
@@ -462,8 +493,8 @@
         ShardJob& job = *entry.second;
         if (job.retainedCompletions.empty() || now - job.retainedCompletions.front().seenAt < m_settings.progressDelay)
             continue;
-        m_writer.update(storekeys::job(job.id), encodeRecord(job, m_settings.shard),
-            [this, id = job.id, lastSequence = m_lastCompletionSequence] {
+        m_writer.update(
+            storekeys::job(job.id), encode(job), [this, id = job.id, lastSequence = m_lastCompletionSequence] {
                 ShardJob* const found = m_jobs.find(id);
                 if (found && !hasEnded(found->state))
                     acknowledgeCompletions(*found, lastSequence);
--- a/modules/rattanroad_shards/jobs/ShardDispatcher.h
+++ b/modules/rattanroad_shards/jobs/ShardDispatcher.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "rattanroad_shards/holding/ShardElection.h"
+#include "rattanroad_shards/jobs/JobCodec.h"
 #include "rattanroad_shards/jobs/TaskRunner.h"
 #include "rattanroad_shards/store/PageReader.h"
 #include "rattanroad_shards/store/RecordWriter.h"
@@ -128,6 +129,10 @@
     void updateRecovery();
     void cancelAbandonedJobs();
     void recordRetainedCompletions();
+    void recordRunsInDanger();
+    void recordLosses(const ShardJob& job);
+    std::string encode(const ShardJob& job) const;
+    CurrentRun currentRuns() const;
     void removeExpiredJobs();
 
     Settings m_settings;
--- a/modules/rattanroad_shards/jobs/ShardJob.h
+++ b/modules/rattanroad_shards/jobs/ShardJob.h
@@ -23,6 +23,10 @@
     std::vector<TargetId> failedOn;
     /** Distinct target incarnations that were lost under a run of the task, oldest first. */
     std::vector<LostRun> lostRuns;
+    /** ShardJob::lossSequence at the last change of lostRuns. */
+    std::uint64_t lossSequence { 0 };
+    /** Attempt that the job's record names as the current run; 0 for none. */
+    std::uint32_t recordedAttempt { 0 };
     TargetId target;
     /** When the start of the current run was requested; absent for a run that an earlier holder started. */
     std::optional<TimePoint> startedAt;
@@ -64,6 +68,10 @@
     TimePoint softDeadline;
     std::optional<TimePoint> endedAt;
     std::vector<RetainedCompletion> retainedCompletions;
+    /** Counts the changes of the lost runs of all tasks. */
+    std::uint64_t lossSequence { 0 };
+    /** The record in the store covers the changes up to this one. */
+    std::uint64_t recordedLossSequence { 0 };
     /** Address of the origin: the host that received the job from its caller. */
     std::string originAddress;
     /** When the origin last sent the submission. For a best-effort job it repeats it while the caller waits. */
--- a/modules/rattanroad_shards/jobs/TaskRunner.cpp
+++ b/modules/rattanroad_shards/jobs/TaskRunner.cpp
@@ -98,46 +98,95 @@
         return;
     task->lostRuns.push_back(
         { target, loss.incarnationMs, loss.isStartConfirmed, loss.hasRestarted, loss.wasAlone, m_clock.now() });
-    if (!loss.hasRestarted)
-        m_unsettledTasks.insert(loss.task);
+    m_suspects.insert(loss.task);
     m_hooks.log("run_lost", job->id, describeLoss(loss.task, *task, task->lostRuns.back()));
-    checkCrashes(*job, *task);
+    lossesChanged(*job, *task);
 }
 
-void TaskRunner::checkCrashes(ShardJob& job, const ShardTask& task)
+void TaskRunner::lossesChanged(ShardJob& job, ShardTask& task)
 {
+    task.lossSequence = ++job.lossSequence;
     if (m_crashPolicy.isGivenUp(task.lostRuns))
         m_hooks.finished(job, JobState::Failed, "a task crashes its targets");
+    else
+        m_hooks.lossesChanged(job);
+}
+
+void TaskRunner::trackLosses(ShardJob& job, bool areRecorded)
+{
+    for (std::size_t phase = 0; phase < job.phases.size(); ++phase) {
+        for (std::size_t index = 0; index < job.phases[phase].size(); ++index) {
+            ShardTask& task = job.phases[phase][index];
+            if (task.lostRuns.empty())
+                continue;
+            m_suspects.insert({ job.id, static_cast<std::uint32_t>(phase), static_cast<std::uint32_t>(index) });
+            if (areRecorded)
+                task.lossSequence = ++job.lossSequence;
+        }
+    }
+    job.recordedLossSequence = areRecorded ? job.lossSequence : job.recordedLossSequence;
+}
+
+std::set<JobId> TaskRunner::jobsWithRunsToRecord()
+{
+    std::vector<TaskId> tasks = m_targets.tasksOnSilentTargets();
+    tasks.insert(tasks.end(), m_suspects.begin(), m_suspects.end());
+    std::set<JobId> jobs;
+    for (const TaskId& id : tasks) {
+        const auto [job, task] = find(id);
+        if (!task || hasEnded(job->state) || job->description.best_effort() || task->recordedAttempt == task->attempt)
+            continue;
+        const auto run = currentRun(id);
+        if (!run || !run->isStartConfirmed)
+            continue;
+        task->recordedAttempt = task->attempt;
+        jobs.insert(id.job);
+    }
+    return jobs;
+}
+
+std::optional<LostRun> TaskRunner::currentRun(const TaskId& id) const
+{
+    const TaskLookup found = find(id);
+    const TargetSession* const session = found.task ? m_targets.session(found.task->target) : nullptr;
+    if (!session || session->report().isDraining || found.task->state != ShardTask::State::Placed)
+        return std::nullopt;
+    const auto run = session->runs().find(id);
+    if (run == session->runs().end())
+        return std::nullopt;
+    return LostRun { session->report().id, session->incarnationMs(), run->second.isStartConfirmed, false,
+        session->runs().size() == 1, m_clock.now() };
 }
 
 void TaskRunner::targetReported(const TargetSession& session)
 {
-    for (const TaskId& id : std::set<TaskId>(m_unsettledTasks)) {
+    for (const TaskId& id : std::set<TaskId>(m_suspects)) {
         const auto [job, task] = find(id);
         if (task && !hasEnded(job->state))
             settleLosses(*job, *task, id, session);
-        const bool isUnsettled = task && !hasEnded(job->state)
-            && std::any_of(task->lostRuns.begin(), task->lostRuns.end(),
-                [](const LostRun& run) { return !run.hasTargetRestarted; });
-        if (!isUnsettled)
-            m_unsettledTasks.erase(id);
+        if (!task || hasEnded(job->state) || task->state == ShardTask::State::Done || task->lostRuns.empty())
+            m_suspects.erase(id);
     }
 }
 
 void TaskRunner::settleLosses(ShardJob& job, ShardTask& task, const TaskId& id, const TargetSession& session)
 {
+    bool isChanged = false;
     for (auto run = task.lostRuns.begin(); run != task.lostRuns.end();) {
         if (run->hasTargetRestarted || run->target != session.report().id) {
             ++run;
             continue;
         }
-        run->hasTargetRestarted
-            = session.incarnationMs() > run->incarnationMs && !m_crashPolicy.isForgotten(*run, m_clock.now());
+        run->hasTargetRestarted = session.incarnationMs() > run->incarnationMs
+            && !session.wasDraining(run->incarnationMs) && !m_crashPolicy.isForgotten(*run, m_clock.now());
         m_hooks.log("run_loss_settled", job.id, describeLoss(id, task, *run));
+        // The record does not name a run that was handed over.
+        isChanged = isChanged || run->hasTargetRestarted || task.lossSequence > 0;
         // The lease of the run ended while its target was cut off.
         run = run->hasTargetRestarted ? std::next(run) : task.lostRuns.erase(run);
     }
-    checkCrashes(job, task);
+    if (isChanged)
+        lossesChanged(job, task);
 }
 
 void TaskRunner::taskDone(ShardJob& job, ShardTask& task, const TaskId& id)
@@ -234,7 +283,7 @@
             const ShardTask& task = job.phases[phase][index];
             const bool isWaiting
                 = task.state == ShardTask::State::Waiting && !task.mayHaveEarlierRun && task.earliestStart <= now;
-            if (!isWaiting || !m_crashPolicy.mayStart(task.lostRuns, now))
+            if (!isWaiting || !mayStart(job, task, now))
                 continue;
             if (!placeTask(job, phase, index, pass))
                 break;
@@ -242,6 +291,13 @@
     }
 }
 
+bool TaskRunner::mayStart(const ShardJob& job, const ShardTask& task, TimePoint now) const
+{
+    // A later holder must know of the lost runs, so they are recorded before the next start.
+    const bool isRecorded = job.description.best_effort() || task.lossSequence <= job.recordedLossSequence;
+    return isRecorded && m_crashPolicy.mayStart(task.lostRuns, now);
+}
+
 bool TaskRunner::placeTask(ShardJob& job, std::size_t phase, std::uint32_t index, PlacementPass& pass)
 {
     if (!pass.mayHaveRoom(taskResources(job.description.phases(static_cast<int>(phase)))))
--- a/modules/rattanroad_shards/jobs/TaskRunner.h
+++ b/modules/rattanroad_shards/jobs/TaskRunner.h
@@ -21,6 +21,8 @@
     struct Hooks {
         /** All tasks are done, or one has used up its attempts. */
         std::function<void(ShardJob&, JobState, const std::string& reason)> finished;
+        /** The lost runs of a task have changed. A task of a stored job starts again once the record covers them. */
+        std::function<void(ShardJob&)> lossesChanged;
         /** A run of a known job has ended; the target keeps reporting the completion until it is acknowledged. */
         std::function<void(ShardJob&, TargetSession&, std::uint64_t number)> completionReported;
         std::function<void(const char* event, const JobId&, const std::string& detail)> log;
@@ -50,6 +52,13 @@
     /** Adopts a run that an earlier holder started. Returns the resources that it uses, or nothing when it must be
         stopped. */
     std::optional<Resources> adoptRun(TargetSession& session, const RunningTask& running);
+    /** Takes over the lost runs that a record or a handover names; they are settled as targets report. */
+    void trackLosses(ShardJob& job, bool areRecorded);
+    /** Returns the stored jobs whose records are to name the current run of a task, so that a later holder learns of a
+        crash that this one does not live to see: the task has lost runs before, or its target has fallen silent. */
+    std::set<JobId> jobsWithRunsToRecord();
+    /** Returns the current run of a task as one that is lost if its target restarts. */
+    std::optional<LostRun> currentRun(const TaskId& id) const;
     void startRejected(TargetSession& session, const TaskId& id, std::uint32_t attempt, TargetCallResult result);
 
     /** Estimates the wait of a job with this soft deadline: the work scheduled before it, divided by the capacity of
@@ -76,8 +85,9 @@
     bool recordFailure(ShardJob& job, ShardTask& task, const TargetSession& session, const TaskId& id);
     void rescheduleOverdueRun(TargetSession& session, const TaskId& id);
     void settleLosses(ShardJob& job, ShardTask& task, const TaskId& id, const TargetSession& session);
-    /** Ends the job as failed if the task has crashed its targets too often. */
-    void checkCrashes(ShardJob& job, const ShardTask& task);
+    /** Ends the job as failed if the task has crashed its targets too often; otherwise has the lost runs recorded. */
+    void lossesChanged(ShardJob& job, ShardTask& task);
+    bool mayStart(const ShardJob& job, const ShardTask& task, TimePoint now) const;
 
     Settings m_settings;
     CrashPolicy m_crashPolicy;
@@ -88,8 +98,8 @@
     Hooks m_hooks;
     /** Absent while the shard is not held. */
     std::optional<Generation> m_generation;
-    /** Tasks that lost a run with a target that may also have been cut off. */
-    std::set<TaskId> m_unsettledTasks;
+    /** Tasks that have lost a run. */
+    std::set<TaskId> m_suspects;
     bool m_isScheduled { false };
 };
 
--- a/modules/rattanroad_shards/targets/ShardTargets.cpp
+++ b/modules/rattanroad_shards/targets/ShardTargets.cpp
@@ -197,6 +197,18 @@
     return overdue;
 }
 
+std::vector<TaskId> ShardTargets::tasksOnSilentTargets() const
+{
+    std::vector<TaskId> tasks;
+    for (const auto& entry : m_sessions) {
+        if (!entry.second->isSilent())
+            continue;
+        for (const auto& run : entry.second->runs())
+            tasks.push_back(run.first);
+    }
+    return tasks;
+}
+
 void ShardTargets::removeUnlisted()
 {
     const TimePoint now = m_clock.now();
--- a/modules/rattanroad_shards/targets/ShardTargets.h
+++ b/modules/rattanroad_shards/targets/ShardTargets.h
@@ -88,6 +88,8 @@
     /** Adds the time since the start of a run as a run time sample of its target. */
     void addRunTimeSample(const TargetSession& session, const PlacementRequest& task, TimePoint startedAt);
     std::vector<OverdueRun> overdueRuns() const;
+    /** Returns the tasks that have a run on a target that is silent. */
+    std::vector<TaskId> tasksOnSilentTargets() const;
     /** Removes targets that have been missing from the list for long and have no runs. */
     void removeUnlisted();
     /** Returns the total capacity of the targets that may get new starts. */
--- a/modules/rattanroad_shards/targets/TargetSession.h
+++ b/modules/rattanroad_shards/targets/TargetSession.h
@@ -124,6 +124,10 @@
     std::uint64_t incarnationMs() const { return m_incarnationMs; }
     const std::map<TaskId, Run>& runs() const { return m_runs; }
     bool hasIsolatedRun() const;
+    /** Returns whether this incarnation of the target was draining, so that its end was planned. */
+    bool wasDraining(std::uint64_t incarnationMs) const { return incarnationMs == m_drainingIncarnationMs; }
+    /** Returns whether the target has answered nothing since a call to it was left unanswered. */
+    bool isSilent() const { return m_lastLoss > m_lastResponseAt; }
     TimePoint unlistedSince() const { return m_unlistedSince; }
 
 private:
--- a/tests/shards/PlacementTests.cpp
+++ b/tests/shards/PlacementTests.cpp
@@ -103,6 +103,7 @@
     {
         TaskRunner::Hooks hooks;
         hooks.finished = [](ShardJob&, JobState, const std::string&) {};
+        hooks.lossesChanged = [](ShardJob&) {};
         hooks.completionReported = [](ShardJob&, TargetSession&, std::uint64_t) {};
         hooks.log = [](const char*, const JobId&, const std::string&) {};
         return hooks;
