Hand the lost runs of a shard's jobs to its next holder

Callers saw a best-effort job whose task crashes its targets started 5 times after its third crash, when its holder drained after each crash.

Cause: a handover names the attempts of a task, but neither its lost runs nor the target of its current run. The next holder found the target restarted and could not know that a run was lost with it.

Change: a handover carries the lost runs of each task and its current run, also for stored jobs, in a field of its own that an earlier version ignores. The next holder adds them to the job that it reads from the store.

--- a/modules/rattanroad_shards/jobs/JobCodec.cpp
+++ b/modules/rattanroad_shards/jobs/JobCodec.cpp
@@ -90,7 +90,7 @@
     }
 }
 
-protocol::JobHandover encodeHandover(const ShardJob& job, TimePoint now)
+protocol::JobHandover encodeHandover(const ShardJob& job, TimePoint now, const CurrentRun& currentRun)
 {
     protocol::JobHandover handed;
     *handed.mutable_job() = job.description;
@@ -109,12 +109,15 @@
             state->set_done(task.state == ShardTask::State::Done);
             state->set_attempt(task.attempt);
             state->set_failed_runs(task.failedRuns);
+            const TaskId id { job.id, state->phase(), state->index() };
+            for (const LostRun& run : runsToHandOver(task, id, currentRun))
+                encode(run, *state->add_lost_runs());
         }
     }
     return handed;
 }
 
-void applyHandover(const protocol::JobHandover& handed, ShardJob& job)
+void applyHandover(const protocol::JobHandover& handed, ShardJob& job, TimePoint now)
 {
     for (const protocol::TaskHandover& state : handed.tasks()) {
         ShardTask* const task = job.task({ job.id, state.phase(), state.index() });
@@ -125,6 +128,15 @@
         task->state = state.done() ? ShardTask::State::Done : ShardTask::State::Waiting;
         task->mayHaveEarlierRun = !state.done() && state.attempt() > 0;
     }
+    addLostRuns(handed, job, now);
+}
+
+void addLostRuns(const protocol::JobHandover& handed, ShardJob& job, TimePoint now)
+{
+    for (const protocol::TaskHandover& state : handed.tasks()) {
+        if (ShardTask* const task = job.task({ job.id, state.phase(), state.index() }))
+            add(lostRunsOf(state, now), *task);
+    }
 }
 
 }
--- a/modules/rattanroad_shards/jobs/JobCodec.h
+++ b/modules/rattanroad_shards/jobs/JobCodec.h
@@ -17,8 +17,10 @@
 void applyProgress(const protocol::JobRecord& record, ShardJob& job, TimePoint now);
 
 /** Encodes a job and the state of its tasks for the next holder of its shard. */
-protocol::JobHandover encodeHandover(const ShardJob& job, TimePoint now);
+protocol::JobHandover encodeHandover(const ShardJob& job, TimePoint now, const CurrentRun& currentRun);
 /** Applies the task states of a handover to a job. Tasks that were started and are not done may still run. */
-void applyHandover(const protocol::JobHandover& handed, ShardJob& job);
+void applyHandover(const protocol::JobHandover& handed, ShardJob& job, TimePoint now);
+/** Adds the lost runs of a handover that the job does not know yet. */
+void addLostRuns(const protocol::JobHandover& handed, ShardJob& job, TimePoint now);
 
 }
--- a/modules/rattanroad_shards/jobs/ShardDispatcher.cpp
+++ b/modules/rattanroad_shards/jobs/ShardDispatcher.cpp
@@ -41,6 +41,7 @@
     m_targets.clear();
     m_jobs.clear();
     m_submitReplies.clear();
+    m_handedOverRuns.clear();
     m_records.start();
 }
 
@@ -86,6 +87,16 @@
         return;
     m_jobs.open(added);
     m_runner.trackLosses(added, true);
+    applyHandedOverRuns(added);
+}
+
+void ShardDispatcher::applyHandedOverRuns(ShardJob& job)
+{
+    const auto handed = m_handedOverRuns.find(job.id);
+    if (handed == m_handedOverRuns.end())
+        return;
+    addLostRuns(handed->second, job, m_clock.now());
+    m_runner.trackLosses(job, false);
 }
 
 void ShardDispatcher::finishLoading()
@@ -116,9 +127,13 @@
     const bool isInTime = m_clock.now() - m_lostAt < m_settings.maximumHandoverAge;
     for (const auto& entry : m_jobs.openJobs()) {
         const ShardJob& job = *entry.second;
-        if (!job.description.best_effort() || !isInTime)
+        if (!isInTime)
             continue;
-        *handover.add_jobs() = encodeHandover(job, m_clock.now());
+        const protocol::JobHandover handed = encodeHandover(job, m_clock.now(), currentRuns());
+        if (job.description.best_effort())
+            *handover.add_jobs() = handed;
+        else if (job.state == JobState::Running)
+            *handover.add_stored_jobs() = handed;
     }
     m_jobs.clear();
     m_isLoaded = false;
@@ -137,11 +152,18 @@
         job->originAddress = handed.entrance();
         job->lastSubmittedAt = m_clock.now() - std::chrono::milliseconds(handed.silent_ms());
         job->isAccepted = true;
-        applyHandover(handed, *job);
+        applyHandover(handed, *job, m_clock.now());
         ShardJob& added = m_jobs.add(std::move(job));
         m_jobs.open(added);
+        m_runner.trackLosses(added, false);
         m_jobs.announce(added.id);
     }
+    for (const protocol::JobHandover& handed : handover.stored_jobs()) {
+        const JobId id(handed.job().id());
+        m_handedOverRuns[id] = handed;
+        if (ShardJob* const known = m_jobs.find(id); known && !hasEnded(known->state))
+            applyHandedOverRuns(*known);
+    }
     m_hooks.log("handover_received", JobId(), std::to_string(handover.jobs_size()) + " jobs");
     m_targets.listOutdated();
     if (m_isLoaded)
--- a/modules/rattanroad_shards/jobs/ShardDispatcher.h
+++ b/modules/rattanroad_shards/jobs/ShardDispatcher.h
@@ -131,6 +131,8 @@
     void recordRetainedCompletions();
     void recordRunsInDanger();
     void recordLosses(const ShardJob& job);
+    /** Adds the runs that the previous holder has handed over for a stored job. */
+    void applyHandedOverRuns(ShardJob& job);
     std::string encode(const ShardJob& job) const;
     CurrentRun currentRuns() const;
     void removeExpiredJobs();
@@ -153,6 +155,8 @@
     TimePoint m_acquiredAt;
     std::map<JobId, std::vector<SubmitReply>> m_submitReplies;
     std::uint64_t m_lastCompletionSequence { 0 };
+    /** Runs of stored jobs that the previous holder handed over, until the records of the jobs are loaded. */
+    std::map<JobId, protocol::JobHandover> m_handedOverRuns;
     TimePoint m_lostAt { distantPast };
 };
 
