--- a/modules/rattanroad_shards/jobs/ShardDispatcher.cpp
+++ b/modules/rattanroad_shards/jobs/ShardDispatcher.cpp
@@ -1,7 +1,6 @@
 #include "rattanroad_shards/jobs/ShardDispatcher.h"
 
 #include "rattanroad_shards/holding/StoreKeys.h"
-#include "rattanroad_shards/jobs/JobCodec.h"
 #include "rattanroad_shards/jobs/JobRequirements.h"
 
 #include <algorithm>
@@ -42,6 +41,7 @@
     m_targets.clear();
     m_jobs.clear();
     m_submitReplies.clear();
+    m_handedOverRuns.clear();
     m_records.start();
 }
 
@@ -76,15 +76,27 @@
     job->acceptedIn = Generation(record.generation());
     job->state = static_cast<JobState>(record.state());
     job->isAccepted = true;
-    applyProgress(record, *job);
+    applyProgress(record, *job, m_clock.now());
     job->setMayHaveEarlierRun(true);
     job->isFinalStateStored = hasEnded(job->state);
     if (job->isFinalStateStored)
         job->endedAt = m_clock.now();
     m_writer.setRevision(item.key, item.revision);
     ShardJob& added = m_jobs.add(std::move(job));
-    if (!added.isFinalStateStored)
-        m_jobs.open(added);
+    if (added.isFinalStateStored)
+        return;
+    m_jobs.open(added);
+    m_runner.trackLosses(added, true);
+    applyHandedOverRuns(added);
+}
+
+void ShardDispatcher::applyHandedOverRuns(ShardJob& job)
+{
+    const auto handed = m_handedOverRuns.find(job.id);
+    if (handed == m_handedOverRuns.end())
+        return;
+    addLostRuns(handed->second, job, m_clock.now());
+    m_runner.trackLosses(job, false);
 }
 
 void ShardDispatcher::finishLoading()
@@ -115,9 +127,13 @@
     const bool isInTime = m_clock.now() - m_lostAt < m_settings.maximumHandoverAge;
     for (const auto& entry : m_jobs.openJobs()) {
         const ShardJob& job = *entry.second;
-        if (!job.description.best_effort() || !isInTime)
+        if (!isInTime)
             continue;
-        *handover.add_jobs() = encodeHandover(job, m_clock.now());
+        const protocol::JobHandover handed = encodeHandover(job, m_clock.now(), currentRuns());
+        if (job.description.best_effort())
+            *handover.add_jobs() = handed;
+        else if (job.state == JobState::Running)
+            *handover.add_stored_jobs() = handed;
     }
     m_jobs.clear();
     m_isLoaded = false;
@@ -139,11 +155,18 @@
         // The handover may have been under way since this host acquired the shard.
         job->certainlySubmittedAt = m_acquiredAt - silence;
         job->isAccepted = true;
-        applyHandover(handed, *job);
+        applyHandover(handed, *job, m_clock.now());
         ShardJob& added = m_jobs.add(std::move(job));
         m_jobs.open(added);
+        m_runner.trackLosses(added, false);
         m_jobs.announce(added.id);
     }
+    for (const protocol::JobHandover& handed : handover.stored_jobs()) {
+        const JobId id(handed.job().id());
+        m_handedOverRuns[id] = handed;
+        if (ShardJob* const known = m_jobs.find(id); known && !hasEnded(known->state))
+            applyHandedOverRuns(*known);
+    }
     m_hooks.log("handover_received", JobId(), std::to_string(handover.jobs_size()) + " jobs");
     m_targets.listOutdated();
     if (m_isLoaded)
@@ -166,12 +189,14 @@
 TargetSession::Hooks ShardDispatcher::sessionHooks()
 {
     TargetSession::Hooks hooks;
-    hooks.ready = [this](TargetSession&) {
+    hooks.ready = [this](TargetSession& session) {
+        m_runner.targetReported(session);
         updateRecovery();
         m_runner.scheduleSoon();
     };
     hooks.ended
         = [this](TargetSession& session, const RunCompletion& completion) { m_runner.runEnded(session, completion); };
+    hooks.lost = [this](TargetSession& session, const RunLoss& loss) { m_runner.runLost(session, loss); };
     hooks.foundRun
         = [this](TargetSession& session, const RunningTask& running) { return m_runner.adoptRun(session, running); };
     hooks.rejected = [this](TargetSession& session, const TaskId& task, std::uint32_t attempt,
@@ -193,10 +218,40 @@
     hooks.completionReported = [this](ShardJob& job, TargetSession& session, std::uint64_t number) {
         retainCompletion(job, session, number);
     };
+    hooks.lossesChanged = [this](ShardJob& job) { recordLosses(job); };
     hooks.log = m_hooks.log;
     return hooks;
 }
 
+CurrentRun ShardDispatcher::currentRuns() const
+{
+    return [this](const TaskId& task) { return m_runner.currentRun(task); };
+}
+
+std::string ShardDispatcher::encode(const ShardJob& job) const
+{
+    return encodeRecord(job, m_settings.shard, currentRuns());
+}
+
+void ShardDispatcher::recordLosses(const ShardJob& job)
+{
+    if (job.description.best_effort())
+        return;
+    m_writer.update(storekeys::job(job.id), encode(job), [this, id = job.id, sequence = job.lossSequence] {
+        ShardJob* const found = m_jobs.find(id);
+        if (!found)
+            return;
+        found->recordedLossSequence = std::max(found->recordedLossSequence, sequence);
+        m_runner.scheduleSoon();
+    });
+}
+
+void ShardDispatcher::recordRunsInDanger()
+{
+    for (const JobId& id : m_runner.jobsWithRunsToRecord())
+        recordLosses(*m_jobs.find(id));
+}
+
 void ShardDispatcher::submit(const protocol::PlacedJob& description, std::chrono::milliseconds waited, bool isResent,
     const Origin& origin, SubmitReply reply)
 {
@@ -253,7 +308,7 @@
         return;
     }
     m_submitReplies[id].push_back(std::move(reply));
-    const std::string value = encodeRecord(*job, m_settings.shard);
+    const std::string value = encode(*job);
     m_jobs.add(std::move(job));
     m_writer.insert(storekeys::job(id), value,
         [this, id](RecordWriter::InsertResult result, const StoredItem& item) { insertCompleted(id, result, item); });
@@ -358,8 +413,7 @@
         acknowledgeCompletions(job, m_lastCompletionSequence);
         return;
     }
-    m_writer.update(
-        storekeys::job(job.id), encodeRecord(job, m_settings.shard), [this, id = job.id] { finalStateStored(id); });
+    m_writer.update(storekeys::job(job.id), encode(job), [this, id = job.id] { finalStateStored(id); });
 }
 
 void ShardDispatcher::finalStateStored(const JobId& id)
@@ -420,6 +474,7 @@
         m_runner.rescheduleOverdueRuns();
         cancelAbandonedJobs();
         recordRetainedCompletions();
+        recordRunsInDanger();
         removeExpiredJobs();
         m_runner.scheduleSoon();
     }
@@ -473,8 +528,8 @@
         ShardJob& job = *entry.second;
         if (job.retainedCompletions.empty() || now - job.retainedCompletions.front().seenAt < m_settings.progressDelay)
             continue;
-        m_writer.update(storekeys::job(job.id), encodeRecord(job, m_settings.shard),
-            [this, id = job.id, lastSequence = m_lastCompletionSequence] {
+        m_writer.update(
+            storekeys::job(job.id), encode(job), [this, id = job.id, lastSequence = m_lastCompletionSequence] {
                 ShardJob* const found = m_jobs.find(id);
                 if (found && !hasEnded(found->state))
                     acknowledgeCompletions(*found, lastSequence);
--- a/modules/rattanroad_shards/jobs/ShardDispatcher.h
+++ b/modules/rattanroad_shards/jobs/ShardDispatcher.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "rattanroad_shards/holding/ShardElection.h"
+#include "rattanroad_shards/jobs/JobCodec.h"
 #include "rattanroad_shards/jobs/TaskRunner.h"
 #include "rattanroad_shards/store/PageReader.h"
 #include "rattanroad_shards/store/RecordWriter.h"
@@ -127,6 +128,12 @@
     void updateRecovery();
     void cancelAbandonedJobs();
     void recordRetainedCompletions();
+    void recordRunsInDanger();
+    void recordLosses(const ShardJob& job);
+    /** Adds the runs that the previous holder has handed over for a stored job. */
+    void applyHandedOverRuns(ShardJob& job);
+    std::string encode(const ShardJob& job) const;
+    CurrentRun currentRuns() const;
     void removeExpiredJobs();
 
     Settings m_settings;
@@ -147,6 +154,8 @@
     TimePoint m_acquiredAt;
     std::map<JobId, std::vector<SubmitReply>> m_submitReplies;
     std::uint64_t m_lastCompletionSequence { 0 };
+    /** Runs of stored jobs that the previous holder handed over, until the records of the jobs are loaded. */
+    std::map<JobId, protocol::JobHandover> m_handedOverRuns;
     TimePoint m_lostAt { distantPast };
 };
 
--- a/modules/rattanroad_shards/jobs/TaskRunner.cpp
+++ b/modules/rattanroad_shards/jobs/TaskRunner.cpp
@@ -9,11 +9,22 @@
 namespace {
     /** Size of the range of attempt numbers of each holder generation. Later holders use higher ranges. */
     constexpr std::uint32_t attemptsPerGeneration = 1000;
+
+    std::string describeLoss(const TaskId& id, const ShardTask& task, const LostRun& run)
+    {
+        const auto crashes = std::count_if(
+            task.lostRuns.begin(), task.lostRuns.end(), [](const LostRun& lost) { return lost.isCrashProven(); });
+        return "task " + std::to_string(id.index) + " on " + run.target.value() + ", incarnation "
+            + std::to_string(run.incarnationMs) + (run.hasTargetRestarted ? ", restarted" : ", not restarted")
+            + (run.isStartConfirmed ? "" : ", start not confirmed") + (run.wasAlone ? ", no other run there" : "")
+            + "; " + std::to_string(task.lostRuns.size()) + " lost, " + std::to_string(crashes) + " by proven crashes";
+    }
 }
 
 TaskRunner::TaskRunner(
     Settings settings, JobTable& jobs, ShardTargets& targets, Timers timers, const Clock& clock, Hooks hooks)
     : m_settings(settings)
+    , m_crashPolicy(settings.crashes)
     , m_jobs(jobs)
     , m_targets(targets)
     , m_timers(std::move(timers))
@@ -75,6 +86,109 @@
     return true;
 }
 
+void TaskRunner::runLost(const TargetSession& session, const RunLoss& loss)
+{
+    const auto [job, task] = find(loss.task);
+    if (!task || hasEnded(job->state) || task->state == ShardTask::State::Done)
+        return;
+    const TargetId& target = session.report().id;
+    const bool isKnown = std::any_of(task->lostRuns.begin(), task->lostRuns.end(),
+        [&](const LostRun& run) { return run.target == target && run.incarnationMs == loss.incarnationMs; });
+    if (isKnown)
+        return;
+    task->lostRuns.push_back(
+        { target, loss.incarnationMs, loss.isStartConfirmed, loss.hasRestarted, loss.wasAlone, m_clock.now() });
+    m_suspects.insert(loss.task);
+    m_hooks.log("run_lost", job->id, describeLoss(loss.task, *task, task->lostRuns.back()));
+    lossesChanged(*job, *task);
+}
+
+void TaskRunner::lossesChanged(ShardJob& job, ShardTask& task)
+{
+    task.lossSequence = ++job.lossSequence;
+    if (m_crashPolicy.isGivenUp(task.lostRuns))
+        m_hooks.finished(job, JobState::Failed, "a task crashes its targets");
+    else
+        m_hooks.lossesChanged(job);
+}
+
+void TaskRunner::trackLosses(ShardJob& job, bool areRecorded)
+{
+    for (std::size_t phase = 0; phase < job.phases.size(); ++phase) {
+        for (std::size_t index = 0; index < job.phases[phase].size(); ++index) {
+            ShardTask& task = job.phases[phase][index];
+            if (task.lostRuns.empty())
+                continue;
+            m_suspects.insert({ job.id, static_cast<std::uint32_t>(phase), static_cast<std::uint32_t>(index) });
+            if (areRecorded)
+                task.lossSequence = ++job.lossSequence;
+        }
+    }
+    job.recordedLossSequence = areRecorded ? job.lossSequence : job.recordedLossSequence;
+}
+
+std::set<JobId> TaskRunner::jobsWithRunsToRecord()
+{
+    std::vector<TaskId> tasks = m_targets.tasksOnSilentTargets();
+    tasks.insert(tasks.end(), m_suspects.begin(), m_suspects.end());
+    std::set<JobId> jobs;
+    for (const TaskId& id : tasks) {
+        const auto [job, task] = find(id);
+        if (!task || hasEnded(job->state) || job->description.best_effort() || task->recordedAttempt == task->attempt)
+            continue;
+        const auto run = currentRun(id);
+        if (!run || !run->isStartConfirmed)
+            continue;
+        task->recordedAttempt = task->attempt;
+        jobs.insert(id.job);
+    }
+    return jobs;
+}
+
+std::optional<LostRun> TaskRunner::currentRun(const TaskId& id) const
+{
+    const TaskLookup found = find(id);
+    const TargetSession* const session = found.task ? m_targets.session(found.task->target) : nullptr;
+    if (!session || session->report().isDraining || found.task->state != ShardTask::State::Placed)
+        return std::nullopt;
+    const auto run = session->runs().find(id);
+    if (run == session->runs().end())
+        return std::nullopt;
+    return LostRun { session->report().id, session->incarnationMs(), run->second.isStartConfirmed, false,
+        session->runs().size() == 1, m_clock.now() };
+}
+
+void TaskRunner::targetReported(const TargetSession& session)
+{
+    for (const TaskId& id : std::set<TaskId>(m_suspects)) {
+        const auto [job, task] = find(id);
+        if (task && !hasEnded(job->state))
+            settleLosses(*job, *task, id, session);
+        if (!task || hasEnded(job->state) || task->state == ShardTask::State::Done || task->lostRuns.empty())
+            m_suspects.erase(id);
+    }
+}
+
+void TaskRunner::settleLosses(ShardJob& job, ShardTask& task, const TaskId& id, const TargetSession& session)
+{
+    bool isChanged = false;
+    for (auto run = task.lostRuns.begin(); run != task.lostRuns.end();) {
+        if (run->hasTargetRestarted || run->target != session.report().id) {
+            ++run;
+            continue;
+        }
+        run->hasTargetRestarted = session.incarnationMs() > run->incarnationMs
+            && !session.wasDraining(run->incarnationMs) && !m_crashPolicy.isForgotten(*run, m_clock.now());
+        m_hooks.log("run_loss_settled", job.id, describeLoss(id, task, *run));
+        // The record does not name a run that was handed over.
+        isChanged = isChanged || run->hasTargetRestarted || task.lossSequence > 0;
+        // The lease of the run ended while its target was cut off.
+        run = run->hasTargetRestarted ? std::next(run) : task.lostRuns.erase(run);
+    }
+    if (isChanged)
+        lossesChanged(job, task);
+}
+
 void TaskRunner::taskDone(ShardJob& job, ShardTask& task, const TaskId& id)
 {
     const TargetId lastTarget = task.target;
@@ -177,7 +291,9 @@
             continue;
         for (std::uint32_t index = 0; index < job.phases[phase].size(); ++index) {
             const ShardTask& task = job.phases[phase][index];
-            if (task.state != ShardTask::State::Waiting || task.mayHaveEarlierRun || task.earliestStart > now)
+            const bool isWaiting
+                = task.state == ShardTask::State::Waiting && !task.mayHaveEarlierRun && task.earliestStart <= now;
+            if (!isWaiting || !mayStart(job, task, now))
                 continue;
             if (!placeTask(job, phase, index, pass))
                 break;
@@ -185,11 +301,19 @@
     }
 }
 
+bool TaskRunner::mayStart(const ShardJob& job, const ShardTask& task, TimePoint now) const
+{
+    // A later holder must know of the lost runs, so they are recorded before the next start.
+    const bool isRecorded = job.description.best_effort() || task.lossSequence <= job.recordedLossSequence;
+    return isRecorded && m_crashPolicy.mayStart(task.lostRuns, now);
+}
+
 bool TaskRunner::placeTask(ShardJob& job, std::size_t phase, std::uint32_t index, PlacementPass& pass)
 {
     if (!pass.mayHaveRoom(taskResources(job.description.phases(static_cast<int>(phase)))))
         return false;
-    const PlacementRequest request = placementRequest(job.description, phase);
+    PlacementRequest request = placementRequest(job.description, phase);
+    request.prefersIdleTarget = !job.phases[phase][index].lostRuns.empty() && m_targets.mayIsolate();
     const TaskId id { job.id, static_cast<std::uint32_t>(phase), index };
     // A run of an earlier attempt or holder may still be active.
     if (m_targets.hasRun(id))
@@ -207,8 +331,8 @@
     task.target = session.report().id;
     task.startedAt = m_clock.now();
     job.state = JobState::Running;
-    session.start(
-        id, task.attempt, job.description.payload(), request.resources, choice->predicted, task.savedProgress);
+    session.start(id, task.attempt, job.description.payload(), request.resources, choice->predicted, task.savedProgress,
+        choice->isIsolated);
     pass.started(session);
     return true;
 }
--- a/modules/rattanroad_shards/targets/ShardTargets.cpp
+++ b/modules/rattanroad_shards/targets/ShardTargets.cpp
@@ -26,10 +26,14 @@
         m_outliers.forget(report.id);
     }
     m_reports[report.id] = report;
-    if (!isOpen() || m_isClosed)
-        return;
-    TargetSession* const opened = session(report.id);
-    if (opened && opened->report().address == report.address)
+    if (isOpen() && !m_isClosed)
+        updateSession(report);
+}
+
+void ShardTargets::updateSession(const TargetReport& report)
+{
+    // A target that is back at another address keeps its session, which knows the runs of the earlier incarnation.
+    if (TargetSession* const opened = session(report.id))
         opened->setReport(report);
     else
         openSession(report);
@@ -70,6 +74,11 @@
     m_isClosed = false;
     for (const auto& entry : m_sessions)
         entry.second->setToken(token);
+    if (!isOpen())
+        return;
+    // Targets may have changed while the shard was not held.
+    for (const auto& entry : m_reports)
+        updateSession(entry.second);
 }
 
 void ShardTargets::close()
@@ -118,6 +127,14 @@
         [&task](const auto& entry) { return entry.second->runs().count(task) != 0; });
 }
 
+bool ShardTargets::mayIsolate() const
+{
+    const auto isolated = std::count_if(
+        m_sessions.begin(), m_sessions.end(), [](const auto& entry) { return entry.second->hasIsolatedRun(); });
+    return static_cast<double>(isolated + 1) <= static_cast<double>(m_sessions.size()) * m_settings.maximumIsolatedShare
+        || isolated == 0;
+}
+
 bool ShardTargets::isEligibleSomewhere(const PlacementRequest& task) const
 {
     return std::any_of(m_reports.begin(), m_reports.end(),
@@ -184,6 +201,18 @@
     return overdue;
 }
 
+std::vector<TaskId> ShardTargets::tasksOnSilentTargets() const
+{
+    std::vector<TaskId> tasks;
+    for (const auto& entry : m_sessions) {
+        if (!entry.second->isSilent())
+            continue;
+        for (const auto& run : entry.second->runs())
+            tasks.push_back(run.first);
+    }
+    return tasks;
+}
+
 void ShardTargets::removeUnlisted()
 {
     const TimePoint now = m_clock.now();
--- a/modules/rattanroad_shards/targets/ShardTargets.h
+++ b/modules/rattanroad_shards/targets/ShardTargets.h
@@ -29,6 +29,9 @@
             by a few tenths, so less than one run in thirty is overdue on a healthy target. */
         double overdueFactor { 3 };
         std::chrono::milliseconds overdueMargin { 60 };
+        /** Largest share of the targets that run an isolated task at a time: after a whole failure domain was cut off,
+            most tasks may crash their targets. */
+        double maximumIsolatedShare { 0.25 };
     };
     struct OverdueRun {
         TargetSession* session;
@@ -69,6 +72,8 @@
     std::string describeList() const;
     /** Returns whether some target has a run of the task or may have one. */
     bool hasRun(const TaskId& task) const;
+    /** Returns whether another task may be isolated on a target. */
+    bool mayIsolate() const;
     /** Returns whether some listed target could run the task if it had room. */
     bool isEligibleSomewhere(const PlacementRequest& task) const;
     /** Returns whether a target other than that of @p session has room for the task now. */
@@ -84,6 +89,8 @@
     /** Adds the time since the start of a run as a run time sample of its target. */
     void addRunTimeSample(const TargetSession& session, const PlacementRequest& task, TimePoint startedAt);
     std::vector<OverdueRun> overdueRuns() const;
+    /** Returns the tasks that have a run on a target that is silent. */
+    std::vector<TaskId> tasksOnSilentTargets() const;
     /** Removes targets that have been missing from the list for long and have no runs. */
     void removeUnlisted();
     /** Returns the total capacity of the targets that may get new starts. */
@@ -93,6 +100,8 @@
 
 private:
     void openSession(const TargetReport& report);
+    /** Updates the session with a target, or opens one. */
+    void updateSession(const TargetReport& report);
     /** Returns whether the target may get new starts. */
     bool isUsable(const TargetSession& session) const;
 
--- a/modules/rattanroad_shards/targets/TargetSession.cpp
+++ b/modules/rattanroad_shards/targets/TargetSession.cpp
@@ -18,6 +18,8 @@
 {
     // An earlier holder may have renewed the lease just now.
     extendLease(m_settings.leaseDuration);
+    if (m_report.isDraining)
+        m_drainingIncarnationMs = m_report.bornMs;
 }
 
 TargetSession::~TargetSession() { *m_isAlive = false; }
@@ -39,6 +41,8 @@
 {
     m_isListed = true;
     m_report = report;
+    if (report.isDraining)
+        m_drainingIncarnationMs = report.bornMs;
 }
 
 void TargetSession::setListed(bool isListed)
@@ -56,6 +60,11 @@
         && isLeaseLongEnough && now - m_lastResponseAt < m_settings.silenceTimeout;
 }
 
+bool TargetSession::hasIsolatedRun() const
+{
+    return std::any_of(m_runs.begin(), m_runs.end(), [](const auto& run) { return run.second.isIsolated; });
+}
+
 TimePoint TargetSession::leaseLimit() const
 {
     TimePoint limit = TimePoint::max();
@@ -94,14 +103,14 @@
 }
 
 void TargetSession::start(const TaskId& task, std::uint32_t attempt, const std::string& payload, Resources resources,
-    std::chrono::milliseconds predicted, const std::string& savedProgress)
+    std::chrono::milliseconds predicted, const std::string& savedProgress, bool isIsolated)
 {
     // The time limits of canStart() are not checked: they may have passed since the target was chosen.
     assert(!m_isClosed && m_isReady && m_isListed && !m_report.isDraining && !m_runs.count(task));
     Run& run = m_runs[task];
-    run = Run { attempt, payload, resources, Run::State::Starting, m_clock.now(), std::nullopt, predicted,
-        savedProgress, 0 };
-    m_used += resources;
+    run = Run { attempt, payload, isIsolated ? m_report.capacity : resources, Run::State::Starting, m_clock.now(),
+        std::nullopt, predicted, savedProgress, 0, false, isIsolated };
+    m_used += run.resources;
     sendStart(task, run);
 }
 
@@ -171,6 +180,8 @@
         return;
     }
     if (reply.result == TargetCallResult::Done) {
+        if (isCurrentIncarnation)
+            run.isStartConfirmed = true;
         if (isCurrentIncarnation && run.state == Run::State::Starting) {
             run.state = Run::State::Running;
             run.confirmedAt = m_clock.now();
@@ -217,6 +228,7 @@
         // An earlier send was carried out: the next poll reports the run's completion, or shows that it was stopped.
         run.state = Run::State::Running;
         run.confirmedAt = m_clock.now();
+        run.isStartConfirmed = true;
         pollNow();
         return;
     }
@@ -364,10 +376,11 @@
 
 void TargetSession::beginIncarnation(std::uint64_t incarnationMs)
 {
-    const bool isFirst = m_incarnationMs == 0;
+    const std::uint64_t earlierMs = m_incarnationMs;
     m_incarnationMs = incarnationMs;
-    if (isFirst)
+    if (earlierMs == 0)
         return;
+    reportLosses(earlierMs, true);
     m_isReady = false;
     m_lastCompletion = 0;
     m_acknowledged = 0;
@@ -375,6 +388,7 @@
     std::vector<TaskId> lostRuns;
     for (auto& entry : m_runs) {
         Run& run = entry.second;
+        run.isStartConfirmed = false;
         // A start without a reply may have reached the new incarnation, so a run in state Starting is kept.
         if (run.state == Run::State::Starting)
             continue;
@@ -427,6 +441,7 @@
         if (found != m_runs.end() && found->second.attempt == running.attempt) {
             Run& run = found->second;
             run.savedProgress = running.savedProgress;
+            run.isStartConfirmed = true;
             if (run.state == Run::State::Starting) {
                 run.state = Run::State::Running;
                 run.confirmedAt = m_clock.now();
@@ -441,7 +456,7 @@
         const std::optional<Resources> adopted = m_hooks.foundRun(*this, running);
         const TimePoint now = m_clock.now();
         m_runs[running.task] = Run { running.attempt, "", adopted.value_or(m_report.capacity), Run::State::Running, now,
-            now, std::chrono::milliseconds(0), running.savedProgress, 0 };
+            now, std::chrono::milliseconds(0), running.savedProgress, 0, true, false };
         m_used += m_runs[running.task].resources;
         if (!adopted)
             stop(running.task);
@@ -482,11 +497,24 @@
     interrupt(tasks);
 }
 
+void TargetSession::reportLosses(std::uint64_t incarnationMs, bool hasRestarted)
+{
+    if (incarnationMs == m_drainingIncarnationMs)
+        return;
+    std::vector<RunLoss> losses;
+    for (const auto& entry : m_runs)
+        losses.push_back(
+            { entry.first, incarnationMs, entry.second.isStartConfirmed, hasRestarted, m_runs.size() == 1 });
+    for (const RunLoss& loss : losses)
+        m_hooks.lost(*this, loss);
+}
+
 void TargetSession::checkLease()
 {
     const TimePoint now = m_clock.now();
     if (now >= m_leaseEnd && now - m_lastResponseAt >= m_settings.silenceTimeout && !m_runs.empty() && !m_isClosed) {
         m_isReady = false;
+        reportLosses(m_incarnationMs, false);
         interruptAll();
     }
     m_timers.after(std::chrono::milliseconds(100), [this, isAlive = m_isAlive] {
--- a/modules/rattanroad_shards/targets/TargetSession.h
+++ b/modules/rattanroad_shards/targets/TargetSession.h
@@ -72,12 +72,19 @@
         std::string savedProgress;
         /** Number of times that the start was sent. */
         std::uint32_t sends { 0 };
+        /** The target has confirmed the start or reported the run as active. */
+        bool isStartConfirmed { false };
+        /** No other run may start on the target; @c resources is its whole capacity. */
+        bool isIsolated { false };
     };
     struct Hooks {
         /** The target has answered a poll under the current token for the first time. */
         std::function<void(TargetSession&)> ready;
         /** A run has ended. @c number is 0 when the target did not report the completion. */
         std::function<void(TargetSession&, const RunCompletion&)> ended;
+        /** The target fell silent for longer than its lease, or restarted, while it had this run or may have had it.
+            Not called for a target that was draining, because it ends by plan. */
+        std::function<void(TargetSession&, const RunLoss&)> lost;
         /** The target has a run that this session did not start. Returns its resources if it may continue. */
         std::function<std::optional<Resources>(TargetSession&, const RunningTask&)> foundRun;
         /** A start was refused; the task may start elsewhere. */
@@ -106,9 +113,10 @@
     /** Tells whether the target is in the target list. */
     void setListed(bool isListed);
 
-    /** Starts a run. @pre canStart() was true when the target was chosen */
+    /** Starts a run. An isolated run occupies the whole capacity. @pre canStart() was true when the target was chosen
+     */
     void start(const TaskId& task, std::uint32_t attempt, const std::string& payload, Resources resources,
-        std::chrono::milliseconds predicted, const std::string& savedProgress);
+        std::chrono::milliseconds predicted, const std::string& savedProgress, bool isIsolated = false);
     /** Stops the run of a task, if there is one. */
     void stop(const TaskId& task);
     /** Lets the target forget a completion. Ignored for an earlier incarnation. */
@@ -122,6 +130,11 @@
     const TargetReport& report() const { return m_report; }
     std::uint64_t incarnationMs() const { return m_incarnationMs; }
     const std::map<TaskId, Run>& runs() const { return m_runs; }
+    bool hasIsolatedRun() const;
+    /** Returns whether this incarnation of the target was draining, so that its end was planned. */
+    bool wasDraining(std::uint64_t incarnationMs) const { return incarnationMs == m_drainingIncarnationMs; }
+    /** Returns whether the target has answered nothing since a call to it was left unanswered. */
+    bool isSilent() const { return m_lastLoss > m_lastResponseAt; }
     TimePoint unlistedSince() const { return m_unlistedSince; }
     /** Returns the local time by which all runs on the target have ended unless the lease is renewed. */
     TimePoint leaseEnd() const { return m_leaseEnd; }
@@ -161,6 +174,8 @@
     void removeRun(const TaskId& task);
     void interrupt(const std::vector<TaskId>& tasks);
     void interruptAll();
+    /** Reports all runs as lost that the current incarnation has or may have. */
+    void reportLosses(std::uint64_t incarnationMs, bool hasRestarted);
     void checkLease();
     /** Returns the latest time at which the lease may end because of the runs on the target. */
     TimePoint leaseLimit() const;
@@ -185,6 +200,8 @@
     bool m_isListed { true };
     TimePoint m_unlistedSince;
     std::uint64_t m_incarnationMs { 0 };
+    /** The latest incarnation that was listed as draining. */
+    std::uint64_t m_drainingIncarnationMs { 0 };
     /** The target's clock at m_targetClockReadAt. */
     std::optional<std::uint64_t> m_targetClockMs;
     TimePoint m_targetClockReadAt;
