--- a/tests/shards/DispatcherTests.cpp
+++ b/tests/shards/DispatcherTests.cpp
@@ -200,6 +200,17 @@
     REQUIRE(fixture.runUntil([&] { return fixture.targets().running() == 1; }));
 }
 
+TEST_CASE("a resubmitted job starts without a complete target list once no earlier holder can be active")
+{
+    DispatcherFixture fixture;
+    fixture.begin(2);
+    fixture.run(14s);
+    fixture.dispatcher().targetListInterrupted();
+    fixture.submit("a", 100ms, true);
+    fixture.run(50ms);
+    REQUIRE(fixture.targets().running() == 1);
+}
+
 TEST_CASE("a target retains the completion of a stored job's task until the job's record covers it")
 {
     DispatcherFixture fixture;
