Reserve the calls of a crash test

The linter rejected push_back() in a loop without a reserved capacity. No change of what the test checks.

--- a/tests/shards/CrashTests.cpp
+++ b/tests/shards/CrashTests.cpp
@@ -279,8 +279,10 @@
 {
     CrashingFleet crashing;
     const bool isBestEffort = GENERATE(false, true);
+    constexpr std::size_t otherCount = 7;
     std::vector<EmulatedFleet::Call*> others;
-    for (int i = 0; i < 7; ++i)
+    others.reserve(otherCount);
+    for (std::size_t i = 0; i < otherCount; ++i)
         others.push_back(&crashing.submit("b" + std::to_string(i), 900ms, isBestEffort));
     crashing.submit("a", 3s, isBestEffort);
     crashing.fleet().run(18s);
