--- a/modules/rattanroad_shards/jobs/ShardDispatcher.h
+++ b/modules/rattanroad_shards/jobs/ShardDispatcher.h
@@ -91,7 +91,7 @@
 
     /** Submits a job that its origin received @p waited ago. @p isResent tells that it was sent before, so this or an
         earlier holder may have started it: its tasks start only when no earlier run can be left. A best-effort job is
-       ignored if it was sent so long ago that its caller may have submitted it to another host. */
+        ignored if it was sent so long ago that its caller may have submitted it to another host. */
     void submit(const protocol::PlacedJob& job, std::chrono::milliseconds waited, bool isResent, const Origin& origin,
         SubmitReply reply);
     /** Returns the state of an accepted job, or nothing when there is none with this id in memory. */
