--- a/modules/rattanroad_shards/holding/HostLease.h
+++ b/modules/rattanroad_shards/holding/HostLease.h
@@ -38,8 +38,8 @@
     /** Returns whether the lease has not expired. The store may have revoked it all the same. */
     bool isValid() const { return m_lease.value() != 0 && m_clock.now() < m_validUntil; }
     StoreLeaseId lease() const { return m_lease; }
-    /** Returns when the latest lease expired or was given up, or the current time if it is valid. After a pause, this
-       is earlier than the time at which the end was noticed. */
+    /** Returns when the latest lease expired or was given up, or the current time if it is valid. After a pause of this
+        process that is earlier than the time at which the end was noticed. */
     TimePoint endedAt() const { return m_lease.value() == 0 ? m_endedAt : std::min(m_clock.now(), m_validUntil); }
     /** Gives the lease up and requests a new one. Used when one of its keys is gone or in doubt. */
     void replace();
--- a/modules/rattanroad_shards/holding/ShardElection.h
+++ b/modules/rattanroad_shards/holding/ShardElection.h
@@ -62,8 +62,8 @@
     /** Acquires or gives up the shard as the state of the fleet requires. Called when the fleet has changed and at
         intervals. */
     void reevaluate();
-    /** Gives the shard up when this host has had no lease for too long. Must be called at intervals also while the
-       store cannot be reached: a later holder relies on it. */
+    /** Gives the shard up when this host has had no lease for too long. Must be called at intervals, also while the
+        store cannot be reached: a later holder relies on it. */
     void endExpiredHolding();
     /** The lease has ended: another host may acquire the shard. */
     void leaseLost();
--- a/modules/rattanroad_shards/jobs/ShardJob.h
+++ b/modules/rattanroad_shards/jobs/ShardJob.h
@@ -76,7 +76,8 @@
     std::string originAddress;
     /** When the origin last sent the submission. For a best-effort job it repeats it while the caller waits. */
     TimePoint lastSubmittedAt;
-    /** The same without a doubt: a handover may have been under way for long. Runs start and go on by this time. */
+    /** The latest time at which the origin is certain to have wanted the job. Earlier than lastSubmittedAt after a
+        handover, which may have been under way for long. Runs start and keep their leases by this time. */
     TimePoint certainlySubmittedAt;
     /** The record with the final state is in the store, or the job is best effort and needs none. */
     bool isFinalStateStored { false };
--- a/modules/rattanroad_shards/targets/TargetSession.h
+++ b/modules/rattanroad_shards/targets/TargetSession.h
@@ -43,7 +43,7 @@
         /** The lease of a target that has been silent for longer is not renewed, so that its runs end. */
         std::chrono::milliseconds silenceTimeout { 650 };
         /** The lease of a target that has been missing from the target list for longer is not renewed. A later holder
-           may not know the target, and waits only for as long as an earlier holder without a lease can go on. */
+            may not know the target, and waits only for as long as an earlier holder without a lease can go on. */
         std::chrono::seconds unlistedTimeout { 8 };
         /** Delay before the next poll when a poll failed, or returned at once without a new completion. */
         std::chrono::milliseconds pollRetryPause { 20 };
@@ -113,8 +113,8 @@
     /** Tells whether the target is in the target list. */
     void setListed(bool isListed);
 
-    /** Starts a run. An isolated run occupies the whole capacity. @pre canStart() was true when the target was chosen
-     */
+    /** Starts a run. An isolated run occupies the whole capacity.
+        @pre canStart() was true when the target was chosen */
     void start(const TaskId& task, std::uint32_t attempt, const std::string& payload, Resources resources,
         std::chrono::milliseconds predicted, const std::string& savedProgress, bool isIsolated = false);
     /** Stops the run of a task, if there is one. */
