Log when the target list was read after an acquisition and who drains

Cause: no line told the age of the target list when a shard is acquired, when the first answer after it arrives, or when the holder learns that a target drains, so the hypotheses about the starts on draining targets could not be told apart.

Change: PrefixWatcher tells when its latest answered request was sent; target_list_age_ms of shard_acquired, and the lines target_list_recent and target_draining. No decision changes.

--- a/modules/rattanroad_shards/jobs/ShardDispatcher.cpp
+++ b/modules/rattanroad_shards/jobs/ShardDispatcher.cpp
@@ -27,6 +27,8 @@
 void ShardDispatcher::begin(const ShardElection::Holding& holding)
 {
     m_holding = holding;
+    m_begunAt = m_clock.now();
+    m_isTargetListRecent = false;
     m_writer.begin(holding.token, holding.isContinued && m_isLoaded);
     if (holding.isContinued && m_isLoaded) {
         m_targets.setToken(holding.token);
@@ -175,10 +177,25 @@
 
 void ShardDispatcher::targetListed(const TargetReport& report)
 {
+    const TargetSession* const session = m_targets.session(report.id);
+    if (isHolding() && session && report.isDraining && !session->report().isDraining)
+        m_hooks.log("target_draining", JobId(),
+            report.id.value() + " of shard " + m_settings.shard.value() + " with "
+                + std::to_string(session->runs().size()) + " runs");
     m_targets.listed(report);
     m_runner.scheduleSoon();
 }
 
+void ShardDispatcher::targetListUpdated(TimePoint time)
+{
+    if (!m_holding || m_isTargetListRecent || time < m_begunAt)
+        return;
+    m_isTargetListRecent = true;
+    const auto elapsed = std::chrono::duration_cast<std::chrono::milliseconds>(m_clock.now() - m_begunAt);
+    m_hooks.log("target_list_recent", JobId(),
+        "shard " + m_settings.shard.value() + ", " + std::to_string(elapsed.count()) + " ms after its acquisition");
+}
+
 void ShardDispatcher::targetListRead()
 {
     m_targets.listRead();
--- a/modules/rattanroad_shards/jobs/ShardDispatcher.h
+++ b/modules/rattanroad_shards/jobs/ShardDispatcher.h
@@ -83,6 +83,8 @@
 
     void targetListed(const TargetReport& report);
     void targetUnlisted(const TargetId& target) { m_targets.unlisted(target); }
+    /** The target list was requested at @p time and the answer was processed. */
+    void targetListUpdated(TimePoint time);
     /** Updates of the target list were interrupted, so targets may be missing from it. */
     void targetListInterrupted() { m_targets.listInterrupted(); }
     /** The whole target list was read after the previous holder had stopped. Until then, targets may have runs that
@@ -152,6 +154,10 @@
     /** Stored jobs may have runs of an earlier holder. */
     bool m_isRecovering { false };
     TimePoint m_acquiredAt;
+    /** When the holding began; later than m_acquiredAt for a continued one. */
+    TimePoint m_begunAt;
+    /** The target list was read since the holding began. */
+    bool m_isTargetListRecent { false };
     std::map<JobId, std::vector<SubmitReply>> m_submitReplies;
     std::uint64_t m_lastCompletionSequence { 0 };
     /** Runs of stored jobs that the previous holder handed over, until the records of the jobs are loaded. */
--- a/modules/rattanroad_shards/node/ShardNode.cpp
+++ b/modules/rattanroad_shards/node/ShardNode.cpp
@@ -20,9 +20,9 @@
         , m_fleet([this](const std::string& key) {
             m_hooks.log("fleet_key_ignored", { { "key", key } });
         })
-        , m_configuration({ m_settings.configurationKey }, m_store, m_timers, configurationHooks())
-        , m_targetList({ m_settings.targetPrefix }, m_store, m_timers, targetHooks())
-        , m_fleetList({ storekeys::fleetPrefix }, m_store, m_timers, fleetHooks())
+        , m_configuration({ m_settings.configurationKey }, m_store, m_timers, clock, configurationHooks())
+        , m_targetList({ m_settings.targetPrefix }, m_store, m_timers, clock, targetHooks())
+        , m_fleetList({ storekeys::fleetPrefix }, m_store, m_timers, clock, fleetHooks())
         , m_entrance(entranceSettings(), m_store, m_fleet, m_timers, clock, entranceHooks())
     {
         makeShards();
@@ -120,6 +120,7 @@
                     { { "shard", shard.value() }, { "token", std::to_string(holding.token.value()) },
                         { "generation", std::to_string(holding.generation.value()) },
                         { "continued", holding.isContinued ? "true" : "false" },
+                        { "target_list_age_ms", std::to_string(targetListAge().count()) },
                         { "millicores", std::to_string(m_settings.processor.value()) } });
                 m_targetList.watchNow();
                 m_shards[shard].dispatcher->begin(holding);
@@ -220,9 +221,18 @@
         hooks.pause = [this]() -> Duration {
             return isHolding() ? m_settings.targetListPause : m_settings.idleTargetListPause;
         };
+        hooks.updated = [this] {
+            for (auto& entry : m_shards)
+                entry.second.dispatcher->targetListUpdated(m_targetList.currentAsOf());
+        };
         return hooks;
     }
 
+    std::chrono::milliseconds targetListAge() const
+    {
+        return std::chrono::duration_cast<std::chrono::milliseconds>(m_clock.now() - m_targetList.currentAsOf());
+    }
+
     /** Called when the previous holder of the shard has stopped. By then it can have used targets that are new here. */
     void readTargetList(const ShardId& shard)
     {
--- a/modules/rattanroad_shards/store/PrefixWatcher.cpp
+++ b/modules/rattanroad_shards/store/PrefixWatcher.cpp
@@ -4,10 +4,11 @@
 
 namespace rattanroad::shards {
 
-PrefixWatcher::PrefixWatcher(Settings settings, KeyValueStore& store, Timers timers, Hooks hooks)
+PrefixWatcher::PrefixWatcher(Settings settings, KeyValueStore& store, Timers timers, const Clock& clock, Hooks hooks)
     : m_settings(std::move(settings))
     , m_store(store)
     , m_timers(std::move(timers))
+    , m_clock(clock)
     , m_hooks(std::move(hooks))
 {
 }
@@ -19,6 +20,7 @@
     if (after.empty()) {
         m_revisionsRead.clear();
         m_firstPageRevision = KeyRevision(0);
+        m_firstPageRequestedAt = m_clock.now();
     }
     m_store.readPage(m_settings.prefix, after, [this](const ReadReply& reply) { handlePage(reply); });
 }
@@ -49,7 +51,7 @@
 
 void PrefixWatcher::readNow(const std::string& reader, const std::function<void()>& done)
 {
-    readAfter("", { reader, ++m_latestReads[reader], done });
+    readAfter("", { reader, ++m_latestReads[reader], m_clock.now(), done });
 }
 
 void PrefixWatcher::readAfter(const std::string& key, const Read& read)
@@ -65,10 +67,12 @@
         }
         for (const StoredItem& item : reply.items)
             applyWrite(item);
-        if (reply.hasMore && !reply.items.empty())
+        if (reply.hasMore && !reply.items.empty()) {
             readAfter(reply.items.back().key, read);
-        else
-            read.done();
+            return;
+        }
+        setCurrentAsOf(read.startedAt);
+        read.done();
     });
 }
 
@@ -84,13 +88,14 @@
     m_revisionsRead.clear();
     m_watchRevision = std::max(m_watchRevision, storeRevision);
     m_isSynchronized = true;
+    setCurrentAsOf(m_firstPageRequestedAt);
     watch();
 }
 
 void PrefixWatcher::watch()
 {
     m_store.watch(m_settings.prefix, m_watchRevision, m_settings.watchWait,
-        [this](const WatchReply& reply) { handleWatchReply(reply); });
+        [this, sentAt = m_clock.now()](const WatchReply& reply) { handleWatchReply(reply, sentAt); });
 }
 
 void PrefixWatcher::watchAfterPause()
@@ -115,7 +120,7 @@
     watch();
 }
 
-void PrefixWatcher::handleWatchReply(const WatchReply& reply)
+void PrefixWatcher::handleWatchReply(const WatchReply& reply, TimePoint sentAt)
 {
     if (reply.status == StoreStatus::Compacted) {
         readPage("");
@@ -134,9 +139,19 @@
             applyWrite(change.item);
     }
     m_watchRevision = std::max(m_watchRevision, reply.storeRevision);
+    setCurrentAsOf(sentAt);
     watchAfterPause();
 }
 
+void PrefixWatcher::setCurrentAsOf(TimePoint time)
+{
+    if (time <= m_currentAsOf)
+        return;
+    m_currentAsOf = time;
+    if (m_hooks.updated)
+        m_hooks.updated();
+}
+
 void PrefixWatcher::applyWrite(const StoredItem& item)
 {
     KeyRevision& known = m_knownRevisions[item.key];
--- a/modules/rattanroad_shards/store/PrefixWatcher.h
+++ b/modules/rattanroad_shards/store/PrefixWatcher.h
@@ -29,9 +29,11 @@
         std::function<void()> interrupted;
         /** Returns the pause before the next watch, during which changes accumulate. An empty hook means no pause. */
         std::function<Duration()> pause;
+        /** Called when currentAsOf() has risen; may be empty. */
+        std::function<void()> updated;
     };
 
-    PrefixWatcher(Settings settings, KeyValueStore& store, Timers timers, Hooks hooks);
+    PrefixWatcher(Settings settings, KeyValueStore& store, Timers timers, const Clock& clock, Hooks hooks);
     PrefixWatcher(const PrefixWatcher&) = delete;
     PrefixWatcher& operator=(const PrefixWatcher&) = delete;
 
@@ -43,6 +45,8 @@
     void watchNow();
     /** Returns whether all keys have been read at least once. */
     bool isSynchronized() const { return m_isSynchronized; }
+    /** Returns when the latest answered request was sent. An answer to a watch may hold a part of the changes. */
+    TimePoint currentAsOf() const { return m_currentAsOf; }
 
 private:
     void readPage(const std::string& after);
@@ -51,6 +55,7 @@
         std::string reader;
         /** Counts the reads of the reader. */
         std::uint64_t number;
+        TimePoint startedAt;
         std::function<void()> done;
     };
     /** Reads the page after @p key and the following ones, unless the read was replaced. */
@@ -61,7 +66,8 @@
     void finishReading(KeyRevision storeRevision);
     void watch();
     void watchAfterPause();
-    void handleWatchReply(const WatchReply& reply);
+    void handleWatchReply(const WatchReply& reply, TimePoint sentAt);
+    void setCurrentAsOf(TimePoint time);
     void applyWrite(const StoredItem& item);
     void applyRemoval(const std::string& key, KeyRevision revision);
     void retryReadLater();
@@ -69,13 +75,16 @@
     Settings m_settings;
     KeyValueStore& m_store;
     Timers m_timers;
+    const Clock& m_clock;
     Hooks m_hooks;
     std::map<std::string, KeyRevision> m_knownRevisions;
     /** Keys that the read in progress has returned. */
     std::map<std::string, KeyRevision> m_revisionsRead;
     /** Store revision of the first page. The watch starts there, because the pages together are not one snapshot. */
     KeyRevision m_firstPageRevision;
+    TimePoint m_firstPageRequestedAt;
     KeyRevision m_watchRevision;
+    TimePoint m_currentAsOf { distantPast };
     bool m_isSynchronized { false };
     /** Number of pauses so far; identifies the pause of a timer, so that the timer of an ended pause does nothing. */
     std::uint64_t m_pauseCount { 0 };
--- a/tests/shards/PrefixWatcherTests.cpp
+++ b/tests/shards/PrefixWatcherTests.cpp
@@ -37,7 +37,7 @@
         hooks.written = [this](const StoredItem& item) { keys.insert(item.key); };
         hooks.removed = [this](const std::string& key) { keys.erase(key); };
         const Timers timers { [this](Duration delay, auto action) { queue.after(delay, std::move(action)); } };
-        watcher = std::make_unique<PrefixWatcher>(PrefixWatcher::Settings { "t/" }, store, timers, hooks);
+        watcher = std::make_unique<PrefixWatcher>(PrefixWatcher::Settings { "t/" }, store, timers, clock, hooks);
         watcher->start();
         replyToRead({ itemAt("t/a", 5) }, 100);
     }
