Show that tasks start on targets that have said that they drain

Callers saw nothing yet: the target serves on for a while. Operators saw DRAIN, and what still runs when the target ends is lost.

Cause, as far as known: a host without a shard watches the target list every 4 s, an answer holds at most 500 changes, and a new holder does not wait for its next answer.

--- a/tests/emulator/EmulatedFleet.cpp
+++ b/tests/emulator/EmulatedFleet.cpp
@@ -15,6 +15,7 @@
     constexpr auto callerLatency = 3ms;
     constexpr auto resendPause = 1300ms;
     const std::string service = "quotes";
+    const std::string drainingSuffix = " draining";
 }
 
 EmulatedFleet::EmulatedFleet(Settings settings)
@@ -48,6 +49,25 @@
     m_store.put("servers/" + name, name);
 }
 
+void EmulatedFleet::listTarget(const TargetId& target)
+{
+    m_store.put("servers/" + target.value(), target.value() + (m_targets.isDraining(target) ? drainingSuffix : ""));
+}
+
+void EmulatedFleet::drainTarget(const TargetId& target)
+{
+    m_targets.setDraining(target);
+    addLogLine(target.value() + " drains");
+    listTarget(target);
+}
+
+void EmulatedFleet::repeatTargetEntries(Duration interval)
+{
+    for (const auto& report : m_targets.reports())
+        listTarget(report.first);
+    m_queue.after(interval, [this, interval] { repeatTargetEntries(interval); });
+}
+
 std::function<void()> EmulatedFleet::wrapInProcess(const HostId& id, std::function<void()> action)
 {
     return [this, id, isAlive = m_hosts[id].isAlive, action = std::move(action)] {
@@ -147,9 +167,13 @@
             line += std::string(" ") + field.first + "=" + field.second;
         addLogLine(line);
     };
-    hooks.parseTarget = [this](const std::string& target, const std::string&) -> std::optional<TargetReport> {
+    hooks.parseTarget = [this](const std::string& target, const std::string& value) -> std::optional<TargetReport> {
         const auto found = m_targets.reports().find(TargetId(target));
-        return found == m_targets.reports().end() ? std::nullopt : std::optional<TargetReport>(found->second);
+        if (found == m_targets.reports().end())
+            return std::nullopt;
+        TargetReport report = found->second;
+        report.isDraining = value == target + drainingSuffix;
+        return report;
     };
     hooks.parseConfiguration = [](const std::string& text) -> std::optional<QueueTable> {
         QueueTable table;
--- a/tests/emulator/EmulatedFleet.h
+++ b/tests/emulator/EmulatedFleet.h
@@ -67,7 +67,12 @@
     void endCutOff(const std::string& domain);
     /** Removes a target from the target list, as the store does when the lease of its entry ends. */
     void unlistTarget(const TargetId& target) { m_store.remove("servers/" + target.value()); }
-    void listTarget(const TargetId& target) { m_store.put("servers/" + target.value(), target.value()); }
+    /** Writes the entry of a target. */
+    void listTarget(const TargetId& target);
+    /** Writes in the entry of a target that it drains. */
+    void drainTarget(const TargetId& target);
+    /** Lets all targets write their entries at this interval. */
+    void repeatTargetEntries(Duration interval);
     /** Holds back the messages of a host to other hosts until releaseMessages(), as an interrupted connection does. */
     void holdMessages(const HostId& host) { m_heldMessages[host]; }
     void releaseMessages(const HostId& host);
--- a/tests/emulator/EmulatedStore.cpp
+++ b/tests/emulator/EmulatedStore.cpp
@@ -9,6 +9,8 @@
 
 namespace {
     constexpr auto callTimeout = 450ms;
+    /** Added to the wait of a watch to get its timeout. */
+    constexpr auto watchTimeoutMargin = 500ms;
     constexpr auto lateTransactionDelay = 3s;
     constexpr auto leaseCheckInterval = 20ms;
 
@@ -91,6 +93,10 @@
                                           || faults.refusedHosts.count(host);
                                       callback(isUnreachable ? WatchReply {} : reply);
                                   } });
+                if (!faults.silentPrefix.empty() && prefix == faults.silentPrefix) {
+                    m_queue.after(wait + watchTimeoutMargin, [callback] { callback({}); });
+                    return;
+                }
                 if (answerWatch(*watch, false))
                     return;
                 m_pendingWatches.push_back(watch);
@@ -266,6 +272,10 @@
         if (!isDeaf && change.item.revision.value() > watch.after && startsWith(change.item.key, watch.prefix))
             reply.changes.push_back(change);
     }
+    if (faults.maximumChanges != 0 && reply.changes.size() > faults.maximumChanges) {
+        reply.changes.resize(faults.maximumChanges);
+        reply.storeRevision = reply.changes.back().item.revision;
+    }
     if (reply.changes.empty() && !isTimedOut)
         return false;
     watch.isDone = true;
--- a/tests/emulator/EmulatedStore.h
+++ b/tests/emulator/EmulatedStore.h
@@ -27,6 +27,10 @@
         int lateTransactions { 0 };
         /** Watches of this prefix are told of no changes; empty for none. */
         std::string deafPrefix;
+        /** Watches of this prefix time out without an answer; empty for none. */
+        std::string silentPrefix;
+        /** Largest number of changes in the answer to a watch; 0 for no limit. */
+        std::size_t maximumChanges { 0 };
         /** Hosts whose calls are refused. */
         std::set<HostId> refusedHosts;
         /** Hosts whose calls are lost. */
--- a/tests/emulator/EmulatedTargets.cpp
+++ b/tests/emulator/EmulatedTargets.cpp
@@ -13,6 +13,8 @@
     constexpr auto longestLease = 1000ms;
     constexpr auto stopDuration = 40ms;
     constexpr auto leaseCheckInterval = 10ms;
+    /** A target that drains serves for this long. */
+    constexpr auto drainNotice = 2000ms;
 }
 
 std::string taskPayload(std::chrono::milliseconds duration, Resources resources, bool fails)
@@ -138,6 +140,7 @@
                 executeLate(request.target, [this, request] { start(request); });
                 unanswered();
             } else {
+                checkDraining(request.target);
                 const TargetCallResult ending = start(request);
                 if (isCrashed(request.target)) {
                     unanswered();
@@ -313,6 +316,16 @@
     return TargetCallResult::Done;
 }
 
+void EmulatedTargets::checkDraining(const TargetId& target)
+{
+    const auto since = m_drainingSince.find(target);
+    if (since == m_drainingSince.end() || m_queue.now() - since->second <= drainNotice)
+        return;
+    const auto elapsed = std::chrono::duration_cast<std::chrono::milliseconds>(m_queue.now() - since->second);
+    m_violations.push_back(
+        "start on " + target.value() + " " + std::to_string(elapsed.count()) + " ms after it began to drain");
+}
+
 void EmulatedTargets::end(const TargetId& id, const TaskId& task, RunOutcome outcome, const char* name)
 {
     Target& target = m_targets[id];
--- a/tests/emulator/EmulatedTargets.h
+++ b/tests/emulator/EmulatedTargets.h
@@ -71,6 +71,10 @@
     /** Stops a target for good: ends all its runs. Requests to it are lost, also those that are late. */
     void remove(const TargetId& target);
     bool isRemoved(const TargetId& target) const { return m_removed.count(target) != 0; }
+    /** The store has acknowledged that the target drains. A start that is sent later than the drain notice violates an
+        invariant. */
+    void setDraining(const TargetId& target) { m_drainingSince[target] = m_queue.now(); }
+    bool isDraining(const TargetId& target) const { return m_drainingSince.count(target) != 0; }
     /** Ends all runs of a target, which is back with the next incarnation after Faults::crashDuration. */
     void crash(const TargetId& target);
     /** Sets a function that is called when a target is back after a crash. */
@@ -80,7 +84,8 @@
 
     /** Returns all runs of all tasks, including ended ones. */
     const std::map<shards::TaskId, std::vector<Run>>& runs() const { return m_runs; }
-    /** Returns descriptions of the violated invariants: overlapping runs of a task, and exceeded capacity. */
+    /** Returns descriptions of the violated invariants: overlapping runs of a task, exceeded capacity, and starts on a
+        target that has drained for longer than the drain notice. */
     const std::vector<std::string>& violations() const { return m_violations; }
     /** Returns the number of current runs on all targets. */
     std::size_t running() const;
@@ -116,6 +121,7 @@
     void poll(const shards::PollRequest& request, const std::function<void(const shards::PollReply&)>& callback);
     shards::TargetReply reply(const TargetId& target, shards::TargetCallResult ending) const;
     shards::TargetCallResult start(const shards::StartRequest& request);
+    void checkDraining(const TargetId& target);
     void end(const TargetId& target, const shards::TaskId& task, shards::RunOutcome outcome, const char* name);
     void answerPoll(const shards::PollRequest& request, const std::function<void(const shards::PollReply&)>& callback);
     bool acceptToken(Target& target, shards::FencingToken token);
@@ -129,6 +135,7 @@
     std::map<TargetId, Target> m_targets;
     std::set<TargetId> m_removed;
     std::set<TargetId> m_crashedTargets;
+    std::map<TargetId, TimePoint> m_drainingSince;
     std::function<void(const TargetId&)> m_returnObserver;
     std::map<shards::TaskId, std::vector<Run>> m_runs;
     std::vector<std::string> m_violations;
