Keep the target list current: compare it with the store, and read it anew

Operators saw DRAIN on both grown sites: new holders started tasks on targets that had said that they drain 4 to 9 s before.

Cause: an answer to a watch holds at most 500 changes, and nothing tells that more are missing. A host without a shard paused for 4 s between two watches, in which 350 targets write 930 changes. It fell further behind with each answer, by up to 20 s, until the store had dropped the changes that it asked for; as a holder it needed seconds to catch up. A watch that is told of changes late, or that stays unanswered, was taken for current as well.

Change: PrefixWatcher reads all keys after a long pause, which also needs fewer bytes than the changes, and watches after short ones. While the host holds a shard, each round first asks for the revision of the store and then watches without a pause until it is reached; an answer that brings nothing, or none, leads to a read of all keys. currentAsOf() now means what it says. The pause without a shard is 3.5 s, so that an entry, which lasts for 4.5 s, is read at least once. A new holder asks at once, as before.

--- a/modules/rattanroad_shards/node/ShardNode.cpp
+++ b/modules/rattanroad_shards/node/ShardNode.cpp
@@ -122,7 +122,7 @@
                         { "continued", holding.isContinued ? "true" : "false" },
                         { "target_list_age_ms", std::to_string(targetListAge().count()) },
                         { "millicores", std::to_string(m_settings.processor.value()) } });
-                m_targetList.watchNow();
+                m_targetList.refresh();
                 m_shards[shard].dispatcher->begin(holding);
                 if (!holding.isContinued)
                     m_timers.after(m_settings.displacementTime, [this, shard] { readTargetList(shard); });
@@ -221,6 +221,7 @@
         hooks.pause = [this]() -> Duration {
             return isHolding() ? m_settings.targetListPause : m_settings.idleTargetListPause;
         };
+        hooks.isChecked = [this] { return isHolding(); };
         hooks.updated = [this] {
             for (auto& entry : m_shards)
                 entry.second.dispatcher->targetListUpdated(m_targetList.currentAsOf());
--- a/modules/rattanroad_shards/node/ShardNode.h
+++ b/modules/rattanroad_shards/node/ShardNode.h
@@ -42,8 +42,9 @@
         /** Pause between two watches of the targets while this host holds a shard. Targets write every 1.5 s, and a
             draining target must get no work after 2 s, so a holder has to notice within a quarter of that time. */
         std::chrono::milliseconds targetListPause { 400 };
-        /** Pause while this host holds no shard: it needs the list of targets only when it acquires one. */
-        std::chrono::milliseconds idleTargetListPause { 4000 };
+        /** Pause while this host holds no shard: it needs the list of targets only when it acquires one. An entry of a
+            target lasts for at least 4.5 s, so each is read, also when the store is slow. */
+        std::chrono::milliseconds idleTargetListPause { 3500 };
         /** Time after the acquisition of a shard within which its previous holder, if it lives, learns of it from a
            load and stops: the records are loaded from a slow store, and two loads are sent. */
         std::chrono::milliseconds displacementTime { 500 };
--- a/modules/rattanroad_shards/store/PrefixWatcher.cpp
+++ b/modules/rattanroad_shards/store/PrefixWatcher.cpp
@@ -13,11 +13,16 @@
 {
 }
 
-void PrefixWatcher::start() { readPage(""); }
+void PrefixWatcher::start()
+{
+    m_continuedAt = m_clock.now();
+    readPage("");
+}
 
 void PrefixWatcher::readPage(const std::string& after)
 {
     if (after.empty()) {
+        m_check.reset();
         m_revisionsRead.clear();
         m_firstPageRevision = KeyRevision(0);
         m_firstPageRequestedAt = m_clock.now();
@@ -31,6 +36,7 @@
         retryReadLater();
         return;
     }
+    m_failures = 0;
     if (m_firstPageRevision.value() == 0)
         m_firstPageRevision = reply.storeRevision;
     for (const StoredItem& item : reply.items) {
@@ -51,7 +57,7 @@
 
 void PrefixWatcher::readNow(const std::string& reader, const std::function<void()>& done)
 {
-    readAfter("", { reader, ++m_latestReads[reader], m_clock.now(), done });
+    readAfter("", { reader, ++m_latestReads[reader], done });
 }
 
 void PrefixWatcher::readAfter(const std::string& key, const Read& read)
@@ -71,7 +77,6 @@
             readAfter(reply.items.back().key, read);
             return;
         }
-        setCurrentAsOf(read.startedAt);
         read.done();
     });
 }
@@ -89,49 +94,102 @@
     m_watchRevision = std::max(m_watchRevision, storeRevision);
     m_isSynchronized = true;
     setCurrentAsOf(m_firstPageRequestedAt);
-    watch();
-}
-
-void PrefixWatcher::watch()
-{
-    m_store.watch(m_settings.prefix, m_watchRevision, m_settings.watchWait,
-        [this, sentAt = m_clock.now()](const WatchReply& reply) { handleWatchReply(reply, sentAt); });
+    continueAfterPause();
 }
 
-void PrefixWatcher::watchAfterPause()
+void PrefixWatcher::continueAfterPause()
 {
     const Duration pause = m_hooks.pause ? m_hooks.pause() : Duration(0);
-    if (pause == Duration(0)) {
-        watch();
+    m_isReadDue = pause > m_settings.longestWatchPause;
+    const Duration rest = pause - (m_clock.now() - m_continuedAt);
+    const bool isSkipped = m_isPauseSkipped;
+    m_isPauseSkipped = false;
+    if (isSkipped || rest <= Duration(0)) {
+        continueNow();
         return;
     }
     m_isPausing = true;
-    m_timers.after(pause, [this, number = ++m_pauseCount] {
+    m_timers.after(rest, [this, number = ++m_pauseCount] {
         if (m_isPausing && number == m_pauseCount)
-            watchNow();
+            continueNow();
     });
 }
 
-void PrefixWatcher::watchNow()
+void PrefixWatcher::continueNow()
 {
-    if (!m_isPausing)
-        return;
     m_isPausing = false;
-    watch();
+    m_continuedAt = m_clock.now();
+    if (m_isReadDue)
+        readPage("");
+    else
+        check();
+}
+
+void PrefixWatcher::refresh()
+{
+    if (m_isPausing)
+        continueNow();
+    else
+        m_isPauseSkipped = true;
+}
+
+void PrefixWatcher::check()
+{
+    m_check.reset();
+    if (!m_hooks.isChecked || !m_hooks.isChecked()) {
+        watch();
+        return;
+    }
+    // The page after the last key is empty unless keys were added, and tells the revision of the store.
+    const std::string lastKey = m_knownRevisions.empty() ? "" : m_knownRevisions.rbegin()->first;
+    m_store.readPage(m_settings.prefix, lastKey,
+        [this, sentAt = m_clock.now()](const ReadReply& reply) { handleCheckReply(reply, sentAt); });
+}
+
+void PrefixWatcher::handleCheckReply(const ReadReply& reply, TimePoint sentAt)
+{
+    if (reply.status != StoreStatus::Done) {
+        retryReadLater();
+        return;
+    }
+    m_failures = 0;
+    m_check = Check { sentAt, reply.storeRevision };
+    if (isBehind())
+        watch();
+    else
+        finishCheck();
 }
 
-void PrefixWatcher::handleWatchReply(const WatchReply& reply, TimePoint sentAt)
+void PrefixWatcher::finishCheck()
+{
+    setCurrentAsOf(m_check->sentAt);
+    m_check.reset();
+    continueAfterPause();
+}
+
+void PrefixWatcher::watch()
+{
+    m_store.watch(m_settings.prefix, m_watchRevision, m_check ? m_settings.checkedWatchWait : m_settings.watchWait,
+        [this](const WatchReply& reply) { handleWatchReply(reply); });
+}
+
+void PrefixWatcher::handleWatchReply(const WatchReply& reply)
 {
     if (reply.status == StoreStatus::Compacted) {
         readPage("");
         return;
     }
     if (reply.status != StoreStatus::Done) {
-        if (m_hooks.interrupted)
-            m_hooks.interrupted();
+        // A read tells more than the next watch, which can be left unanswered like this one.
+        if (m_check) {
+            retryReadLater();
+            return;
+        }
+        requestFailed();
         m_timers.after(m_settings.retryPause, [this] { watch(); });
         return;
     }
+    m_failures = 0;
     for (const KeyChange& change : reply.changes) {
         if (change.isRemoved)
             applyRemoval(change.item.key, change.item.revision);
@@ -139,8 +197,14 @@
             applyWrite(change.item);
     }
     m_watchRevision = std::max(m_watchRevision, reply.storeRevision);
-    setCurrentAsOf(sentAt);
-    watchAfterPause();
+    if (!m_check)
+        continueAfterPause();
+    else if (!isBehind())
+        finishCheck();
+    else if (reply.changes.empty())
+        readPage("");
+    else
+        watch();
 }
 
 void PrefixWatcher::setCurrentAsOf(TimePoint time)
@@ -170,10 +234,16 @@
     m_hooks.removed(key);
 }
 
-void PrefixWatcher::retryReadLater()
+void PrefixWatcher::requestFailed()
 {
+    ++m_failures;
     if (m_hooks.interrupted)
         m_hooks.interrupted();
+}
+
+void PrefixWatcher::retryReadLater()
+{
+    requestFailed();
     m_timers.after(m_settings.retryPause, [this] { readPage(""); });
 }
 
--- a/modules/rattanroad_shards/store/PrefixWatcher.h
+++ b/modules/rattanroad_shards/store/PrefixWatcher.h
@@ -4,12 +4,16 @@
 #include "rattanroad_shards/types/ShardTypes.h"
 
 #include <map>
+#include <optional>
 
 namespace rattanroad::shards {
 
 /** Reports all keys with one prefix and their changes: reads the keys, then watches for changes, and reads all keys
-    again when the store has compacted the changes that are needed. Never reports an older revision of a key after a
-    newer one.
+    again after a long pause and when the store has compacted the changes that are needed. Never reports an older
+    revision of a key after a newer one.
+
+    An answer to a watch holds a limited number of changes, and a watch can be told of changes late. A watcher that is
+    checked therefore compares the revision that it has reached with that of the store.
 */
 class PrefixWatcher {
 public:
@@ -17,6 +21,10 @@
         std::string prefix;
         /** A watch without changes returns after this time, so that a dead connection is noticed. */
         std::chrono::milliseconds watchWait { 1500 };
+        /** Wait of a watch that is checked. Short, because the changes to wait for have been made. */
+        std::chrono::milliseconds checkedWatchWait { 50 };
+        /** After a longer pause the keys are read again: most of them have changed, many more than once. */
+        std::chrono::milliseconds longestWatchPause { 1000 };
         /** Pause after a failed call: a quarter of the shortest outage that hosts notice. */
         std::chrono::milliseconds retryPause { 150 };
     };
@@ -27,8 +35,10 @@
         std::function<void(const std::string& key)> removed;
         /** Called when a call to the store failed. */
         std::function<void()> interrupted;
-        /** Returns the pause before the next watch, during which changes accumulate. An empty hook means no pause. */
+        /** Returns the shortest time between two requests for changes. An empty hook means no pause. */
         std::function<Duration()> pause;
+        /** Returns whether the watcher is checked, as currentAsOf() needs. An empty hook means that it is not. */
+        std::function<bool()> isChecked;
         /** Called when currentAsOf() has risen; may be empty. */
         std::function<void()> updated;
     };
@@ -41,12 +51,14 @@
     /** Reads all keys beside the watch, which can be told of changes late. Calls @p done when all writes before this
         call were processed. A later call of the same reader replaces one that is not done. */
     void readNow(const std::string& reader, const std::function<void()>& done);
-    /** Ends a pause between two watches, if there is one. */
-    void watchNow();
+    /** Ends the present pause, or skips the next one. */
+    void refresh();
     /** Returns whether all keys have been read at least once. */
     bool isSynchronized() const { return m_isSynchronized; }
-    /** Returns when the latest answered request was sent. An answer to a watch may hold a part of the changes. */
+    /** Returns a time such that all changes that the store had acknowledged before it were processed. */
     TimePoint currentAsOf() const { return m_currentAsOf; }
+    /** Returns how many requests in a row have failed up to now. */
+    int failures() const { return m_failures; }
 
 private:
     void readPage(const std::string& after);
@@ -55,7 +67,6 @@
         std::string reader;
         /** Counts the reads of the reader. */
         std::uint64_t number;
-        TimePoint startedAt;
         std::function<void()> done;
     };
     /** Reads the page after @p key and the following ones, unless the read was replaced. */
@@ -64,13 +75,22 @@
         back. */
     bool isUnusable(const ReadReply& reply) const;
     void finishReading(KeyRevision storeRevision);
+    /** Pauses, and then reads all keys or asks for changes. */
+    void continueAfterPause();
+    void continueNow();
+    /** Asks for the revision of the store, and then watches until it is reached. */
+    void check();
+    void handleCheckReply(const ReadReply& reply, TimePoint sentAt);
     void watch();
-    void watchAfterPause();
-    void handleWatchReply(const WatchReply& reply, TimePoint sentAt);
+    void handleWatchReply(const WatchReply& reply);
+    /** Returns whether the check in progress, if any, has found changes that are still missing. */
+    bool isBehind() const { return m_check && m_watchRevision < m_check->storeRevision; }
+    void finishCheck();
     void setCurrentAsOf(TimePoint time);
     void applyWrite(const StoredItem& item);
     void applyRemoval(const std::string& key, KeyRevision revision);
     void retryReadLater();
+    void requestFailed();
 
     Settings m_settings;
     KeyValueStore& m_store;
@@ -84,11 +104,24 @@
     KeyRevision m_firstPageRevision;
     TimePoint m_firstPageRequestedAt;
     KeyRevision m_watchRevision;
+    /** The store had this revision when it answered a request that was sent at this time. */
+    struct Check {
+        TimePoint sentAt;
+        KeyRevision storeRevision;
+    };
+    /** Present until the revision is reached. */
+    std::optional<Check> m_check;
     TimePoint m_currentAsOf { distantPast };
+    int m_failures { 0 };
     bool m_isSynchronized { false };
+    /** When the latest read, check or watch after a pause began. */
+    TimePoint m_continuedAt { distantPast };
     /** Number of pauses so far; identifies the pause of a timer, so that the timer of an ended pause does nothing. */
     std::uint64_t m_pauseCount { 0 };
     bool m_isPausing { false };
+    /** The pause in progress is long enough that all keys are read after it. */
+    bool m_isReadDue { false };
+    bool m_isPauseSkipped { false };
     /** Number of the latest read of each reader. */
     std::map<std::string, std::uint64_t> m_latestReads;
 };
--- a/tests/shards/DrainingTargetTests.cpp
+++ b/tests/shards/DrainingTargetTests.cpp
@@ -9,6 +9,8 @@
 
 constexpr auto entryInterval = 1500ms;
 constexpr auto drainNotice = 2000ms;
+/** Within this time a host notices that the store answers again. */
+constexpr auto storeRetryTime = 300ms;
 /** No host acquires the shard of another one before its lease has ended. */
 constexpr auto takeoverTime = 3s;
 const TargetId drainingTarget("target-north-0");
@@ -102,9 +104,12 @@
     auto& faults = drain.fleet().store().faults;
     for (const HostId& host : drain.fleet().hosts())
         faults.refusedHosts.insert(host);
+    faults.maximumChanges = 5;
+    drain.fleet().run(1500ms);
     drain.drain();
-    drain.fleet().run(3500ms);
+    drain.fleet().run(drainNotice);
     faults.refusedHosts.clear();
+    drain.fleet().run(storeRetryTime);
     const TimePoint endedAt = drain.fleet().queue().now();
     drain.submitJobsFor(3s);
     requireNoViolations(drain.fleet());
@@ -116,6 +121,8 @@
     DrainFleet drain(1);
     for (const HostId& host : drain.fleet().hosts())
         drain.fleet().pause(host);
+    drain.fleet().store().faults.maximumChanges = 5;
+    drain.fleet().run(1500ms);
     drain.drain();
     drain.fleet().run(drainNotice + 100ms);
     for (const HostId& host : drain.fleet().hosts())
