Start nothing by a target list from before the acquisition or of over 1.8 s

Cause: a holder placed tasks by the target list that it happened to have. Nothing waited for the answer that it asks for at the acquisition, and nothing limited the age of the list later: after a pause, or while requests for it fail, a holder went on for as long as it liked.

Change: ShardTargets knows as of when the list is current. Tasks wait, and starts are not repeated, until the list is current as of the begin of the holding, also of a continued one, and while it is older than 1.8 s: a target may get starts for 2 s after its entry says that it drains, the least of the users' sites, and a start takes up to 120 ms to reach it. Lines starts_paused and starts_resumed.

--- a/benchmarks/ShardBenchmark.cpp
+++ b/benchmarks/ShardBenchmark.cpp
@@ -54,6 +54,7 @@
             m_dispatcher.targetListed(report);
         }
         m_dispatcher.begin({ FencingToken(1), Generation(1), false });
+        updateTargetList();
         run(5s);
     }
 
@@ -129,6 +130,12 @@
             job, 0ms, false, { "entrance", m_clock.now() }, [](SubmitVerdict, std::chrono::milliseconds) {});
     }
 
+    void updateTargetList()
+    {
+        m_dispatcher.targetListUpdated(m_clock.now());
+        m_queue.after(400ms, [this] { updateTargetList(); });
+    }
+
     void repeatSubmissions()
     {
         for (const auto& job : m_open)
--- a/modules/rattanroad_shards/jobs/ShardDispatcher.cpp
+++ b/modules/rattanroad_shards/jobs/ShardDispatcher.cpp
@@ -16,7 +16,7 @@
     , m_writer({ storekeys::holder(m_settings.shard) }, store, m_timers, { [this] { m_hooks.keyChanged(); } })
     , m_records({ storekeys::jobPrefix, m_settings.sweepInterval }, store, m_timers,
           { [this](const StoredItem& item) { loadRecord(item); }, [this] { finishLoading(); } })
-    , m_targets(m_settings.targets, targets, m_timers, clock, sessionHooks())
+    , m_targets(m_settings.targets, targets, m_timers, clock, sessionHooks(), m_hooks.isStoreLost)
     , m_jobs(m_settings.jobs, clock)
     , m_runner(m_settings.running, m_jobs, m_targets, m_timers, clock, runnerHooks())
     , m_acquiredAt(clock.now())
@@ -27,8 +27,8 @@
 void ShardDispatcher::begin(const ShardElection::Holding& holding)
 {
     m_holding = holding;
-    m_begunAt = m_clock.now();
-    m_isTargetListRecent = false;
+    m_targetListAwaitedSince = m_clock.now();
+    m_targets.requireListSince(*m_targetListAwaitedSince);
     m_writer.begin(holding.token, holding.isContinued && m_isLoaded);
     if (holding.isContinued && m_isLoaded) {
         m_targets.setToken(holding.token);
@@ -188,10 +188,13 @@
 
 void ShardDispatcher::targetListUpdated(TimePoint time)
 {
-    if (!m_holding || m_isTargetListRecent || time < m_begunAt)
+    m_targets.listUpdated(time);
+    m_runner.scheduleSoon();
+    if (!m_holding || !m_targetListAwaitedSince || time < *m_targetListAwaitedSince)
         return;
-    m_isTargetListRecent = true;
-    const auto elapsed = std::chrono::duration_cast<std::chrono::milliseconds>(m_clock.now() - m_begunAt);
+    const auto elapsed
+        = std::chrono::duration_cast<std::chrono::milliseconds>(m_clock.now() - *m_targetListAwaitedSince);
+    m_targetListAwaitedSince.reset();
     m_hooks.log("target_list_recent", JobId(),
         "shard " + m_settings.shard.value() + ", " + std::to_string(elapsed.count()) + " ms after its acquisition");
 }
--- a/modules/rattanroad_shards/jobs/ShardDispatcher.h
+++ b/modules/rattanroad_shards/jobs/ShardDispatcher.h
@@ -53,6 +53,8 @@
         std::function<void()> keyChanged;
         /** A target or a job record shows that a later holder exists. */
         std::function<void()> displaced;
+        /** Returns whether the store has been out of reach for a while; may be empty. */
+        std::function<bool()> isStoreLost;
         /** Logs an event of a job, or of the shard when the job id is empty. */
         std::function<void(const char* event, const JobId&, const std::string& detail)> log;
     };
@@ -83,7 +85,7 @@
 
     void targetListed(const TargetReport& report);
     void targetUnlisted(const TargetId& target) { m_targets.unlisted(target); }
-    /** The target list was requested at @p time and the answer was processed. */
+    /** The target list has all changes that the store had acknowledged before @p time. */
     void targetListUpdated(TimePoint time);
     /** Updates of the target list were interrupted, so targets may be missing from it. */
     void targetListInterrupted() { m_targets.listInterrupted(); }
@@ -154,10 +156,8 @@
     /** Stored jobs may have runs of an earlier holder. */
     bool m_isRecovering { false };
     TimePoint m_acquiredAt;
-    /** When the holding began; later than m_acquiredAt for a continued one. */
-    TimePoint m_begunAt;
-    /** The target list was read since the holding began. */
-    bool m_isTargetListRecent { false };
+    /** When the holding began, until the target list is current as of then. */
+    std::optional<TimePoint> m_targetListAwaitedSince;
     std::map<JobId, std::vector<SubmitReply>> m_submitReplies;
     std::uint64_t m_lastCompletionSequence { 0 };
     /** Runs of stored jobs that the previous holder handed over, until the records of the jobs are loaded. */
--- a/modules/rattanroad_shards/jobs/TaskRunner.cpp
+++ b/modules/rattanroad_shards/jobs/TaskRunner.cpp
@@ -273,8 +273,22 @@
     });
 }
 
+bool TaskRunner::maySchedule()
+{
+    const bool isListRecent = m_targets.isListRecent();
+    if (isListRecent == m_isListRecent)
+        return isListRecent;
+    m_isListRecent = isListRecent;
+    const auto age = std::chrono::duration_cast<std::chrono::milliseconds>(m_clock.now() - m_targets.listCurrentAsOf());
+    m_hooks.log(isListRecent ? "starts_resumed" : "starts_paused", JobId(),
+        "target list of " + std::to_string(age.count()) + " ms ago");
+    return isListRecent;
+}
+
 void TaskRunner::schedule()
 {
+    if (!maySchedule())
+        return;
     PlacementPass pass = m_targets.beginPass();
     for (ShardJob* const job : m_jobs.openJobsInOrder())
         placeJob(*job, pass);
--- a/modules/rattanroad_shards/jobs/TaskRunner.h
+++ b/modules/rattanroad_shards/jobs/TaskRunner.h
@@ -81,6 +81,8 @@
     /** The task is null when the job is not in memory or has no such task. */
     TaskLookup find(const TaskId& id) const;
     void schedule();
+    /** Returns whether tasks may start, and logs when that changes. */
+    bool maySchedule();
     void placeJob(ShardJob& job, PlacementPass& pass);
     /** Returns false when no target can take the task now. */
     bool placeTask(ShardJob& job, std::size_t phase, std::uint32_t index, PlacementPass& pass);
@@ -106,6 +108,8 @@
     /** Tasks that have lost a run. */
     std::set<TaskId> m_suspects;
     bool m_isScheduled { false };
+    /** The target list was recent enough for starts at the last check. */
+    bool m_isListRecent { true };
 };
 
 }
--- a/modules/rattanroad_shards/node/ShardNode.cpp
+++ b/modules/rattanroad_shards/node/ShardNode.cpp
@@ -109,6 +109,7 @@
             hooks.jobEnded = [this](const ShardJob& job) { reportJobEnd(job); };
             hooks.keyChanged = [this, shard] { m_shards[shard].election->keyChanged(); };
             hooks.displaced = [this, shard] { m_shards[shard].election->displaced(); };
+            hooks.isStoreLost = [this] { return isStoreLost(); };
             hooks.log = [this](const char* event, const JobId& job, const std::string& detail) {
                 m_hooks.log(event, { { "job", job.value() }, { "detail", detail } });
             };
@@ -122,8 +123,9 @@
                         { "continued", holding.isContinued ? "true" : "false" },
                         { "target_list_age_ms", std::to_string(targetListAge().count()) },
                         { "millicores", std::to_string(m_settings.processor.value()) } });
-                m_targetList.refresh();
                 m_shards[shard].dispatcher->begin(holding);
+                // Nothing starts until the list is current as of the acquisition.
+                m_targetList.refresh();
                 if (!holding.isContinued)
                     m_timers.after(m_settings.displacementTime, [this, shard] { readTargetList(shard); });
             };
@@ -229,6 +231,8 @@
         return hooks;
     }
 
+    bool isStoreLost() const { return !m_lease.isValid() && m_targetList.failures() >= m_settings.lostStoreFailures; }
+
     std::chrono::milliseconds targetListAge() const
     {
         return std::chrono::duration_cast<std::chrono::milliseconds>(m_clock.now() - m_targetList.currentAsOf());
--- a/modules/rattanroad_shards/node/ShardNode.h
+++ b/modules/rattanroad_shards/node/ShardNode.h
@@ -45,6 +45,9 @@
         /** Pause while this host holds no shard: it needs the list of targets only when it acquires one. An entry of a
             target lasts for at least 4.5 s, so each is read, also when the store is slow. */
         std::chrono::milliseconds idleTargetListPause { 3500 };
+        /** The store is lost when the lease has ended and this many requests for the list of targets have failed in a
+            row. After a pause of the process, the first can have been sent before it. */
+        int lostStoreFailures { 3 };
         /** Time after the acquisition of a shard within which its previous holder, if it lives, learns of it from a
            load and stops: the records are loaded from a slow store, and two loads are sent. */
         std::chrono::milliseconds displacementTime { 500 };
--- a/modules/rattanroad_shards/targets/ShardTargets.cpp
+++ b/modules/rattanroad_shards/targets/ShardTargets.cpp
@@ -5,17 +5,26 @@
 
 namespace rattanroad::shards {
 
-ShardTargets::ShardTargets(
-    Settings settings, TargetCalls& calls, Timers timers, const Clock& clock, TargetSession::Hooks hooks)
+ShardTargets::ShardTargets(Settings settings, TargetCalls& calls, Timers timers, const Clock& clock,
+    TargetSession::Hooks hooks, std::function<bool()> isStoreLost)
     : m_settings(settings)
     , m_calls(calls)
     , m_timers(std::move(timers))
     , m_clock(clock)
     , m_hooks(std::move(hooks))
+    , m_isStoreLost(std::move(isStoreLost))
     , m_placer(settings.placement)
     , m_outliers(settings.outliers, clock)
     , m_lastListGap(clock.now())
 {
+    m_hooks.isListRecent = [this] { return isListRecent(); };
+}
+
+bool ShardTargets::isListRecent() const
+{
+    const bool isRecent
+        = m_listCurrentAsOf >= m_listRequiredSince && m_clock.now() - m_listCurrentAsOf < m_settings.maximumListAge;
+    return isRecent || (m_isStoreLost && m_isStoreLost());
 }
 
 void ShardTargets::listed(const TargetReport& report)
--- a/modules/rattanroad_shards/targets/ShardTargets.h
+++ b/modules/rattanroad_shards/targets/ShardTargets.h
@@ -22,6 +22,9 @@
             time that a holder goes on without one, the lease of a target, the drift of its clock, and the delay of the
             target list. */
         std::chrono::milliseconds earlierHolderExpiry { 13500 };
+        /** Nothing starts while the target list is older. A target may get starts for 2 s after the store has
+            acknowledged that it drains, and a start takes up to 120 ms to reach it. */
+        std::chrono::milliseconds maximumListAge { 1800 };
         /** Time for which a target without a list entry is kept: entries whose leases expired during an outage of the
             store are back within two seconds. */
         std::chrono::milliseconds unlistedRetention { 3500 };
@@ -38,12 +41,24 @@
         TaskId task;
     };
 
-    ShardTargets(Settings settings, TargetCalls& calls, Timers timers, const Clock& clock, TargetSession::Hooks hooks);
+    /** @p isStoreLost returns whether the store has been out of reach for a while, so that the list cannot be read; may
+        be empty. */
+    ShardTargets(Settings settings, TargetCalls& calls, Timers timers, const Clock& clock, TargetSession::Hooks hooks,
+        std::function<bool()> isStoreLost);
     ShardTargets(const ShardTargets&) = delete;
     ShardTargets& operator=(const ShardTargets&) = delete;
 
     void listed(const TargetReport& report);
     void unlisted(const TargetId& target);
+    /** The target list has all changes that the store had acknowledged before @p time. */
+    void listUpdated(TimePoint time) { m_listCurrentAsOf = time; }
+    /** Lets nothing start until the target list is current as of @p time. */
+    void requireListSince(TimePoint time) { m_listRequiredSince = time; }
+    /** Returns whether the list is recent enough to tell which targets have to get no more starts. While the store is
+        lost it is, however old: the host serves its targets without the store. */
+    bool isListRecent() const;
+    /** Returns when the target list was current. */
+    TimePoint listCurrentAsOf() const { return m_listCurrentAsOf; }
     /** Updates of the target list were interrupted, so targets may be missing from it. */
     void listInterrupted() { m_lastListGap = m_clock.now(); }
     /** The whole target list was read after the previous holder had stopped. */
@@ -110,6 +125,7 @@
     Timers m_timers;
     const Clock& m_clock;
     TargetSession::Hooks m_hooks;
+    std::function<bool()> m_isStoreLost;
     TaskPlacer m_placer;
     RunTimeModel m_runTimes;
     OutlierDetector m_outliers;
@@ -118,6 +134,8 @@
     bool m_isClosed { false };
     /** The list contains all targets that an earlier holder has used. */
     bool m_isListCurrent { false };
+    TimePoint m_listCurrentAsOf { distantPast };
+    TimePoint m_listRequiredSince { distantPast };
     /** When the list may last have been incomplete. */
     TimePoint m_lastListGap;
     std::map<TargetId, TargetReport> m_reports;
--- a/modules/rattanroad_shards/targets/TargetSession.cpp
+++ b/modules/rattanroad_shards/targets/TargetSession.cpp
@@ -232,13 +232,19 @@
         pollNow();
         return;
     }
-    const bool isRetryable = result == TargetCallResult::Unknown || result == TargetCallResult::NotSent;
-    if (isRetryable && run.sends < m_settings.maximumStartSends && canStart())
+    if (mayRepeatStart(run, result))
         sendStart(task, run);
     else
         stop(task);
 }
 
+bool TargetSession::mayRepeatStart(const Run& run, TargetCallResult result) const
+{
+    const bool isRetryable = result == TargetCallResult::Unknown || result == TargetCallResult::NotSent;
+    const bool isListRecent = !m_hooks.isListRecent || m_hooks.isListRecent();
+    return isRetryable && run.sends < m_settings.maximumStartSends && isListRecent && canStart();
+}
+
 void TargetSession::stop(const TaskId& task)
 {
     const auto found = m_runs.find(task);
--- a/modules/rattanroad_shards/targets/TargetSession.h
+++ b/modules/rattanroad_shards/targets/TargetSession.h
@@ -96,6 +96,8 @@
         /** Returns the latest time at which the lease of a target with a run of this task may end. An empty hook means
             no limit. */
         std::function<TimePoint(const TaskId&)> leaseLimit;
+        /** Returns whether the target list is recent enough for starts. An empty hook means that it is. */
+        std::function<bool()> isListRecent;
     };
 
     TargetSession(Settings settings, TargetReport report, FencingToken token, TargetCalls& calls, Timers timers,
@@ -149,6 +151,7 @@
     /** Handles a reply that leaves open whether a start was carried out: sends it again, stops the run, or polls for
         its completion. */
     void resolveUnconfirmedStart(const TaskId& task, Run& run, TargetCallResult result);
+    bool mayRepeatStart(const Run& run, TargetCallResult result) const;
     void recordUnansweredStart(const TaskId& task, std::uint32_t attempt);
     /** Returns whether an unanswered start of the task, up to this attempt, may still be carried out. */
     bool mayStartLate(const TaskId& task, std::uint32_t highestAttempt) const;
--- a/tests/emulator/EmulatedStore.cpp
+++ b/tests/emulator/EmulatedStore.cpp
@@ -62,6 +62,10 @@
         call(
             host,
             [this, prefix, after, callback] {
+                if (prefix == faults.unreadablePrefix) {
+                    m_queue.after(callTimeout, [callback] { callback({}); });
+                    return;
+                }
                 constexpr std::size_t pageSize = 20;
                 ReadReply reply { StoreStatus::Done, {}, false, KeyRevision(m_revision) };
                 for (auto item = m_items.upper_bound(std::max(prefix, after)); item != m_items.end(); ++item) {
@@ -93,7 +97,7 @@
                                           || faults.refusedHosts.count(host);
                                       callback(isUnreachable ? WatchReply {} : reply);
                                   } });
-                if (!faults.silentPrefix.empty() && prefix == faults.silentPrefix) {
+                if (prefix == faults.silentPrefix || prefix == faults.unreadablePrefix) {
                     m_queue.after(wait + watchTimeoutMargin, [callback] { callback({}); });
                     return;
                 }
--- a/tests/emulator/EmulatedStore.h
+++ b/tests/emulator/EmulatedStore.h
@@ -29,6 +29,8 @@
         std::string deafPrefix;
         /** Watches of this prefix time out without an answer; empty for none. */
         std::string silentPrefix;
+        /** Reads and watches of this prefix time out without an answer; empty for none. */
+        std::string unreadablePrefix;
         /** Largest number of changes in the answer to a watch; 0 for no limit. */
         std::size_t maximumChanges { 0 };
         /** Hosts whose calls are refused. */
--- a/tests/shards/DispatcherTests.cpp
+++ b/tests/shards/DispatcherTests.cpp
@@ -88,9 +88,17 @@
     {
         m_dispatcher.begin({ FencingToken(generation), Generation(generation), false });
         m_dispatcher.targetListRead();
+        m_dispatcher.targetListUpdated(m_clock.now());
     }
     const Clock& clock() const { return m_clock; }
-    void run(Duration duration) { m_queue.runUntil(m_clock.now() + duration); }
+    void run(Duration duration)
+    {
+        const TimePoint end = m_clock.now() + duration;
+        while (m_clock.now() < end) {
+            m_dispatcher.targetListUpdated(m_clock.now());
+            m_queue.runUntil(std::min(end, m_clock.now() + 1s));
+        }
+    }
     /** Runs until @p isDone returns true or 10 s have passed; returns whether it did. */
     bool runUntil(const std::function<bool()>& isDone)
     {
--- a/tests/shards/DrainingTargetTests.cpp
+++ b/tests/shards/DrainingTargetTests.cpp
@@ -168,3 +168,33 @@
     requireNoViolations(drain.fleet());
     drain.requireServiceAfter(drainedAt + drainNotice);
 }
+
+TEST_CASE("a holder that cannot read the target list starts nothing until it can")
+{
+    DrainFleet drain;
+    auto& faults = drain.fleet().store().faults;
+    faults.unreadablePrefix = "servers/";
+    drain.drain();
+    drain.submitJobsFor(5s);
+    faults.unreadablePrefix.clear();
+    const TimePoint endedAt = drain.fleet().queue().now();
+    drain.submitJobsFor(2s);
+    requireNoViolations(drain.fleet());
+    drain.requireServiceAfter(endedAt);
+}
+
+TEST_CASE("a new holder starts nothing until it has read the target list once")
+{
+    DrainFleet drain;
+    auto& faults = drain.fleet().store().faults;
+    faults.unreadablePrefix = "servers/";
+    drain.drain();
+    drain.fleet().kill(drain.holder());
+    drain.submitJobsFor(takeoverTime + 3s);
+    REQUIRE(drain.fleet().holderOf("north") != drain.holder());
+    faults.unreadablePrefix.clear();
+    const TimePoint endedAt = drain.fleet().queue().now();
+    drain.submitJobsFor(2s);
+    requireNoViolations(drain.fleet());
+    drain.requireServiceAfter(endedAt);
+}
--- a/tests/shards/PlacementTests.cpp
+++ b/tests/shards/PlacementTests.cpp
@@ -20,7 +20,7 @@
         : m_queue(m_clock)
         , m_emulated(m_queue)
         , m_calls(m_emulated.callsFrom(HostId("host")))
-        , m_targets({}, m_calls, timers(), m_clock, sessionHooks())
+        , m_targets({}, m_calls, timers(), m_clock, sessionHooks(), {})
         , m_jobs({}, m_clock)
         , m_runner({}, m_jobs, m_targets, timers(), m_clock, runnerHooks())
     {
@@ -75,7 +75,11 @@
         return m_targets.examinedTargets() - before;
     }
 
-    void run(Duration duration) { m_queue.runUntil(m_clock.now() + duration); }
+    void run(Duration duration)
+    {
+        m_targets.listUpdated(m_clock.now());
+        m_queue.runUntil(m_clock.now() + duration);
+    }
     EmulatedTargets& emulated() { return m_emulated; }
     ShardTargets& targets() { return m_targets; }
     const Clock& clock() const { return m_clock; }
--- a/tests/shards/TargetListTests.cpp
+++ b/tests/shards/TargetListTests.cpp
@@ -21,7 +21,7 @@
         , m_calls(m_emulated.callsFrom(HostId("host")))
         , m_targets({}, m_calls,
               { [this](Duration delay, std::function<void()> action) { m_queue.after(delay, std::move(action)); } },
-              m_clock, hooks())
+              m_clock, hooks(), {})
     {
         for (const char* const id : { "a", "b" }) {
             TargetReport report;
