Start nothing on a target whose entry was overwritten by an unreadable one

Cause: an entry that could not be parsed was ignored, so the target kept its former report and got starts for as long as it answered. The users' page says that such an entry names no target to use. The same cause as the starts on draining targets: a decision on a report that no longer holds.

Change: the target is unlisted, as if its entry had been removed, until it is listed again. An entry of an unknown failure domain is treated the same, and logged as target_ignored.

Evidence: "a target whose entry was overwritten by an unreadable one gets no more starts" fails without the change and passes with it. The emulated fleet can overwrite entries.

--- a/modules/rattanroad_shards/node/ShardNode.cpp
+++ b/modules/rattanroad_shards/node/ShardNode.cpp
@@ -199,26 +199,19 @@
     {
         PrefixWatcher::Hooks hooks;
         hooks.written = [this](const StoredItem& item) {
-            const std::string id = item.key.substr(m_settings.targetPrefix.size());
-            const auto report = m_hooks.parseTarget(id, item.value);
-            if (!report) {
-                m_hooks.log("target_ignored", { { "target", id } });
+            const TargetId id(item.key.substr(m_settings.targetPrefix.size()));
+            const auto report = m_hooks.parseTarget(id.value(), item.value);
+            const auto shard = report ? m_shards.find(ShardId(report->failureDomain.value())) : m_shards.end();
+            if (shard == m_shards.end()) {
+                m_hooks.log("target_ignored", { { "target", id.value() } });
+                unlistTarget(id);
                 return;
             }
-            const auto shard = m_shards.find(ShardId(report->failureDomain.value()));
-            if (shard == m_shards.end())
-                return;
-            m_shardByTarget[report->id] = shard->first;
+            m_shardByTarget[id] = shard->first;
             shard->second.dispatcher->targetListed(*report);
         };
-        hooks.removed = [this](const std::string& key) {
-            const TargetId id(key.substr(m_settings.targetPrefix.size()));
-            const auto shard = m_shardByTarget.find(id);
-            if (shard == m_shardByTarget.end())
-                return;
-            m_shards[shard->second].dispatcher->targetUnlisted(id);
-            m_shardByTarget.erase(shard);
-        };
+        hooks.removed
+            = [this](const std::string& key) { unlistTarget(TargetId(key.substr(m_settings.targetPrefix.size()))); };
         hooks.interrupted = [this] { storeInterrupted(); };
         hooks.pause = [this]() -> Duration {
             return isHolding() ? m_settings.targetListPause : m_settings.idleTargetListPause;
@@ -238,6 +231,16 @@
         return std::chrono::duration_cast<std::chrono::milliseconds>(m_clock.now() - m_targetList.currentAsOf());
     }
 
+    /** Removes a target from the list of its shard, if it is in one. */
+    void unlistTarget(const TargetId& target)
+    {
+        const auto shard = m_shardByTarget.find(target);
+        if (shard == m_shardByTarget.end())
+            return;
+        m_shards[shard->second].dispatcher->targetUnlisted(target);
+        m_shardByTarget.erase(shard);
+    }
+
     /** Called when the previous holder of the shard has stopped. By then it can have used targets that are new here. */
     void readTargetList(const ShardId& shard)
     {
--- a/tests/emulator/EmulatedFleet.cpp
+++ b/tests/emulator/EmulatedFleet.cpp
@@ -16,6 +16,7 @@
     constexpr auto resendPause = 1300ms;
     const std::string service = "quotes";
     const std::string drainingSuffix = " draining";
+    const std::string domainSeparator = " in ";
 }
 
 EmulatedFleet::EmulatedFleet(Settings settings)
@@ -61,6 +62,11 @@
     listTarget(target);
 }
 
+void EmulatedFleet::moveTarget(const TargetId& target, const std::string& domain)
+{
+    m_store.put("servers/" + target.value(), target.value() + domainSeparator + domain);
+}
+
 void EmulatedFleet::repeatTargetEntries(Duration interval)
 {
     for (const auto& report : m_targets.reports())
@@ -169,10 +175,13 @@
     };
     hooks.parseTarget = [this](const std::string& target, const std::string& value) -> std::optional<TargetReport> {
         const auto found = m_targets.reports().find(TargetId(target));
-        if (found == m_targets.reports().end())
+        if (found == m_targets.reports().end() || value.empty())
             return std::nullopt;
         TargetReport report = found->second;
         report.isDraining = value == target + drainingSuffix;
+        const std::size_t separator = value.find(domainSeparator);
+        if (separator != std::string::npos)
+            report.failureDomain = FailureDomainId(value.substr(separator + domainSeparator.size()));
         return report;
     };
     hooks.parseConfiguration = [](const std::string& text) -> std::optional<QueueTable> {
--- a/tests/emulator/EmulatedFleet.h
+++ b/tests/emulator/EmulatedFleet.h
@@ -71,6 +71,10 @@
     void listTarget(const TargetId& target);
     /** Writes in the entry of a target that it drains. */
     void drainTarget(const TargetId& target);
+    /** Overwrites the entry of a target with something that cannot be parsed. */
+    void garbleTarget(const TargetId& target) { m_store.put("servers/" + target.value(), ""); }
+    /** Writes in the entry of a target that it is in another failure domain. */
+    void moveTarget(const TargetId& target, const std::string& domain);
     /** Lets all targets write their entries at this interval. */
     void repeatTargetEntries(Duration interval);
     /** Holds back the messages of a host to other hosts until releaseMessages(), as an interrupted connection does. */
--- a/tests/shards/DrainingTargetTests.cpp
+++ b/tests/shards/DrainingTargetTests.cpp
@@ -198,3 +198,21 @@
     requireNoViolations(drain.fleet());
     drain.requireServiceAfter(endedAt);
 }
+
+// An entry that cannot be read names no target to use, and says nothing about the one that it named before.
+TEST_CASE("a target whose entry was overwritten by an unreadable one gets no more starts")
+{
+    EmulatedFleet fleet;
+    fleet.startAll();
+    fleet.garbleTarget(drainingTarget);
+    fleet.run(1s);
+    for (int job = 0; job < 6; ++job)
+        fleet.submit(HostId("north-0"), "job-" + std::to_string(job), 2, 60ms, true);
+    fleet.run(1s);
+    showLog(fleet);
+    REQUIRE(!fleet.targets().runs().empty());
+    for (const auto& task : fleet.targets().runs()) {
+        for (const auto& run : task.second)
+            REQUIRE(run.target != drainingTarget);
+    }
+}
