Let a target be used by one shard when its entry names another domain

Cause: a target whose entry moved to another failure domain stayed in the list of its earlier shard. Two holders polled it with different tokens; the one with the lower token was fenced off, took that for a later holder and gave its whole shard up.

It goes on if the entry comes back.

Evidence: "a target whose entry names another failure domain gets starts from one holder only" fails without the change, a shard_lost of the earlier holder, and passes with it. Open: the new holder can renew the lease of the target before it stops runs that it does not know.

--- a/modules/rattanroad_shards/jobs/ShardDispatcher.h
+++ b/modules/rattanroad_shards/jobs/ShardDispatcher.h
@@ -85,6 +85,8 @@
 
     void targetListed(const TargetReport& report);
     void targetUnlisted(const TargetId& target) { m_targets.unlisted(target); }
+    /** The target is listed in another shard. */
+    void targetMoved(const TargetId& target) { m_targets.moved(target); }
     /** The target list has all changes that the store had acknowledged before @p time. */
     void targetListUpdated(TimePoint time);
     /** Updates of the target list were interrupted, so targets may be missing from it. */
--- a/modules/rattanroad_shards/node/ShardNode.cpp
+++ b/modules/rattanroad_shards/node/ShardNode.cpp
@@ -207,6 +207,9 @@
                 unlistTarget(id);
                 return;
             }
+            const auto known = m_shardByTarget.find(id);
+            if (known != m_shardByTarget.end() && known->second != shard->first)
+                m_shards[known->second].dispatcher->targetMoved(id);
             m_shardByTarget[id] = shard->first;
             shard->second.dispatcher->targetListed(*report);
         };
--- a/modules/rattanroad_shards/targets/ShardTargets.cpp
+++ b/modules/rattanroad_shards/targets/ShardTargets.cpp
@@ -59,6 +59,13 @@
         m_lastListGap = m_clock.now();
 }
 
+void ShardTargets::moved(const TargetId& target)
+{
+    unlisted(target);
+    if (TargetSession* const opened = session(target))
+        opened->setMoved();
+}
+
 void ShardTargets::open(FencingToken token)
 {
     m_token = token;
--- a/modules/rattanroad_shards/targets/ShardTargets.h
+++ b/modules/rattanroad_shards/targets/ShardTargets.h
@@ -50,6 +50,8 @@
 
     void listed(const TargetReport& report);
     void unlisted(const TargetId& target);
+    /** The target is listed in another shard. */
+    void moved(const TargetId& target);
     /** The target list has all changes that the store had acknowledged before @p time. */
     void listUpdated(TimePoint time) { m_listCurrentAsOf = time; }
     /** Lets nothing start until the target list is current as of @p time. */
--- a/modules/rattanroad_shards/targets/TargetSession.cpp
+++ b/modules/rattanroad_shards/targets/TargetSession.cpp
@@ -40,6 +40,7 @@
 void TargetSession::setReport(const TargetReport& report)
 {
     m_isListed = true;
+    m_isMoved = false;
     m_report = report;
     if (report.isDraining)
         m_drainingIncarnationMs = report.bornMs;
@@ -52,6 +53,13 @@
     m_isListed = isListed;
 }
 
+void TargetSession::setMoved()
+{
+    setListed(false);
+    m_isMoved = true;
+    m_isReady = false;
+}
+
 bool TargetSession::canStart() const
 {
     const TimePoint now = m_clock.now();
@@ -257,7 +265,7 @@
 
 void TargetSession::sendStop(const TaskId& task, std::uint32_t attempt)
 {
-    if (m_isClosed)
+    if (!maySend())
         return;
     m_calls.stop({ m_report.id, m_report.address, task, attempt, m_token, callTimeout() },
         [this, isAlive = m_isAlive, task, attempt, token = m_token, sentAt = m_clock.now(),
@@ -276,7 +284,7 @@
 void TargetSession::checkFencing(const TargetReply& reply, FencingToken token)
 {
     // A refused request with an earlier token of this host does not show another holder.
-    if (reply.result == TargetCallResult::Fenced && token == m_token && !m_isClosed)
+    if (reply.result == TargetCallResult::Fenced && token == m_token && maySend())
         m_hooks.fenced();
 }
 
@@ -320,7 +328,7 @@
 
 void TargetSession::sendPoll(std::chrono::milliseconds wait, bool isLoop)
 {
-    if (m_isClosed) {
+    if (!maySend()) {
         if (isLoop)
             pollAfter(m_settings.callTimeout);
         return;
@@ -346,7 +354,7 @@
 
 void TargetSession::processPollReply(const PollReply& reply, TimePoint sentAt, bool isLoop, FencingToken token)
 {
-    if (reply.result != TargetCallResult::Done || m_isClosed || token != m_token || !updateTargetClock(reply)) {
+    if (reply.result != TargetCallResult::Done || !maySend() || token != m_token || !updateTargetClock(reply)) {
         if (isLoop)
             pollAfter(m_settings.pollRetryPause);
         return;
--- a/modules/rattanroad_shards/targets/TargetSession.h
+++ b/modules/rattanroad_shards/targets/TargetSession.h
@@ -114,6 +114,9 @@
     void setReport(const TargetReport& report);
     /** Tells whether the target is in the target list. */
     void setListed(bool isListed);
+    /** The target belongs to another shard now, whose holder would fence requests of this one off. Stops sending
+       requests until setReport(); the runs end with the lease. */
+    void setMoved();
 
     /** Starts a run. An isolated run occupies the whole capacity.
         @pre canStart() was true when the target was chosen */
@@ -180,6 +183,7 @@
     /** Reports all runs as lost that the current incarnation has or may have. */
     void reportLosses(std::uint64_t incarnationMs, bool hasRestarted);
     void checkLease();
+    bool maySend() const { return !m_isClosed && !m_isMoved; }
     /** Returns the latest time at which the lease may end because of the runs on the target. */
     TimePoint leaseLimit() const;
     /** Returns the part of a lease of this length that ends in time; at least 0. */
@@ -201,6 +205,7 @@
     bool m_isClosed { false };
     bool m_isReady { false };
     bool m_isListed { true };
+    bool m_isMoved { false };
     TimePoint m_unlistedSince;
     std::uint64_t m_incarnationMs { 0 };
     /** The latest incarnation that was listed as draining. */
--- a/tests/shards/DrainingTargetTests.cpp
+++ b/tests/shards/DrainingTargetTests.cpp
@@ -216,3 +216,20 @@
             REQUIRE(run.target != drainingTarget);
     }
 }
+
+TEST_CASE("a target whose entry names another failure domain gets starts from one holder only")
+{
+    EmulatedFleet::Settings settings;
+    settings.targetsPerDomain = 1;
+    EmulatedFleet fleet(settings);
+    fleet.startAll();
+    fleet.moveTarget(drainingTarget, "south");
+    fleet.run(1s);
+    for (int job = 0; job < 12; ++job)
+        fleet.submit(HostId("north-0"), "job-" + std::to_string(job), 2, 300ms, true);
+    fleet.run(2s);
+    requireNoViolations(fleet);
+    REQUIRE(!fleet.targets().runs().empty());
+    for (const auto& line : fleet.log())
+        REQUIRE(line.find("shard_lost") == std::string::npos);
+}
