Refuse no job because the targets have not reported to a new holder yet

Cause: the expected wait is the waiting work over the capacity of the targets that have reported to this holder. Until the first of them has, the capacity is 0, and each job after the first is refused.

Change: in the first 0.5 s after the targets were asked, those that have not reported count with their listed capacity, unless they drain. After that a holder whose targets do not report refuses as before.

Evidence: "a new holder refuses no job because its targets have not reported yet" fails without the change (2 of 3 refused) and passes with it; a second test guards the refusals afterwards.

--- a/modules/rattanroad_shards/jobs/TaskRunner.cpp
+++ b/modules/rattanroad_shards/jobs/TaskRunner.cpp
@@ -361,7 +361,7 @@
 std::chrono::milliseconds TaskRunner::expectedWait(TimePoint softDeadline) const
 {
     const double work = m_jobs.waitingWork(softDeadline);
-    const auto capacity = static_cast<double>(m_targets.usableMillicores());
+    const auto capacity = static_cast<double>(m_targets.expectedMillicores());
     if (work == 0)
         return std::chrono::milliseconds(0);
     constexpr std::chrono::milliseconds unbounded { 60000 };
--- a/modules/rattanroad_shards/targets/ShardTargets.cpp
+++ b/modules/rattanroad_shards/targets/ShardTargets.cpp
@@ -70,6 +70,7 @@
 {
     m_token = token;
     m_isClosed = false;
+    m_openedAt = m_clock.now();
     for (const auto& entry : m_reports)
         openSession(entry.second);
 }
@@ -88,6 +89,7 @@
     if (isOpen())
         m_token = token;
     m_isClosed = false;
+    m_openedAt = m_clock.now();
     for (const auto& entry : m_sessions)
         entry.second->setToken(token);
     if (!isOpen())
@@ -107,6 +109,7 @@
 void ShardTargets::clear()
 {
     m_token.reset();
+    m_openedAt.reset();
     m_isListCurrent = false;
     const bool areAllListed
         = std::all_of(m_sessions.begin(), m_sessions.end(), [](const auto& entry) { return entry.second->isListed(); });
@@ -253,6 +256,20 @@
     return millicores;
 }
 
+std::uint64_t ShardTargets::expectedMillicores() const
+{
+    if (m_openedAt && m_clock.now() - *m_openedAt >= m_settings.reportTime)
+        return usableMillicores();
+    std::uint64_t millicores = 0;
+    for (const auto& entry : m_reports) {
+        const TargetSession* const opened = session(entry.first);
+        const bool isExpected = opened && opened->isReady() ? isUsable(*opened) : !entry.second.isDraining;
+        if (isExpected)
+            millicores += entry.second.capacity.millicores;
+    }
+    return millicores;
+}
+
 void ShardTargets::addCapacityTo(protocol::ShardLoad& load) const
 {
     std::uint64_t free = 0;
--- a/modules/rattanroad_shards/targets/ShardTargets.h
+++ b/modules/rattanroad_shards/targets/ShardTargets.h
@@ -22,6 +22,8 @@
             time that a holder goes on without one, the lease of a target, the drift of its clock, and the delay of the
             target list. */
         std::chrono::milliseconds earlierHolderExpiry { 13500 };
+        /** Time within which a target that lives reports its runs to a new holder. */
+        std::chrono::milliseconds reportTime { 500 };
         /** Nothing starts while the target list is older. A target may get starts for 2 s after the store has
             acknowledged that it drains, and a start takes up to 120 ms to reach it. */
         std::chrono::milliseconds maximumListAge { 1800 };
@@ -112,6 +114,8 @@
     void removeUnlisted();
     /** Returns the total capacity of the targets that may get new starts. */
     std::uint64_t usableMillicores() const;
+    /** Returns the same, but with the targets that have not had the time to report to this holder. */
+    std::uint64_t expectedMillicores() const;
     /** Adds the number, capacity, racks and services of the targets that may get new starts. */
     void addCapacityTo(protocol::ShardLoad& load) const;
 
@@ -134,6 +138,8 @@
     /** Present from open() to clear(). */
     std::optional<FencingToken> m_token;
     bool m_isClosed { false };
+    /** When the targets were asked for their runs; absent until then. */
+    std::optional<TimePoint> m_openedAt;
     /** The list contains all targets that an earlier holder has used. */
     bool m_isListCurrent { false };
     TimePoint m_listCurrentAsOf { distantPast };
--- a/tests/shards/DispatcherTests.cpp
+++ b/tests/shards/DispatcherTests.cpp
@@ -69,8 +69,11 @@
     void submit(const std::string& job, std::chrono::milliseconds duration, bool isResent)
     {
         m_dispatcher.submit(description(job, duration, true), 0ms, isResent, { "entrance", m_clock.now() },
-            [](SubmitVerdict, std::chrono::milliseconds) {});
+            [this](SubmitVerdict verdict, std::chrono::milliseconds) {
+                m_refusals += verdict == SubmitVerdict::Refused ? 1 : 0;
+            });
     }
+    int refusals() const { return m_refusals; }
 
     /** Hands over a best-effort job with one task of 3 s that an earlier holder has started. */
     void handOver(const std::string& job)
@@ -145,6 +148,7 @@
     TargetCalls m_targetCalls;
     ShardDispatcher m_dispatcher;
     bool m_wasDisplaced { false };
+    int m_refusals { 0 };
 };
 
 }
@@ -257,3 +261,27 @@
     REQUIRE(fixture.store().value(storekeys::job(JobId("a"))).has_value());
     REQUIRE(verdict == SubmitVerdict::Accepted);
 }
+
+// The jobs would start as soon as the targets have reported, 0.1 s later.
+TEST_CASE("a new holder refuses no job because its targets have not reported yet")
+{
+    DispatcherFixture fixture;
+    fixture.begin(2);
+    fixture.run(10ms);
+    for (const char* const job : { "a", "b", "c" })
+        fixture.submit(job, 60ms, false);
+    REQUIRE(fixture.refusals() == 0);
+    fixture.run(1s);
+    REQUIRE(fixture.targets().runs().size() == 3);
+}
+
+TEST_CASE("a holder whose targets do not report refuses jobs that would wait for too long")
+{
+    DispatcherFixture fixture;
+    fixture.targets().faults.unreachableTargets.insert(TargetId("target"));
+    fixture.begin(2);
+    fixture.run(1s);
+    for (const char* const job : { "a", "b" })
+        fixture.submit(job, 60ms, false);
+    REQUIRE(fixture.refusals() == 1);
+}
