Parse JSON of others with a limit on its nesting

Other operators reported hosts that ended again and again after another writer had left one deeply nested entry among those of the targets. It happens here: an entry with a capacity that is nested 60,000 levels deep ends each host that reads the list, at once and again after each restart.

Cause: a parsed value is copied, compared and written out by recursion, and nothing limited its depth. Class: input of others that is used before it is checked. The same in the configuration (its limits are copied) and, with the other engine, in the payload of a job of any caller.

Change: parseBoundedJson() discards what is nested more than 64 levels deep. The views of segments and the watch of the other engine's store also survive fields of another type, which ended the process (by reading, without a test).

--- a/apps/rattanroadd/api/JobRequestParser.cpp
+++ b/apps/rattanroadd/api/JobRequestParser.cpp
@@ -1,5 +1,7 @@
 #include "api/JobRequestParser.h"
 
+#include "rattanroad_core/json/BoundedJson.h"
+
 #include <algorithm>
 #include <nlohmann/json.hpp>
 
@@ -159,15 +161,19 @@
 
     Result<json> parseObject(std::string_view body)
     {
+        json parsed = parseBoundedJson(body);
+        if (parsed.is_object())
+            return parsed;
+        if (!parsed.is_discarded())
+            return Failure { FailureCode::MalformedRequest, RunState::NotRun, "expected a JSON object" };
         try {
-            json parsed = json::parse(body);
-            if (parsed.is_object())
-                return parsed;
+            json::parse(body);
         } catch (const json::parse_error& error) {
             return Failure { FailureCode::MalformedRequest, RunState::NotRun,
                 "malformed JSON at byte " + std::to_string(error.byte) };
         }
-        return Failure { FailureCode::MalformedRequest, RunState::NotRun, "expected a JSON object" };
+        return Failure { FailureCode::MalformedRequest, RunState::NotRun,
+            "JSON nested more than " + std::to_string(maximumJsonDepth) + " levels deep" };
     }
 }
 
--- a/apps/rattanroadd/api/OperationsApi.cpp
+++ b/apps/rattanroadd/api/OperationsApi.cpp
@@ -1,6 +1,7 @@
 #include "api/OperationsApi.h"
 
 #include "api/ProblemResponse.h"
+#include "rattanroad_core/json/BoundedJson.h"
 
 #include <nlohmann/json.hpp>
 
@@ -90,7 +91,7 @@
 
 HttpResponse OperationsApi::cutLinks(const HttpRequest& request)
 {
-    const json body = json::parse(request.body, nullptr, false);
+    const json body = parseBoundedJson(request.body);
     std::set<std::string> addresses;
     std::set<HostId> hosts;
     try {
--- a/apps/rattanroadd/daemon/PlatformHostWatcher.cpp
+++ b/apps/rattanroadd/daemon/PlatformHostWatcher.cpp
@@ -1,5 +1,7 @@
 #include "daemon/PlatformHostWatcher.h"
 
+#include "rattanroad_core/json/BoundedJson.h"
+
 #include <nlohmann/json.hpp>
 
 namespace rattanroad::daemon {
@@ -58,7 +60,7 @@
 void PlatformHostWatcher::applyEntry(const platform::StoreEntry& entry)
 {
     const std::string host = entry.key.substr(hostKeyPrefix.size());
-    const auto value = nlohmann::json::parse(entry.value, nullptr, false);
+    const auto value = parseBoundedJson(entry.value);
     const bool isLeaving = value.is_object() && value.contains("state") && value["state"] == "leaving";
     if (isLeaving)
         m_leaving.insert(host);
--- a/apps/rattanroadd/daemon/SegmentStore.cpp
+++ b/apps/rattanroadd/daemon/SegmentStore.cpp
@@ -1,5 +1,7 @@
 #include "daemon/SegmentStore.h"
 
+#include "rattanroad_core/json/BoundedJson.h"
+
 #include <nlohmann/json.hpp>
 
 using nlohmann::json;
@@ -28,13 +30,17 @@
 
     std::optional<SegmentView> parseRecord(const std::string& value)
     {
-        const json parsed = json::parse(value, nullptr, false);
+        const json parsed = parseBoundedJson(value);
         if (!parsed.is_object())
             return std::nullopt;
-        SegmentView view { Epoch(parsed.value("epoch", 0U)), HostId(parsed.value("owner", "")), {} };
-        for (const std::string& member : parsed.value("members", std::vector<std::string> {}))
-            view.members.emplace_back(member);
-        return view;
+        try {
+            SegmentView view { Epoch(parsed.value("epoch", 0U)), HostId(parsed.value("owner", "")), {} };
+            for (const std::string& member : parsed.value("members", std::vector<std::string> {}))
+                view.members.emplace_back(member);
+            return view;
+        } catch (const json::type_error&) {
+            return std::nullopt;
+        }
     }
 }
 
--- /dev/null
+++ b/modules/rattanroad_core/json/BoundedJson.cpp
@@ -0,0 +1,18 @@
+#include "rattanroad_core/json/BoundedJson.h"
+
+namespace rattanroad {
+
+using nlohmann::json;
+
+json parseBoundedJson(std::string_view text)
+{
+    bool isTooDeep = false;
+    const auto checkDepth = [&isTooDeep](int depth, json::parse_event_t, const json&) {
+        isTooDeep = isTooDeep || depth > maximumJsonDepth;
+        return !isTooDeep;
+    };
+    json value = json::parse(text, checkDepth, false);
+    return isTooDeep ? json(json::value_t::discarded) : value;
+}
+
+}
--- a/modules/rattanroad_core/rattanroad_core.h
+++ b/modules/rattanroad_core/rattanroad_core.h
@@ -1,6 +1,6 @@
-/** rattanroad_core: identifiers, units, time, randomness and typed failures.
+/** rattanroad_core: identifiers, units, time, randomness, typed failures and the parsing of JSON of others.
 
-    Dependencies: none of rattanroad's modules; the pcg and xxhash libraries.
+    Dependencies: none of rattanroad's modules; the pcg, xxhash and nlohmann-json libraries.
     Read identifiers/Identifiers.h and failure/Failure.h first.
 */
 #pragma once
@@ -10,6 +10,7 @@
 #include "rattanroad_core/identifiers/Identifiers.h"
 #include "rattanroad_core/identifiers/SubmissionId.h"
 #include "rattanroad_core/identifiers/Units.h"
+#include "rattanroad_core/json/BoundedJson.h"
 #include "rattanroad_core/random/PcgRandomSource.h"
 #include "rattanroad_core/random/RandomSource.h"
 #include "rattanroad_core/time/Clock.h"
--- a/modules/rattanroad_network/store/StoreClient.cpp
+++ b/modules/rattanroad_network/store/StoreClient.cpp
@@ -1,5 +1,6 @@
 #include "rattanroad_network/store/StoreClient.h"
 
+#include "rattanroad_core/json/BoundedJson.h"
 #include "rattanroad_network/store/StoreMessages.h"
 
 #include <unordered_map>
@@ -28,7 +29,7 @@
         // The gateway answers 400 to malformed calls before it carries them out; 5xx may follow a write.
         if (result.status >= 400 && result.status < 500)
             return { StoreOutcome::NotSent, {}, "store answered " + std::to_string(result.status) };
-        json body = json::parse(result.body, nullptr, false);
+        json body = parseBoundedJson(result.body);
         if (result.status != 200 || !body.is_object())
             return { StoreOutcome::MaybeApplied, {}, "store answered " + std::to_string(result.status) };
         return { StoreOutcome::Done, std::move(body), "" };
@@ -165,14 +166,14 @@
         while (m_watches.count(id) && (end = m_watches[id].incomplete.find('\n')) != std::string::npos) {
             const std::string line = m_watches[id].incomplete.substr(0, end);
             m_watches[id].incomplete.erase(0, end + 1);
-            takeLine(id, json::parse(line, nullptr, false));
+            takeLine(id, parseBoundedJson(line));
         }
     }
 
     void takeLine(std::uint64_t id, const json& message)
     {
         const auto result = message.is_object() ? message.find("result") : message.end();
-        if (!message.is_object() || result == message.end())
+        if (!message.is_object() || result == message.end() || !result->is_object())
             return;
         if (result->value("canceled", false)) {
             m_http.cancel(m_watches[id].exchange);
--- a/tests/network/DaemonPartsTests.cpp
+++ b/tests/network/DaemonPartsTests.cpp
@@ -113,6 +113,19 @@
     CHECK_FALSE(daemon::parseIdCount("{\"count\":0}"));
 }
 
+// A payload is written out again, level by level.
+TEST_CASE("a job request whose payload is deeply nested is rejected and does not exhaust the stack", "[api]")
+{
+    json job = validJob();
+    job["tasks"][0]["payload"] = "PAYLOAD";
+    std::string text = job.dump();
+    constexpr std::size_t depth = 200000;
+    text.replace(text.find("\"PAYLOAD\""), 9, std::string(depth, '[') + std::string(depth, ']'));
+    const auto parsed = daemon::parseJobRequest(text);
+    REQUIRE(!parsed);
+    CHECK_THAT(parsed.lastReason().detail, Catch::Contains("nested"));
+}
+
 // Guards against a result that is lost, or makes the response invalid JSON, because a target returned bytes that are
 // not UTF-8.
 TEST_CASE("binary results are returned as base64", "[api]")
