--- a/tests/adapter/OddDocumentTests.cpp
+++ b/tests/adapter/OddDocumentTests.cpp
@@ -45,6 +45,35 @@
         }
     }
     CHECK(parseTargetEntry("i", targetEntry(capacity, R"(,"other":)" + nested(5))));
+    CHECK(!parseTargetEntry("i", targetEntry(capacity, R"(,"other":")" + std::string(1000000, 'x') + "\"")));
+}
+
+TEST_CASE("a target entry with a number that is too large is ignored instead of being read as a small one")
+{
+    CHECK(parseTargetEntry("i", targetEntry(R"({"cpu":4294967295,"memMb":1})")));
+    for (const char* const number : { "4294967296", "4294967297", "18446744073709551616", "1e999", "1.5", "-1" }) {
+        const std::string text(number);
+        CHECK(!parseTargetEntry("i", targetEntry(R"({"memMb":1,"cpu":)" + text + "}")));
+        CHECK(!parseTargetEntry("i", targetEntry(R"({"cpu":1,"memMb":)" + text + "}")));
+        CHECK(!parseTargetEntry("i", targetEntry(R"({"cpu":1,"memMb":1,"gpus":)" + text + "}")));
+    }
+    CHECK(!parseTargetEntry("i", targetEntry(capacity, R"(,"born":17000000000000000000000000)")));
+    CHECK(!parseTargetEntry("i", targetEntry(capacity, R"(,"born":"1700000000000")")));
+}
+
+TEST_CASE("a target entry with a port that no target can have is ignored")
+{
+    for (const char* const port : { "0", "65536", "98487", "-1", "", "80x" }) {
+        const std::string entry = R"({"service":"s","address":"10.0.0.1:)" + std::string(port)
+            + R"(","zone":"z","state":"ready","capacity":{"cpu":1,"memMb":1}})";
+        CHECK(!parseTargetEntry("i", entry));
+    }
+}
+
+TEST_CASE("a target entry with labels of another type is ignored")
+{
+    for (const char* const labels : { "7", "\"a\"", "{}", "[1]", "[[\"a\"]]", "null" })
+        CHECK(!parseTargetEntry("i", targetEntry(capacity, R"(,"labels":)" + std::string(labels))));
 }
 
 TEST_CASE("a deeply nested configuration is ignored and does not exhaust the stack")
@@ -53,4 +82,44 @@
         CHECK(!parseQueueConfiguration(R"({"version":7,"routes":[],"limits":)" + nested(depth) + "}"));
         CHECK(!parseQueueConfiguration(R"({"version":7,"routes":)" + nested(depth) + "}"));
     }
+    CHECK(!parseQueueConfiguration("7"));
+}
+
+// Each byte of a valid entry is replaced, removed or repeated at random.
+TEST_CASE("a target entry that was changed at random is ignored or read as it is written")
+{
+    const std::string valid = targetEntry(
+        R"({"cpu":16000,"memMb":32768,"gpus":1})", R"(,"labels":["a","r1-3"],"born":1700000000000,"other":[[1]])");
+    REQUIRE(parseTargetEntry("i", valid));
+    PcgRandomSource random(22);
+    static const std::string alphabet = "0123456789[]{}\",:-+.eE\\ntru\xff";
+    int accepted = 0;
+    for (int round = 0; round < 20000; ++round) {
+        std::string entry = valid;
+        for (std::uint64_t change = 0; change <= random.below(3); ++change) {
+            const auto at = random.below(entry.size());
+            const char character = alphabet[random.below(alphabet.size())];
+            switch (random.below(3)) {
+            case 0:
+                entry[at] = character;
+                break;
+            case 1:
+                entry.insert(at, random.below(40) + 1, character);
+                break;
+            default:
+                entry.erase(at, random.below(4) + 1);
+            }
+        }
+        const auto report = parseTargetEntry("i", entry);
+        if (!report)
+            continue;
+        ++accepted;
+        const json written = json::parse(entry);
+        REQUIRE(written["capacity"]["cpu"] == report->capacity.millicores);
+        REQUIRE(written["capacity"]["memMb"] == report->capacity.memoryMb);
+        REQUIRE(written.value("born", 0ULL) == report->bornMs);
+        REQUIRE(written["address"] == report->address);
+        REQUIRE(parseSocketAddress(report->address)->sin_port != 0);
+    }
+    REQUIRE(accepted > 0);
 }
--- a/tests/platform/FleetHostTests.cpp
+++ b/tests/platform/FleetHostTests.cpp
@@ -148,3 +148,30 @@
     REQUIRE(refused.status == 503);
     REQUIRE(fixture.platform().targets().runs().empty());
 }
+
+TEST_CASE("a host goes on serving beside odd entries in the target list and odd requests")
+{
+    HostFixture fixture;
+    constexpr std::size_t depth = 200000;
+    const std::string nested = std::string(depth, '[') + std::string(depth, ']');
+    auto& store = fixture.platform().store();
+    store.put("servers/odd-1",
+        R"({"service":"quotes","address":"127.0.0.1:9","zone":"remera","state":"ready","capacity":)" + nested + "}");
+    store.put("servers/odd-2", nested);
+    store.put("servers/odd-3",
+        R"({"service":"quotes","address":"127.0.0.1:98487","zone":"remera","state":"ready","capacity":{"cpu":1,"memMb":1}})");
+    store.put("servers/odd-4",
+        R"({"service":"quotes","address":"127.0.0.1:9","zone":"remera","state":"ready",
+            "capacity":{"cpu":4294967297,"memMb":4294967296}})");
+    store.put("op/config", nested);
+    fixture.run(500ms);
+    REQUIRE(fixture.await(fixture.send("8001", "POST", "/q/00000000000000aa", nested)).status == 413);
+    REQUIRE(fixture.await(fixture.send("8001", "POST", "/q/00000000000000ab", nested.substr(0, 90000))).status == 400);
+    for (const char* const phase : { R"({"count":4294967297,"cpu":1})", R"({"count":1,"cpu":4294967297})" }) {
+        const std::string body = R"({"taskSpec":"1","bestEffort":true,"phases":[)" + std::string(phase) + "]}";
+        REQUIRE(fixture.await(fixture.send("8001", "POST", "/q/00000000000000ac", body)).status == 400);
+    }
+    const HttpResult done = fixture.await(fixture.submit("00000000000000ad", 50ms, true));
+    REQUIRE(done.status == 200);
+    REQUIRE(json::parse(done.body).at("state") == "done");
+}
