--- a/scripts/check-mutations.sh
+++ b/scripts/check-mutations.sh
@@ -66,12 +66,18 @@
 guard missed-interruption targets/ShardTargets.h 'void listInterrupted() { m_lastListGap = m_clock.now(); }' 'void listInterrupted() { }'
 guard waits-for-ever jobs/ShardDispatcher.cpp '!areEarlierHoldersExpired && ' ''
 guard outdated-list targets/ShardTargets.cpp 'm_isListCurrent && ' ''
+guard list-before-acquisition targets/ShardTargets.cpp 'm_listCurrentAsOf >= m_listRequiredSince && ' ''
+guard old-list targets/ShardTargets.cpp 'm_clock.now() - m_listCurrentAsOf < m_settings.maximumListAge;' 'true;'
+guard partial-changes store/PrefixWatcher.h 'm_check && m_watchRevision < m_check->storeRevision' 'false'
+guard unreadable-entry node/ShardNode.cpp '                unlistTarget(id);' ''
+guard moved-target node/ShardNode.cpp 'known != m_shardByTarget.end() && known->second != shard->first' 'false'
+guard unreported-targets jobs/TaskRunner.cpp 'm_targets.expectedMillicores()' 'm_targets.usableMillicores()'
 guard overtaken-read store/PrefixWatcher.cpp ' || reply.storeRevision < m_watchRevision;' ';'
 guard open-job-unannounced jobs/JobTable.cpp 'if (entry.second->description.best_effort())' 'if (false)'
 guard outdated-submission jobs/ShardDispatcher.cpp \
     'm_clock.now() - origin.sentAt >= m_settings.running.originTimeout' 'false'
 guard handover-renews-job jobs/ShardDispatcher.cpp \
-    'job->lastSubmittedAt = m_clock.now() - std::chrono::milliseconds(handed.silent_ms());' ''
+    'job->lastSubmittedAt = m_clock.now() - silence;' ''
 guard second-run jobs/TaskRunner.cpp 'if (m_targets.hasRun(id))' 'if (false)'
 guard attempt-again jobs/TaskRunner.cpp 'std::max(first, task.attempt + 1)' 'std::max(first, task.attempt)'
 guard job-moves entrance/JobEntrance.cpp 'if (auto placed = m_jobShards.shardOf(JobId(submission.job.id())))' \
@@ -85,7 +91,7 @@
 guard forsaken-job-runs jobs/ShardDispatcher.cpp \
     'job.description.best_effort() && m_clock.now() - job.lastSubmittedAt >= m_settings.running.originTimeout' 'false'
 guard room-freed-early targets/TargetSession.cpp 'found->second.confirmedAt.reset();' 'm_used = {};'
-guard late-start targets/TargetSession.cpp 'm_unansweredStarts.push_back({ task, attempt, m_clock.now() });' ';'
+guard late-start targets/TargetSession.cpp 'm_unansweredStarts.push_back({ task, attempt, now });' ';'
 guard ended-attempt targets/TargetSession.cpp 'if (result == TargetCallResult::StaleAttempt) {' 'if (false) {'
 guard start-on-the-way targets/TargetSession.cpp 'TargetCallResult::Unknown || run.sends > 1' 'TargetCallResult::Unknown'
 guard messages-before-pause node/ShardNode.cpp 'm_clock.now() - m_resumedAt < m_settings.staleMessageWindow' 'false'
