--- a/modules/rattanroad_core/json/BoundedJson.cpp
+++ b/modules/rattanroad_core/json/BoundedJson.cpp
@@ -12,7 +12,9 @@
         return !isTooDeep;
     };
     json value = json::parse(text, checkDepth, false);
-    return isTooDeep ? json(json::value_t::discarded) : value;
+    if (isTooDeep)
+        return json::value_t::discarded;
+    return value;
 }
 
 }
--- a/modules/rattanroad_shards/store/PrefixWatcher.h
+++ b/modules/rattanroad_shards/store/PrefixWatcher.h
@@ -121,6 +121,7 @@
     bool m_isPausing { false };
     /** The pause in progress is long enough that all keys are read after it. */
     bool m_isReadDue { false };
+    /** refresh() was called outside of a pause. */
     bool m_isPauseSkipped { false };
     /** Number of the latest read of each reader. */
     std::map<std::string, std::uint64_t> m_latestReads;
