Send loads over subscriptions, open links on use, follow the target list where needed

Cause: each host sent an empty message to every host twice a second and each holder its load to every host ten times a second, so that hosts and links grew with the square of the fleet (a link holds two queues of 16 KB a direction); each host read the whole list of targets every 3.5 s.

Change: LoadFeed. Holders send their loads to one another; every other host subscribes to one of them, as a rule that of its failure domain, which passes all loads on with their age. A holder whose load is of an earlier generation is told of the later one by whoever receives it. Only the three hosts that would acquire a shard next follow the target list; another one reads it when it acquires the shard, and until then answers that it does not hold it, instead of refusing. Holders send their loads unasked to hosts of earlier builds. A load from another holder no longer clears jobs that were sent after it was made.

Ruled out (trial): keeping tasks that lost a run with their target away from one another. With four such tasks on three targets the fourth waited until its caller gave up.

--- a/apps/rattanroadd/fleet/FleetHost.cpp
+++ b/apps/rattanroadd/fleet/FleetHost.cpp
@@ -116,7 +116,7 @@
     {
         shards::ShardNode::Hooks hooks;
         hooks.send = [this](const std::string& address, const protocol::Envelope& envelope) {
-            m_peerLink.send(address, envelope);
+            return m_peerLink.send(address, envelope);
         };
         hooks.log
             = [this](const char* event, const shards::ShardNode::LogFields& fields) { logRateLimited(event, fields); };
--- a/modules/rattanroad_dispatch/engine/EntryHost.cpp
+++ b/modules/rattanroad_dispatch/engine/EntryHost.cpp
@@ -384,6 +384,8 @@
     case Body::kShardJobReply:
     case Body::kShardLoad:
     case Body::kShardHandover:
+    case Body::kShardLoads:
+    case Body::kLoadSubscription:
         return;
     }
 }
--- a/modules/rattanroad_network/peers/PeerLink.cpp
+++ b/modules/rattanroad_network/peers/PeerLink.cpp
@@ -53,11 +53,11 @@
         return std::stoi(endpoint.substr(endpoint.rfind(':') + 1));
     }
 
-    void send(const std::string& address, const protocol::Envelope& envelope)
+    bool send(const std::string& address, const protocol::Envelope& envelope)
     {
         if (m_blockedAddresses.count(address)) {
             ++m_statistics.messagesBlocked;
-            return;
+            return false;
         }
         Link* const link = linkTo(address);
         zmq::message_t message(envelope.ByteSizeLong());
@@ -65,11 +65,12 @@
         const std::size_t size = message.size();
         if (!link || !link->socket.send(message, zmq::send_flags::dontwait)) {
             ++m_statistics.messagesDropped;
-            return;
+            return false;
         }
         link->lastUsed = m_loop.clock().now();
         ++m_statistics.messagesSent;
         m_statistics.bytesSent += size;
+        return true;
     }
 
     void reopen(const std::string& address)
@@ -184,7 +185,10 @@
 
 Result<int> PeerLink::bind(const std::string& address) { return m_impl->bind(address); }
 
-void PeerLink::send(const std::string& address, const protocol::Envelope& envelope) { m_impl->send(address, envelope); }
+bool PeerLink::send(const std::string& address, const protocol::Envelope& envelope)
+{
+    return m_impl->send(address, envelope);
+}
 
 void PeerLink::reopen(const std::string& address) { m_impl->reopen(address); }
 
--- a/modules/rattanroad_network/peers/PeerLink.h
+++ b/modules/rattanroad_network/peers/PeerLink.h
@@ -53,8 +53,10 @@
     */
     Result<int> bind(const std::string& address);
 
-    /** Sends @p envelope to the receiving socket at @p address, or drops it. */
-    void send(const std::string& address, const protocol::Envelope& envelope);
+    /** Sends @p envelope to the receiving socket at @p address. Returns false when it was dropped because the link is
+        not open, which opens it, or because its queue is full. A message that was sent may get lost all the same.
+    */
+    bool send(const std::string& address, const protocol::Envelope& envelope);
 
     /** Connects to @p address at once, for a process that has just started there: a link that lost its peer tries again
         only after up to a second.
--- a/modules/rattanroad_shards/entrance/JobEntrance.cpp
+++ b/modules/rattanroad_shards/entrance/JobEntrance.cpp
@@ -128,8 +128,6 @@
     const JobId job(submission.job.id());
     submission.shard = shard;
     const bool isResent = submission.unresolvedAttempts > 0 || submission.wasSubmittedBefore;
-    if (submission.job.best_effort())
-        m_jobShards.insert(job, shard);
     ++submission.attempt;
     ++submission.unresolvedAttempts;
     m_loads.addAssignedJob(shard, submission.job);
@@ -137,6 +135,8 @@
     const RequestNumber number(id, submission.attempt);
     const auto waited = std::chrono::duration_cast<std::chrono::milliseconds>(m_clock.now() - submission.startedAt);
     if (ShardDispatcher* const local = m_hooks.localDispatcher(shard)) {
+        if (submission.job.best_effort())
+            m_jobShards.insert(job, shard);
         local->submit(submission.job, waited, isResent, { m_settings.address, m_clock.now() },
             [this, number](SubmitVerdict verdict, std::chrono::milliseconds retryAfter) {
                 handleVerdict(number, verdict, retryAfter);
@@ -152,7 +152,14 @@
     body->set_resent(isResent);
     if (const auto holderClock = m_loads.holderClock(shard))
         body->set_receiver_clock_ms(*holderClock);
-    m_hooks.send(*address, message);
+    if (m_hooks.send(*address, message)) {
+        if (submission.job.best_effort())
+            m_jobShards.insert(job, shard);
+        return;
+    }
+    --submission.unresolvedAttempts;
+    ++submission.attempt;
+    waitForShard(id);
 }
 
 void JobEntrance::startReplyTimeout(std::uint64_t id)
@@ -281,9 +288,6 @@
     case protocol::Envelope::kShardJobReply:
         handleJobReply(message.shard_job_reply());
         return;
-    case protocol::Envelope::kShardLoad:
-        loadReceived(message.shard_load());
-        return;
     default:
         return;
     }
--- a/modules/rattanroad_shards/entrance/JobEntrance.h
+++ b/modules/rattanroad_shards/entrance/JobEntrance.h
@@ -41,7 +41,8 @@
         double waitShare { 0.5 };
     };
     struct Hooks {
-        std::function<void(const std::string& address, const protocol::Envelope&)> send;
+        /** Sends a message; returns false when it was not sent. */
+        std::function<bool(const std::string& address, const protocol::Envelope&)> send;
         /** Returns the dispatcher of a shard that this host holds, or null. */
         std::function<ShardDispatcher*(const ShardId&)> localDispatcher;
         std::function<void(const char* event, const JobId&, const std::string& detail)> log;
@@ -72,6 +73,7 @@
     void received(const protocol::Envelope& envelope);
     /** Updates the load of a shard that this host or another holds. */
     void loadReceived(const protocol::ShardLoad& load);
+    const ShardLoads& loads() const { return m_loads; }
     /** Answers the callers that wait for a job that has ended. */
     void jobEnded(const JobId& job, JobState state);
 
--- a/modules/rattanroad_shards/entrance/JobQueries.h
+++ b/modules/rattanroad_shards/entrance/JobQueries.h
@@ -21,7 +21,8 @@
         JobStateCache::Settings states;
     };
     struct Hooks {
-        std::function<void(const std::string& address, const protocol::Envelope&)> send;
+        /** Sends a message; returns false when it was not sent. */
+        std::function<bool(const std::string& address, const protocol::Envelope&)> send;
         /** Returns the dispatcher of a shard that this host holds, or null. */
         std::function<ShardDispatcher*(const ShardId&)> localDispatcher;
         /** Returns an envelope from this host without a body. */
--- a/modules/rattanroad_shards/entrance/ShardLoads.cpp
+++ b/modules/rattanroad_shards/entrance/ShardLoads.cpp
@@ -16,21 +16,59 @@
     LatestLoad& latest = m_loads[ShardId(load.shard())];
     if (load.generation() < latest.load.generation())
         return false;
+    const bool isRepeated = load.generation() == latest.load.generation() && load.has_clock_ms()
+        && latest.load.has_clock_ms() && load.clock_ms() <= latest.load.clock_ms();
+    if (isRepeated)
+        return false;
     // The address may have passed to another machine.
     if (load.generation() > latest.load.generation())
         m_clocks.erase(load.address());
-    latest = { load, m_clock.now(), 0 };
+    latest.load = load;
+    latest.receivedAt = m_clock.now() - std::chrono::milliseconds(load.age_ms());
+    auto& assigned = latest.assignedMillicores;
+    while (!assigned.empty() && assigned.front().first <= latest.receivedAt - m_settings.messageTime)
+        assigned.pop_front();
     if (load.has_clock_ms())
         m_clocks[load.address()].update(load.clock_ms(), latest.receivedAt);
     return true;
 }
 
+bool ShardLoads::hasLaterHolder(const ShardId& shard, Generation generation) const
+{
+    const auto latest = m_loads.find(shard);
+    const ShardHolder* const holder = m_fleet.holder(shard);
+    return (latest != m_loads.end() && latest->second.load.generation() > generation.value())
+        || (holder && holder->generation > generation);
+}
+
+std::vector<protocol::ShardLoad> ShardLoads::recentLoads(Duration maximumAge) const
+{
+    std::vector<protocol::ShardLoad> loads;
+    for (const auto& entry : m_loads) {
+        const Duration age = m_clock.now() - entry.second.receivedAt;
+        if (age >= maximumAge)
+            continue;
+        loads.push_back(entry.second.load);
+        loads.back().set_age_ms(
+            static_cast<std::uint32_t>(std::chrono::duration_cast<std::chrono::milliseconds>(age).count()));
+    }
+    return loads;
+}
+
+bool ShardLoads::areAllRecent(Duration maximumAge) const
+{
+    return std::all_of(m_settings.shards.begin(), m_settings.shards.end(), [&](const ShardId& shard) {
+        const auto latest = m_loads.find(shard);
+        return latest != m_loads.end() && m_clock.now() - latest->second.receivedAt < maximumAge;
+    });
+}
+
 void ShardLoads::addAssignedJob(const ShardId& shard, const protocol::PlacedJob& job)
 {
     std::uint64_t millicores = 0;
     for (const protocol::PhaseDescription& phase : job.phases())
         millicores += std::uint64_t { phase.count() } * phase.millicores();
-    m_loads[shard].assignedMillicores += millicores;
+    m_loads[shard].assignedMillicores.emplace_back(m_clock.now(), millicores);
 }
 
 bool ShardLoads::isUsable(const LatestLoad& latest) const
@@ -73,8 +111,9 @@
         isDataLocal = isDataLocal && hasLabel(phase.data_rack());
     }
     const auto total = static_cast<double>(load.total_millicores());
-    const auto used
-        = total - static_cast<double>(load.free_millicores()) + static_cast<double>(latest.assignedMillicores);
+    auto used = total - static_cast<double>(load.free_millicores());
+    for (const auto& assigned : latest.assignedMillicores)
+        used += static_cast<double>(assigned.second);
     double cost = load.backlog_ms() + static_cast<double>(m_settings.fullLoadCost.count()) * used / total;
     if (shard.value() != m_settings.failureDomain.value())
         cost += static_cast<double>(m_settings.remoteDomainCost.count());
--- a/modules/rattanroad_shards/entrance/ShardLoads.h
+++ b/modules/rattanroad_shards/entrance/ShardLoads.h
@@ -3,6 +3,7 @@
 #include "rattanroad_shards/entrance/RemoteClock.h"
 #include "rattanroad_shards/holding/FleetView.h"
 
+#include <deque>
 #include <map>
 #include <optional>
 
@@ -15,8 +16,8 @@
         FailureDomainId failureDomain;
         /** All shards; each is named for the failure domain of its targets. */
         std::vector<ShardId> shards;
-        /** Age at which a load becomes stale. Loads are sent ten times a second; a holder that is silent for longer may
-            have failed. */
+        /** Age at which a load becomes stale. Loads are sent ten times a second and passed on within another tenth; a
+            holder that is silent for longer may have failed. */
         std::chrono::milliseconds maximumLoadAge { 450 };
         /** Cost of a shard in another failure domain, expressed as waiting time. */
         std::chrono::milliseconds remoteDomainCost { 10 };
@@ -25,14 +26,25 @@
         std::chrono::milliseconds remoteDataCost { 60 };
         /** Cost of a shard whose whole capacity is in use, expressed as waiting time; scales with the used share. */
         std::chrono::milliseconds fullLoadCost { 60 };
+        /** Time that a job and a load are under way: a load contains only the jobs that were sent earlier than this
+            before it was received. */
+        std::chrono::milliseconds messageTime { 2 };
     };
 
     ShardLoads(Settings settings, const FleetView& fleet, const Clock& clock);
     ShardLoads(const ShardLoads&) = delete;
     ShardLoads& operator=(const ShardLoads&) = delete;
 
-    /** Stores a reported load. Returns false for a stale one from an earlier holder. */
+    /** Stores a load, which may have come by way of other hosts. Returns false when it tells nothing new: a later load
+        of the holder is known, or one of a later holder. */
     bool received(const protocol::ShardLoad& load);
+    /** Returns whether a shard is known to have a later holder than that of this generation. */
+    bool hasLaterHolder(const ShardId& shard, Generation generation) const;
+    /** Returns the loads that were sent within @p maximumAge, with their ages. */
+    std::vector<protocol::ShardLoad> recentLoads(Duration maximumAge) const;
+    /** Returns whether the load of each shard is known and was sent within @p maximumAge. */
+    bool areAllRecent(Duration maximumAge) const;
+    const std::vector<ShardId>& shards() const { return m_settings.shards; }
     /** Adds a job that was sent to a shard to its load until the next load arrives. */
     void addAssignedJob(const ShardId& shard, const protocol::PlacedJob& job);
     /** Returns the shard with the lowest cost among those that can run the job, or nothing. */
@@ -49,9 +61,11 @@
 private:
     struct LatestLoad {
         protocol::ShardLoad load;
-        TimePoint receivedAt;
-        /** Capacity requested by jobs that were sent to the shard since, in millicores. */
-        std::uint64_t assignedMillicores { 0 };
+        /** When the first host received it from the holder. */
+        TimePoint receivedAt { distantPast };
+        /** Capacity requested by jobs that were sent to the shard and are not contained in the load, in millicores,
+           with the time that they were sent, oldest first. */
+        std::deque<std::pair<TimePoint, std::uint64_t>> assignedMillicores;
     };
 
     /** Returns the latest load of a shard if the host that sent it is the newest known holder, or null. */
--- a/modules/rattanroad_shards/holding/FleetView.cpp
+++ b/modules/rattanroad_shards/holding/FleetView.cpp
@@ -11,17 +11,24 @@
     }
 }
 
+std::optional<HostId> FleetView::hostOfKey(const std::string& key)
+{
+    if (!startsWith(key, storekeys::hostPrefix))
+        return std::nullopt;
+    return HostId(key.substr(storekeys::hostPrefix.size()));
+}
+
 std::optional<ShardId> FleetView::keyWritten(const StoredItem& item)
 {
-    if (startsWith(item.key, storekeys::hostPrefix)) {
+    if (const auto host = hostOfKey(item.key)) {
         protocol::HostRecord record;
         if (!record.ParseFromString(item.value)) {
             m_malformed(item.key);
             return std::nullopt;
         }
-        m_hosts[HostId(item.key.substr(storekeys::hostPrefix.size()))]
+        m_hosts[*host]
             = { Incarnation(record.incarnation()), record.address(), FailureDomainId(record.failure_domain()),
-                  record.draining(), HostMillicores(record.processor_millicores()) };
+                  record.draining(), HostMillicores(record.processor_millicores()), record.subscribes_to_loads() };
         return std::nullopt;
     }
     if (!startsWith(item.key, storekeys::holderPrefix))
@@ -39,8 +46,8 @@
 
 std::optional<ShardId> FleetView::keyRemoved(const std::string& key)
 {
-    if (startsWith(key, storekeys::hostPrefix)) {
-        m_hosts.erase(HostId(key.substr(storekeys::hostPrefix.size())));
+    if (const auto host = hostOfKey(key)) {
+        m_hosts.erase(*host);
         return std::nullopt;
     }
     if (!startsWith(key, storekeys::holderPrefix))
--- a/modules/rattanroad_shards/holding/FleetView.h
+++ b/modules/rattanroad_shards/holding/FleetView.h
@@ -16,6 +16,8 @@
     FailureDomainId failureDomain;
     bool isDraining { false };
     HostMillicores processor;
+    /** False for a host of an earlier build, to which holders send their loads unasked. */
+    bool subscribesToLoads { false };
 };
 
 /** The current holder of a shard. */
@@ -37,6 +39,8 @@
     {
     }
 
+    /** Returns the host that a key belongs to, if it is the key of a host. */
+    static std::optional<HostId> hostOfKey(const std::string& key);
     /** Processes a written key. Returns the shard whose holder changed, if any. */
     std::optional<ShardId> keyWritten(const StoredItem& item);
     /** Processes a removed key. Returns the shard that no longer has a holder, if any. */
--- a/modules/rattanroad_shards/holding/ShardElection.cpp
+++ b/modules/rattanroad_shards/holding/ShardElection.cpp
@@ -1,6 +1,7 @@
 #include "rattanroad_shards/holding/ShardElection.h"
 
 #include "rattanroad_shards/holding/StoreKeys.h"
+#include "rattanroad_shards/types/RendezvousHash.h"
 
 #include <algorithm>
 #include <charconv>
@@ -8,15 +9,6 @@
 namespace rattanroad::shards {
 
 namespace {
-    /** Rendezvous hash of a host for a shard; every host computes the same value. */
-    std::uint64_t rendezvousWeight(const ShardId& shard, const HostId& host)
-    {
-        std::uint64_t hash = 1469598103934665603ULL;
-        for (const char character : shard.value() + "/" + host.value())
-            hash = (hash ^ static_cast<unsigned char>(character)) * 1099511628211ULL;
-        return hash ^ (hash >> 29U);
-    }
-
     std::uint64_t parseGeneration(const std::string& text)
     {
         std::uint64_t generation = 0;
@@ -80,7 +72,7 @@
         const bool holdsAnother = std::any_of(m_fleet.holders().begin(), m_fleet.holders().end(),
             [&host](const auto& entry) { return entry.second.host == host; });
         return std::make_tuple(domain != m_settings.preferredDomain, -processorTimeOn(host, processor), holdsAnother,
-            rendezvousWeight(m_settings.shard, host));
+            rendezvousWeight(m_settings.shard.value(), host.value()));
     };
     const auto own = order(m_settings.self, m_settings.selfDomain, m_settings.selfProcessor);
     return static_cast<std::size_t>(
--- a/modules/rattanroad_shards/holding/ShardElection.h
+++ b/modules/rattanroad_shards/holding/ShardElection.h
@@ -77,12 +77,13 @@
     /** Sets whether this host takes part in elections; a draining host does not. */
     void setCandidate(bool isCandidate) { m_isCandidate = isCandidate; }
 
+    /** Returns the number of live hosts that come before this one in the order of attempts. */
+    std::size_t rank() const;
+
     bool isHeld() const { return m_holding.has_value(); }
     const std::optional<Holding>& holding() const { return m_holding; }
 
 private:
-    /** Returns the number of live hosts that come before this one in the order of attempts. */
-    std::size_t rank() const;
     bool shouldFailBack();
     /** Returns whether a live host of the preferred domain should hold the shard instead of this one. */
     bool hasBetterHost() const;
--- a/modules/rattanroad_shards/jobs/ShardDispatcher.cpp
+++ b/modules/rattanroad_shards/jobs/ShardDispatcher.cpp
@@ -279,6 +279,11 @@
         reply(SubmitVerdict::NotHolder, {});
         return;
     }
+    // Without any target, every job would be refused.
+    if (m_targetListAwaitedSince && !m_targets.hasListedTargets()) {
+        reply(SubmitVerdict::NotHolder, {});
+        return;
+    }
     const JobId id(description.id());
     if (description.best_effort() && m_clock.now() - origin.sentAt >= m_settings.running.originTimeout) {
         m_hooks.log("submission_outdated", id, "from " + origin.address);
--- a/modules/rattanroad_shards/node/ShardNode.cpp
+++ b/modules/rattanroad_shards/node/ShardNode.cpp
@@ -3,7 +3,6 @@
 #include "rattanroad_shards/holding/StoreKeys.h"
 
 #include <algorithm>
-#include <set>
 
 namespace rattanroad::shards {
 
@@ -24,6 +23,10 @@
         , m_targetList({ m_settings.targetPrefix }, m_store, m_timers, clock, targetHooks())
         , m_fleetList({ storekeys::fleetPrefix }, m_store, m_timers, clock, fleetHooks())
         , m_entrance(entranceSettings(), m_store, m_fleet, m_timers, clock, entranceHooks())
+        , m_loadFeed(feedSettings(), m_fleet, m_entrance.loads(), clock,
+              { [this](
+                    const std::string& address, const protocol::Envelope& message) { return send(address, message); },
+                  [this] { return envelope(); } })
     {
         makeShards();
     }
@@ -31,12 +34,12 @@
     void start()
     {
         m_configuration.start();
-        m_targetList.start();
         m_fleetList.start();
         m_lease.start();
-        sendLoads();
+        updateLoads();
         openLinks();
         reviewElections();
+        reviewTargetList();
     }
 
     void drain()
@@ -54,17 +57,23 @@
 
     void received(const protocol::Envelope& message)
     {
-        m_lastMessageTimes[message.from_host()] = m_clock.now();
         detectPause();
         if (message.has_shard_submit() && m_clock.now() - m_resumedAt < m_settings.staleMessageWindow)
             return;
+        openLink(message.from_host());
         if (message.has_shard_load()) {
-            // A host that cannot reach the store learns here that another host has taken over its shard.
-            const auto shard = m_shards.find(ShardId(message.shard_load().shard()));
-            const auto& holding = shard == m_shards.end() ? std::nullopt : shard->second.election->holding();
-            if (holding && message.shard_load().generation() > holding->generation.value())
-                shard->second.election->displaced();
-        } else if (message.has_shard_handover()) {
+            loadReceived(message.shard_load(), message.from_host());
+            return;
+        }
+        if (message.has_shard_loads()) {
+            loadsReceived(message);
+            return;
+        }
+        if (message.has_load_subscription()) {
+            m_loadFeed.subscribed(message.from_host());
+            return;
+        }
+        if (message.has_shard_handover()) {
             const auto shard = m_shards.find(ShardId(message.shard_handover().shard()));
             if (shard == m_shards.end())
                 return;
@@ -125,7 +134,10 @@
                         { "millicores", std::to_string(m_settings.processor.value()) } });
                 m_shards[shard].dispatcher->begin(holding);
                 // Nothing starts until the list is current as of the acquisition.
-                m_targetList.refresh();
+                if (m_targetList.isStarted())
+                    m_targetList.refresh();
+                else
+                    followTargetList();
                 if (!holding.isContinued)
                     m_timers.after(m_settings.displacementTime, [this, shard] { readTargetList(shard); });
             };
@@ -163,10 +175,20 @@
         return settings;
     }
 
+    LoadFeed::Settings feedSettings() const
+    {
+        LoadFeed::Settings settings;
+        settings.host = m_settings.host;
+        settings.address = m_settings.address;
+        settings.failureDomain = m_settings.failureDomain;
+        return settings;
+    }
+
     JobEntrance::Hooks entranceHooks()
     {
         JobEntrance::Hooks hooks;
-        hooks.send = m_hooks.send;
+        hooks.send
+            = [this](const std::string& address, const protocol::Envelope& message) { return send(address, message); };
         hooks.localDispatcher = [this](const ShardId& shard) { return dispatcher(shard); };
         hooks.log = [this](const char* event, const JobId& job, const std::string& detail) {
             m_hooks.log(event, { { "job", job.value() }, { "detail", detail } });
@@ -221,6 +243,12 @@
         };
         hooks.isChecked = [this] { return isHolding(); };
         hooks.updated = [this] {
+            // Targets that left the list before it was read are not known.
+            for (auto& entry : m_shards) {
+                if (m_isTargetListNew)
+                    entry.second.dispatcher->targetListInterrupted();
+            }
+            m_isTargetListNew = false;
             for (auto& entry : m_shards)
                 entry.second.dispatcher->targetListUpdated(m_targetList.currentAsOf());
         };
@@ -255,10 +283,13 @@
         PrefixWatcher::Hooks hooks;
         hooks.written = [this](const StoredItem& item) {
             const auto shard = m_fleet.keyWritten(item);
-            detectHostStarts();
+            if (const auto host = FleetView::hostOfKey(item.key))
+                detectHostStart(*host);
             if (!shard || !m_shards.count(*shard))
                 return;
             m_shards[*shard].election->reevaluate();
+            if (const ShardHolder* const holder = m_fleet.holder(*shard))
+                openLink(holder->address);
             handOver(*shard);
         };
         hooks.removed = [this](const std::string& key) {
@@ -273,15 +304,20 @@
         return hooks;
     }
 
-    void detectHostStarts()
+    void detectHostStart(const HostId& host)
     {
-        for (const auto& entry : m_fleet.hosts()) {
-            Incarnation& linked = m_linkedIncarnations[entry.first];
-            if (entry.first == m_settings.host || linked == entry.second.incarnation)
-                continue;
-            linked = entry.second.incarnation;
-            m_hooks.hostStarted(entry.second.address);
-        }
+        const auto live = m_fleet.hosts().find(host);
+        if (live == m_fleet.hosts().end() || host == m_settings.host)
+            return;
+        Incarnation& known = m_knownIncarnations[host];
+        if (known == live->second.incarnation)
+            return;
+        known = live->second.incarnation;
+        const auto link = m_links.find(live->second.address);
+        if (link == m_links.end())
+            return;
+        link->second.lastSent = distantPast;
+        m_hooks.hostStarted(live->second.address);
     }
 
     void storeInterrupted()
@@ -319,6 +355,7 @@
         record.set_failure_domain(m_settings.failureDomain.value());
         record.set_draining(m_isDraining);
         record.set_processor_millicores(m_settings.processor.value());
+        record.set_subscribes_to_loads(true);
         KeyTransaction transaction;
         transaction.writes.push_back({ storekeys::host(m_settings.host), record.SerializeAsString(), m_lease.lease() });
         m_store.transact(transaction, [this, lease = m_lease.lease()](const TransactionReply& reply) {
@@ -353,7 +390,23 @@
         protocol::Envelope message = envelope();
         *message.mutable_shard_handover() = m_shards[shard].dispatcher->takeHandover();
         if (message.shard_handover().jobs_size() > 0)
-            m_hooks.send(holder->address, message);
+            sendHandover(holder->address, message, m_clock.now());
+    }
+
+    /** Sends a handover as soon as the link to the new holder is open. */
+    void sendHandover(const std::string& address, const protocol::Envelope& message, TimePoint since)
+    {
+        if (send(address, message) || m_clock.now() - since >= m_settings.handoverRetryTime)
+            return;
+        m_timers.after(m_settings.handoverRetryPause, [this, address, message, since, builtAt = m_clock.now()] {
+            protocol::Envelope later = message;
+            const auto elapsed = std::chrono::ceil<std::chrono::milliseconds>(m_clock.now() - builtAt);
+            for (protocol::JobHandover& job : *later.mutable_shard_handover()->mutable_jobs()) {
+                job.set_waited_ms(job.waited_ms() + static_cast<std::uint32_t>(elapsed.count()));
+                job.set_silent_ms(job.silent_ms() + static_cast<std::uint32_t>(elapsed.count()));
+            }
+            sendHandover(address, later, since);
+        });
     }
 
     protocol::Envelope envelope() const
@@ -389,52 +442,119 @@
                 { "millicores", std::to_string(m_settings.processor.value()) } });
     }
 
-    void sendLoads()
+    void updateLoads()
     {
         detectPause();
         reportLoopLag();
         m_lastLoadTimerRun = m_clock.now();
+        std::vector<protocol::ShardLoad> loads;
         for (const auto& entry : m_shards) {
             if (!entry.second.dispatcher->isHolding())
                 continue;
-            protocol::Envelope message = envelope();
-            *message.mutable_shard_load() = entry.second.dispatcher->load();
-            message.mutable_shard_load()->set_address(m_settings.address);
-            message.mutable_shard_load()->set_clock_ms(toMilliseconds(m_clock.now()));
+            protocol::ShardLoad load = entry.second.dispatcher->load();
+            load.set_address(m_settings.address);
+            load.set_clock_ms(toMilliseconds(m_clock.now()));
             for (const JobId& job : entry.second.dispatcher->announcedJobs())
-                message.mutable_shard_load()->add_new_jobs(job.value());
-            m_entrance.loadReceived(message.shard_load());
-            for (const std::string& address : peers())
-                m_hooks.send(address, message);
+                load.add_new_jobs(job.value());
+            m_entrance.loadReceived(load);
+            loads.push_back(std::move(load));
         }
+        m_loadFeed.update(loads);
         m_loadTimerDue = m_clock.now() + m_settings.loadInterval;
-        m_timers.after(m_settings.loadInterval, [this] { sendLoads(); });
+        m_timers.after(m_settings.loadInterval, [this] { updateLoads(); });
     }
 
-    /** Returns the addresses of the hosts that are registered in the store and of those that are not but still send
-        messages. */
-    std::set<std::string> peers()
+    void loadsReceived(const protocol::Envelope& message)
     {
-        std::set<std::string> addresses;
-        for (const auto& host : m_fleet.hosts())
-            addresses.insert(host.second.address);
-        for (auto peer = m_lastMessageTimes.begin(); peer != m_lastMessageTimes.end();) {
-            if (m_clock.now() - peer->second < m_settings.silentPeerTimeout)
-                addresses.insert((peer++)->first);
-            else
-                peer = m_lastMessageTimes.erase(peer);
+        std::chrono::milliseconds youngestAge = std::chrono::milliseconds::max();
+        for (const protocol::ShardLoad& load : message.shard_loads().loads()) {
+            loadReceived(load, message.from_host());
+            youngestAge = std::min(youngestAge, std::chrono::milliseconds(load.age_ms()));
         }
-        addresses.erase(m_settings.address);
-        return addresses;
+        m_loadFeed.loadsReceived(message.from_host(), youngestAge);
+    }
+
+    void loadReceived(const protocol::ShardLoad& load, const std::string& sender)
+    {
+        const ShardId shard(load.shard());
+        const auto known = m_shards.find(shard);
+        if (known == m_shards.end())
+            return;
+        const Generation generation(load.generation());
+        // A host that cannot reach the store learns here that another host has taken over its shard.
+        const auto& holding = known->second.election->holding();
+        if (holding && generation > holding->generation)
+            known->second.election->displaced();
+        const bool isFromHolder = load.address() == sender;
+        if (isFromHolder && m_entrance.loads().hasLaterHolder(shard, generation))
+            m_loadFeed.correct(load);
+        m_entrance.loadReceived(load);
+        openLink(load.address());
+    }
+
+    /** Sends a message. Returns false when it was not sent. */
+    bool send(const std::string& address, const protocol::Envelope& message)
+    {
+        Link& link = m_links[address];
+        link.lastTried = m_clock.now();
+        if (!m_hooks.send(address, message))
+            return false;
+        link.lastSent = link.lastTried;
+        return true;
+    }
+
+    /** Opens the link to another host, or keeps it open, with an empty message. */
+    void openLink(const std::string& address)
+    {
+        if (address.empty() || address == m_settings.address)
+            return;
+        const auto link = m_links.find(address);
+        if (link == m_links.end() || m_clock.now() - link->second.lastSent >= m_settings.linkRefresh)
+            send(address, envelope());
     }
 
     void openLinks()
     {
-        for (const std::string& address : peers())
-            m_hooks.send(address, envelope());
+        for (const ShardId& shard : m_entrance.loads().shards()) {
+            if (const std::string* const address = m_entrance.loads().holderAddress(shard))
+                openLink(*address);
+        }
+        for (auto link = m_links.begin(); link != m_links.end();) {
+            const bool isUnused = m_clock.now() - link->second.lastTried >= 3 * m_settings.linkRefresh;
+            link = isUnused ? m_links.erase(link) : std::next(link);
+        }
         m_timers.after(m_settings.linkInterval, [this] { openLinks(); });
     }
 
+    /** Follows the target list while this host holds a shard or is among the next to acquire one. */
+    void reviewTargetList()
+    {
+        m_timers.after(m_settings.followInterval, [this] { reviewTargetList(); });
+        // Before the other hosts are known, every host would be the next one.
+        if (!m_fleetList.isSynchronized())
+            return;
+        const bool isNeeded = isHolding() || (!m_isDraining && isNextHolder());
+        if (isNeeded && !m_targetList.isStarted()) {
+            followTargetList();
+        } else if (!isNeeded && m_targetList.isStarted()) {
+            m_hooks.log("target_list_left", {});
+            m_targetList.stop();
+        }
+    }
+
+    bool isNextHolder() const
+    {
+        return std::any_of(m_shards.begin(), m_shards.end(),
+            [this](const auto& entry) { return entry.second.election->rank() < m_settings.followersPerShard; });
+    }
+
+    void followTargetList()
+    {
+        m_hooks.log("target_list_followed", {});
+        m_isTargetListNew = true;
+        m_targetList.start();
+    }
+
     void reportJobEnd(const ShardJob& job)
     {
         if (m_hooks.jobDuration && job.endedAt)
@@ -463,14 +583,20 @@
     std::map<ShardId, Shard> m_shards;
     std::map<TargetId, ShardId> m_shardByTarget;
     std::optional<QueueTable> m_queues;
+    /** The target list has not been read since this host follows it. */
+    bool m_isTargetListNew { false };
     PrefixWatcher m_configuration;
     PrefixWatcher m_targetList;
     PrefixWatcher m_fleetList;
     JobEntrance m_entrance;
-    /** Incarnations of the other hosts to which links were opened. */
-    std::map<HostId, Incarnation> m_linkedIncarnations;
-    /** Times of the last messages from other hosts, by address. */
-    std::map<std::string, TimePoint> m_lastMessageTimes;
+    LoadFeed m_loadFeed;
+    std::map<HostId, Incarnation> m_knownIncarnations;
+    struct Link {
+        TimePoint lastTried { distantPast };
+        TimePoint lastSent { distantPast };
+    };
+    /** Links to other hosts, by address. */
+    std::map<std::string, Link> m_links;
     /** When the timer that sends the loads last fired. */
     TimePoint m_lastLoadTimerRun { TimePoint::max() };
     TimePoint m_loadTimerDue { TimePoint::max() };
--- a/modules/rattanroad_shards/node/ShardNode.h
+++ b/modules/rattanroad_shards/node/ShardNode.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "rattanroad_shards/entrance/JobEntrance.h"
+#include "rattanroad_shards/entrance/LoadFeed.h"
 #include "rattanroad_shards/entrance/QueueTable.h"
 #include "rattanroad_shards/holding/ShardElection.h"
 #include "rattanroad_shards/jobs/ShardDispatcher.h"
@@ -31,19 +32,24 @@
         /** Key prefix of the target entries. */
         std::string targetPrefix;
         HostLease::Settings lease;
-        /** Interval of the load messages, and so the greatest age of a load: about the run time of the shortest tasks.
-         */
+        /** Interval of the load messages: about the run time of the shortest tasks. */
         std::chrono::milliseconds loadInterval { 100 };
-        /** Interval of empty messages that open the links to other hosts before a job needs them. */
+        /** Interval at which the links to the holders are checked, so that they are open before a job needs them. */
         std::chrono::milliseconds linkInterval { 500 };
+        /** A link gets an empty message when nothing was sent on it for this long: unused links are closed after 60 s.
+         */
+        std::chrono::seconds linkRefresh { 20 };
         std::chrono::milliseconds electionInterval { 100 };
-        /** A host that has sent nothing for this long gets no more messages unless it is registered in the store. */
-        std::chrono::milliseconds silentPeerTimeout { 4000 };
+        /** Interval at which a host decides whether it has to follow the target list. */
+        std::chrono::milliseconds followInterval { 500 };
+        /** So many hosts, the holder included, follow the target list for each shard: a new holder that has followed it
+            for a while can tell that no run of an earlier holder is left. */
+        std::size_t followersPerShard { 3 };
         /** Pause between two watches of the targets while this host holds a shard. Targets write every 1.5 s, and a
             draining target must get no work after 2 s, so a holder has to notice within a quarter of that time. */
         std::chrono::milliseconds targetListPause { 400 };
-        /** Pause while this host holds no shard: it needs the list of targets only when it acquires one. An entry of a
-            target lasts for at least 4.5 s, so each is read, also when the store is slow. */
+        /** Pause while this host follows the list without holding a shard. An entry of a target lasts for at least
+            4.5 s, so each is read, also when the store is slow. */
         std::chrono::milliseconds idleTargetListPause { 3500 };
         /** The store is lost when the lease has ended and this many requests for the list of targets have failed in a
             row. After a pause of the process, the first can have been sent before it. */
@@ -60,6 +66,9 @@
         /** Submissions that arrive this soon after a pause were sent during it and are dropped; their origin hosts
             submit them again if they are still wanted. */
         std::chrono::milliseconds staleMessageWindow { 100 };
+        /** Pause before a handover is sent again that could not be sent, and the time after which it is dropped. */
+        std::chrono::milliseconds handoverRetryPause { 10 };
+        std::chrono::milliseconds handoverRetryTime { 300 };
         /** A draining host releases its shards after this time, which covers two store calls and a watch, so that hosts
             that drain together learn of one another first. */
         std::chrono::milliseconds releaseDelay { 150 };
@@ -70,9 +79,11 @@
     };
     using LogFields = std::vector<std::pair<const char*, std::string>>;
     struct Hooks {
-        /** Sends a message to another host; may drop it. */
-        std::function<void(const std::string& address, const protocol::Envelope&)> send;
-        /** A new process has started at the address: its link is opened at once instead of after the retry interval. */
+        /** Sends a message to another host; it may get lost. Returns false when it was not sent because no link is
+           open, and then opens one. */
+        std::function<bool(const std::string& address, const protocol::Envelope&)> send;
+        /** A new process has started at an address that has a link: the link is opened at once instead of after the
+            retry interval. */
         std::function<void(const std::string& address)> hostStarted;
         std::function<void(const char* event, const LogFields&)> log;
         /** Parses the entry of a target; returns nothing for an unusable one. */
--- a/modules/rattanroad_shards/store/PrefixWatcher.cpp
+++ b/modules/rattanroad_shards/store/PrefixWatcher.cpp
@@ -15,10 +15,27 @@
 
 void PrefixWatcher::start()
 {
+    ++m_epoch;
+    m_isStarted = true;
     m_continuedAt = m_clock.now();
     readPage("");
 }
 
+void PrefixWatcher::stop()
+{
+    ++m_epoch;
+    m_isStarted = false;
+    m_isSynchronized = false;
+    m_isPausing = false;
+    m_isPauseSkipped = false;
+    m_failures = 0;
+    m_check.reset();
+    std::map<std::string, KeyRevision> known;
+    known.swap(m_knownRevisions);
+    for (const auto& entry : known)
+        m_hooks.removed(entry.first);
+}
+
 void PrefixWatcher::readPage(const std::string& after)
 {
     if (after.empty()) {
@@ -27,7 +44,7 @@
         m_firstPageRevision = KeyRevision(0);
         m_firstPageRequestedAt = m_clock.now();
     }
-    m_store.readPage(m_settings.prefix, after, [this](const ReadReply& reply) { handlePage(reply); });
+    m_store.readPage(m_settings.prefix, after, untilStop([this](const ReadReply& reply) { handlePage(reply); }));
 }
 
 void PrefixWatcher::handlePage(const ReadReply& reply)
@@ -109,10 +126,10 @@
         return;
     }
     m_isPausing = true;
-    m_timers.after(rest, [this, number = ++m_pauseCount] {
+    m_timers.after(rest, untilStop([this, number = ++m_pauseCount] {
         if (m_isPausing && number == m_pauseCount)
             continueNow();
-    });
+    }));
 }
 
 void PrefixWatcher::continueNow()
@@ -143,7 +160,7 @@
     // The page after the last key is empty unless keys were added, and tells the revision of the store.
     const std::string lastKey = m_knownRevisions.empty() ? "" : m_knownRevisions.rbegin()->first;
     m_store.readPage(m_settings.prefix, lastKey,
-        [this, sentAt = m_clock.now()](const ReadReply& reply) { handleCheckReply(reply, sentAt); });
+        untilStop([this, sentAt = m_clock.now()](const ReadReply& reply) { handleCheckReply(reply, sentAt); }));
 }
 
 void PrefixWatcher::handleCheckReply(const ReadReply& reply, TimePoint sentAt)
@@ -170,7 +187,7 @@
 void PrefixWatcher::watch()
 {
     m_store.watch(m_settings.prefix, m_watchRevision, m_check ? m_settings.checkedWatchWait : m_settings.watchWait,
-        [this](const WatchReply& reply) { handleWatchReply(reply); });
+        untilStop([this](const WatchReply& reply) { handleWatchReply(reply); }));
 }
 
 void PrefixWatcher::handleWatchReply(const WatchReply& reply)
@@ -186,7 +203,7 @@
             return;
         }
         requestFailed();
-        m_timers.after(m_settings.retryPause, [this] { watch(); });
+        m_timers.after(m_settings.retryPause, untilStop([this] { watch(); }));
         return;
     }
     m_failures = 0;
@@ -244,7 +261,7 @@
 void PrefixWatcher::retryReadLater()
 {
     requestFailed();
-    m_timers.after(m_settings.retryPause, [this] { readPage(""); });
+    m_timers.after(m_settings.retryPause, untilStop([this] { readPage(""); }));
 }
 
 }
--- a/modules/rattanroad_shards/store/PrefixWatcher.h
+++ b/modules/rattanroad_shards/store/PrefixWatcher.h
@@ -48,6 +48,9 @@
     PrefixWatcher& operator=(const PrefixWatcher&) = delete;
 
     void start();
+    /** Ends the watch and reports all keys as removed, until start() is called again. */
+    void stop();
+    bool isStarted() const { return m_isStarted; }
     /** Reads all keys beside the watch, which can be told of changes late. Calls @p done when all writes before this
         call were processed. A later call of the same reader replaces one that is not done. */
     void readNow(const std::string& reader, const std::function<void()>& done);
@@ -71,6 +74,14 @@
     };
     /** Reads the page after @p key and the following ones, unless the read was replaced. */
     void readAfter(const std::string& key, const Read& read);
+    /** Returns the function so that it does nothing once the watch has been stopped. */
+    template <typename Function> auto untilStop(Function function)
+    {
+        return [this, epoch = m_epoch, function = std::move(function)](const auto&... arguments) {
+            if (epoch == m_epoch)
+                function(arguments...);
+        };
+    }
     /** Returns whether the read has failed, or is older than the last watched revision and would bring removed keys
         back. */
     bool isUnusable(const ReadReply& reply) const;
@@ -113,7 +124,10 @@
     std::optional<Check> m_check;
     TimePoint m_currentAsOf { distantPast };
     int m_failures { 0 };
+    bool m_isStarted { false };
     bool m_isSynchronized { false };
+    /** Rises with each start and stop, so that replies and timers of earlier ones are ignored. */
+    std::uint64_t m_epoch { 0 };
     /** When the latest read, check or watch after a pause began. */
     TimePoint m_continuedAt { distantPast };
     /** Number of pauses so far; identifies the pause of a timer, so that the timer of an ended pause does nothing. */
--- a/modules/rattanroad_shards/targets/ShardTargets.h
+++ b/modules/rattanroad_shards/targets/ShardTargets.h
@@ -61,6 +61,7 @@
     /** Returns whether the list is recent enough to tell which targets have to get no more starts. While the store is
         lost it is, however old: the host serves its targets without the store. */
     bool isListRecent() const;
+    bool hasListedTargets() const { return !m_reports.empty(); }
     /** Returns when the target list was current. */
     TimePoint listCurrentAsOf() const { return m_listCurrentAsOf; }
     /** Updates of the target list were interrupted, so targets may be missing from it. */
--- a/tests/shards/CutOffTests.cpp
+++ b/tests/shards/CutOffTests.cpp
@@ -1,5 +1,7 @@
 #include "shards/FleetChecks.h"
 
+#include <algorithm>
+
 using namespace rattanroad;
 using namespace rattanroad::emulator;
 using namespace rattanroad::shards;
@@ -22,6 +24,21 @@
         m_origin = m_earlierHolder == HostId("south-0") ? HostId("south-1") : HostId("south-0");
     }
 
+    /** Starts with a host of "north" alone, which follows the target list until the others, larger ones, are up. */
+    explicit CutOffFleet(const HostId& formerFollower)
+        : m_fleet(settingsWithSmallHost(formerFollower))
+    {
+        m_fleet.start(formerFollower);
+        m_fleet.run(2s);
+        m_fleet.startAll();
+        m_fleet.run(20s);
+        m_earlierHolder = m_fleet.holderOf("south");
+        for (const HostId& host : m_fleet.hosts()) {
+            if (host.value().compare(0, 5, "south") == 0 && host != m_earlierHolder)
+                m_origin = host;
+        }
+    }
+
     EmulatedFleet& fleet() { return m_fleet; }
     const HostId& earlierHolder() const { return m_earlierHolder; }
     const EmulatedFleet::Call& call() { return m_fleet.calls().front(); }
@@ -92,6 +109,17 @@
     }
 
 private:
+    static EmulatedFleet::Settings settingsWithSmallHost(const HostId& small)
+    {
+        EmulatedFleet::Settings settings;
+        settings.hostsPerDomain = 5;
+        for (const std::string& domain : settings.domains) {
+            for (int i = 0; i < settings.hostsPerDomain; ++i)
+                settings.processors[HostId(domain + "-" + std::to_string(i))] = HostMillicores(500);
+        }
+        settings.processors[small] = HostMillicores(90);
+        return settings;
+    }
     std::vector<TargetId> southTargets() const
     {
         std::vector<TargetId> targets;
@@ -271,6 +299,30 @@
     requireNoViolations(cut.fleet());
 }
 
+TEST_CASE(
+    "a new holder that has stopped following the target list restarts no job whose run is on a target that left it")
+{
+    const HostId formerFollower("north-0");
+    CutOffFleet cut(formerFollower);
+    EmulatedFleet& fleet = cut.fleet();
+    const std::string left = formerFollower.value() + " target_list_left";
+    REQUIRE(std::any_of(fleet.log().begin(), fleet.log().end(),
+        [&left](const std::string& line) { return line.find(left) != std::string::npos; }));
+    fleet.setCallerWait(30s);
+    cut.startJob(12s);
+    cut.unlistTargetsWithRuns();
+    fleet.run(1s);
+    for (const HostId& host : fleet.hosts()) {
+        if (host.value().compare(0, 5, "north") == 0 && host != formerFollower)
+            fleet.kill(host);
+    }
+    cut.cutOff();
+    fleet.run(4s);
+    REQUIRE(fleet.targets().running() == 1);
+    cut.reconnect();
+    requireNoViolations(fleet);
+}
+
 TEST_CASE("a new holder restarts no job while an earlier holder that is cut off may go on without its lease")
 {
     CutOffFleet cut;
--- a/tests/shards/PrefixWatcherTests.cpp
+++ b/tests/shards/PrefixWatcherTests.cpp
@@ -50,6 +50,19 @@
 
 }
 
+TEST_CASE("a watch that was stopped and started again ignores the replies to requests of before")
+{
+    WatcherFixture fixture;
+    const auto earlierWatch = fixture.watches.back();
+    fixture.watcher->stop();
+    CHECK(fixture.keys.empty());
+    fixture.watcher->start();
+    earlierWatch({ StoreStatus::Done, { KeyChange { itemAt("t/b", 101), false } }, KeyRevision(101) });
+    CHECK(fixture.keys.empty());
+    fixture.replyToRead({ itemAt("t/c", 102) }, 103);
+    CHECK(fixture.keys == std::set<std::string> { "t/c" });
+}
+
 // A removed target that came back would never be removed again.
 TEST_CASE("a read that is overtaken by a removal does not bring the key back")
 {
