Find the shard of a resubmitted job through a home instead of telling every host

Cause: each holder told every host the ids of all open best-effort jobs and of those of the last 650 ms, ten times a second, and every host kept the shard of every job of the deployment for 30 s: hosts times jobs. A job that was submitted twice within 0.1 s was not recognised.

Change: JobHomes. The home of a job is a shard that follows from its id by rendezvous hashing; a submission goes through the home's holder, which remembers the shard of the job and passes the submission on. A holder that acquired its shard within 30 s, or stands in for a silent one, asks the holders of all shards first; no answer within 30 ms counts as submitted before, never as new. After the shard has accepted the job its origin repeats the submission there, and once through the home if that was silent before. HolderRequests takes the holder's part out of JobEntrance. A shard that cannot be connected to is not chosen until its next load, and a job that its shard has declined may move. A cancellation without a number is no longer answered: the answer for an unknown job ended another submission of it. Hosts of earlier builds keep sending to the shard directly and no longer learn ids; in a mixed fleet only the limit of 1.25 s on the lease after the last submission keeps a moved job from overlapping.

The test of a held-up handover needed a host that forgot the shard of a job; the home's holder now changes in it, and a test of the dispatcher takes over the guard handover-renews-job, which no test noticed any more (tried by hand: the new one does). JobShardMapTests is replaced by JobHomesTests with the same bound.

--- a/modules/rattanroad_shards/entrance/JobEntrance.cpp
+++ b/modules/rattanroad_shards/entrance/JobEntrance.cpp
@@ -14,7 +14,7 @@
     , m_hooks(std::move(hooks))
     , m_loads(m_settings.loads, fleet, clock)
     , m_queries(m_settings.queries, store, m_loads, m_timers, clock, queryHooks())
-    , m_jobShards(m_settings.jobShards, clock)
+    , m_requests(requestSettings(), m_loads, m_timers, clock, requestHooks())
 {
 }
 
@@ -27,6 +27,27 @@
     return hooks;
 }
 
+HolderRequests::Settings JobEntrance::requestSettings() const { return { m_settings.address, m_settings.homes }; }
+
+HolderRequests::Hooks JobEntrance::requestHooks()
+{
+    HolderRequests::Hooks hooks;
+    hooks.send
+        = [this](const std::string& address, const protocol::Envelope& message) { return send(address, message); };
+    hooks.localDispatcher = m_hooks.localDispatcher;
+    hooks.envelope = [this] { return envelope(); };
+    hooks.log = m_hooks.log;
+    return hooks;
+}
+
+bool JobEntrance::send(const std::string& address, const protocol::Envelope& message)
+{
+    if (address != m_settings.address)
+        return m_hooks.send(address, message);
+    received(message);
+    return true;
+}
+
 std::chrono::milliseconds JobEntrance::effectiveWait(std::chrono::milliseconds requested) const
 {
     return requested.count() > 0 ? requested : m_settings.defaultWait;
@@ -50,8 +71,11 @@
     }
     const TimePoint now = m_clock.now();
     const std::uint64_t id = ++m_lastSubmission;
-    m_submissions[id] = { job, now, now + effectiveWait(wait), std::move(reply), ShardId(), 0, 0,
-        m_jobShards.shardOf(JobId(job.id())).has_value() };
+    Submission& submission = m_submissions[id];
+    submission.job = job;
+    submission.startedAt = now;
+    submission.deadline = now + effectiveWait(wait);
+    submission.reply = std::move(reply);
     if (job.best_effort())
         m_bestEffortSubmissions.emplace(JobId(job.id()), id);
     trySubmit(id);
@@ -68,15 +92,16 @@
     m_hooks.log("job_abandoned", job,
         m_clock.now() >= submission.deadline ? "the wait of its caller has timed out" : "its caller has disconnected");
     if (submission.job.best_effort() && submission.unresolvedAttempts > 0) {
-        ShardDispatcher* const local = m_hooks.localDispatcher(submission.shard);
-        const std::string* const address = m_loads.holderAddress(submission.shard);
-        if (local) {
-            local->cancel(job, [](bool, JobState) {});
-        } else if (address) {
-            protocol::Envelope message = envelope();
-            message.mutable_shard_cancel()->set_id(job.value());
-            m_hooks.send(*address, message);
-        }
+        const bool isThroughHome = !submission.isShardCertain && !submission.home.value().empty();
+        const ShardId receiver = isThroughHome ? submission.home : submission.shard;
+        const std::string* const address
+            = m_hooks.localDispatcher(receiver) ? &m_settings.address : m_loads.holderAddress(receiver);
+        protocol::Envelope message = envelope();
+        message.mutable_shard_cancel()->set_id(job.value());
+        if (isThroughHome)
+            message.mutable_shard_cancel()->set_home(receiver.value());
+        if (address)
+            send(*address, message);
     }
     finishSubmission(id, EntranceVerdict::Unknown, {});
 }
@@ -90,14 +115,36 @@
         expire(id);
         return;
     }
-    const std::optional<ShardId> shard = shardFor(found->second);
-    const std::string* const address = shard ? m_loads.holderAddress(*shard) : nullptr;
-    if (shard && (address || m_hooks.localDispatcher(*shard)))
-        sendTo(id, *shard, address);
+    Submission& submission = found->second;
+    const std::optional<ShardId> shard = shardFor(submission);
+    if (!shard) {
+        waitForShard(id);
+        return;
+    }
+    submission.shard = *shard;
+    const std::optional<ShardId> home = homeFor(submission);
+    const bool isHomeNeeded
+        = submission.job.best_effort() && !submission.isShardCertain && !m_loads.hasHolderWithoutHomes();
+    if (home || !isHomeNeeded)
+        sendTo(id, home);
     else
         waitForShard(id);
 }
 
+std::optional<ShardId> JobEntrance::homeFor(const Submission& submission) const
+{
+    if (!submission.job.best_effort() || m_loads.hasHolderWithoutHomes())
+        return std::nullopt;
+    const std::vector<ShardId> homes = m_requests.homes().homesOf(JobId(submission.job.id()));
+    const auto home = std::find_if(homes.begin(), homes.end(),
+        [this](const ShardId& shard) { return m_hooks.localDispatcher(shard) || m_loads.servesAsHome(shard); });
+    if (home == homes.end())
+        return std::nullopt;
+    // A home whose holder was silent learns of the job with the next attempt.
+    const bool isKnownThere = submission.isShardCertain && (submission.home == *home || home != homes.begin());
+    return isKnownThere ? std::nullopt : std::optional<ShardId>(*home);
+}
+
 void JobEntrance::expire(std::uint64_t id)
 {
     const Submission& submission = m_submissions[id];
@@ -122,44 +169,52 @@
     m_timers.after(m_settings.retryPause, [this, id] { trySubmit(id); });
 }
 
-void JobEntrance::sendTo(std::uint64_t id, const ShardId& shard, const std::string* address)
+void JobEntrance::sendTo(std::uint64_t id, const std::optional<ShardId>& home)
 {
     Submission& submission = m_submissions[id];
-    const JobId job(submission.job.id());
-    submission.shard = shard;
-    const bool isResent = submission.unresolvedAttempts > 0 || submission.wasSubmittedBefore;
-    ++submission.attempt;
-    ++submission.unresolvedAttempts;
-    m_loads.addAssignedJob(shard, submission.job);
-    startReplyTimeout(id);
-    const RequestNumber number(id, submission.attempt);
-    const auto waited = std::chrono::duration_cast<std::chrono::milliseconds>(m_clock.now() - submission.startedAt);
-    if (ShardDispatcher* const local = m_hooks.localDispatcher(shard)) {
-        if (submission.job.best_effort())
-            m_jobShards.insert(job, shard);
-        local->submit(submission.job, waited, isResent, { m_settings.address, m_clock.now() },
-            [this, number](SubmitVerdict verdict, std::chrono::milliseconds retryAfter) {
-                handleVerdict(number, verdict, retryAfter);
-            });
+    const ShardId receiver = home.value_or(submission.shard);
+    const bool isLocal = m_hooks.localDispatcher(receiver) != nullptr;
+    const std::string* const address = isLocal ? &m_settings.address : m_loads.holderAddress(receiver);
+    if (!address) {
+        waitForShard(id);
         return;
     }
+    const TimePoint now = m_clock.now();
     protocol::Envelope message = envelope();
     protocol::ShardSubmit* const body = message.mutable_shard_submit();
-    body->set_request(number.toWire());
-    body->set_shard(shard.value());
+    body->set_shard(submission.shard.value());
     *body->mutable_job() = submission.job;
-    body->set_waited_ms(static_cast<std::uint32_t>(waited.count()));
-    body->set_resent(isResent);
-    if (const auto holderClock = m_loads.holderClock(shard))
-        body->set_receiver_clock_ms(*holderClock);
-    if (m_hooks.send(*address, message)) {
-        if (submission.job.best_effort())
-            m_jobShards.insert(job, shard);
-        return;
+    body->set_waited_ms(static_cast<std::uint32_t>(
+        std::chrono::duration_cast<std::chrono::milliseconds>(now - submission.startedAt).count()));
+    body->set_resent(submission.unresolvedAttempts > 0);
+    body->set_declined(submission.unresolvedAttempts == 0);
+    body->set_located(submission.isShardCertain);
+    if (home) {
+        body->set_home(home->value());
+        submission.home = *home;
     }
-    --submission.unresolvedAttempts;
+    const auto holderClock = isLocal ? toMilliseconds(now) : m_loads.holderClock(receiver);
+    if (holderClock)
+        body->set_receiver_clock_ms(*holderClock);
     ++submission.attempt;
-    waitForShard(id);
+    ++submission.unresolvedAttempts;
+    body->set_request(RequestNumber(id, submission.attempt).toWire());
+    m_loads.addAssignedJob(submission.shard, submission.job);
+    startReplyTimeout(id);
+    // A local holder may answer at once, which can end the submission.
+    const std::uint64_t attempt = submission.attempt;
+    if (send(*address, message))
+        return;
+    const auto found = m_submissions.find(id);
+    if (found == m_submissions.end() || found->second.attempt != attempt)
+        return;
+    --found->second.unresolvedAttempts;
+    ++found->second.attempt;
+    m_loads.setUnreachable(receiver);
+    if (isBound(found->second))
+        waitForShard(id);
+    else
+        trySubmit(id);
 }
 
 void JobEntrance::startReplyTimeout(std::uint64_t id)
@@ -179,25 +234,29 @@
 
 std::optional<ShardId> JobEntrance::shardFor(const Submission& submission) const
 {
-    // A best-effort job stays in its shard, because runs of one task in two shards could overlap.
-    if (submission.job.best_effort()) {
-        if (submission.unresolvedAttempts > 0)
-            return submission.shard;
-        if (auto placed = m_jobShards.shardOf(JobId(submission.job.id())))
-            return placed;
-    }
-    return m_loads.choose(submission.job);
+    return isBound(submission) ? std::optional<ShardId>(submission.shard) : m_loads.choose(submission.job);
 }
 
-void JobEntrance::handleVerdict(RequestNumber request, SubmitVerdict verdict, std::chrono::milliseconds retryAfter)
+bool JobEntrance::isBound(const Submission& submission)
+{
+    return submission.job.best_effort() && (submission.isShardCertain || submission.unresolvedAttempts > 0);
+}
+
+void JobEntrance::handleVerdict(
+    RequestNumber request, SubmitVerdict verdict, std::chrono::milliseconds retryAfter, const ShardId& shard)
 {
     const std::uint64_t id = request.id();
     const auto found = m_submissions.find(id);
     if (found == m_submissions.end())
         return;
     Submission& submission = found->second;
-    if (verdict == SubmitVerdict::Accepted && submission.job.best_effort())
+    if (verdict == SubmitVerdict::Accepted && submission.job.best_effort()) {
+        submission.isShardCertain = true;
+        // Holders of earlier builds name none.
+        if (!shard.value().empty())
+            submission.shard = shard;
         return;
+    }
     if (verdict == SubmitVerdict::Accepted) {
         m_queries.recordState(JobId(submission.job.id()), submission.shard, JobState::Queued);
         finishSubmission(id, EntranceVerdict::Accepted, {});
@@ -255,34 +314,23 @@
     m_queries.jobEnded(job, state);
 }
 
-void JobEntrance::loadReceived(const protocol::ShardLoad& load)
-{
-    if (!m_loads.received(load))
-        return;
-    for (const std::string& announced : load.new_jobs()) {
-        const JobId job(announced);
-        m_jobShards.insert(job, ShardId(load.shard()));
-        const auto waiting = m_bestEffortSubmissions.equal_range(job);
-        for (auto entry = waiting.first; entry != waiting.second; ++entry)
-            m_submissions[entry->second].wasSubmittedBefore = true;
-    }
-}
+void JobEntrance::loadReceived(const protocol::ShardLoad& load) { m_loads.received(load); }
 
 void JobEntrance::received(const protocol::Envelope& message)
 {
     switch (message.body_case()) {
     case protocol::Envelope::kShardSubmit:
-        answerSubmit(message);
+        m_requests.submit(message);
         return;
     case protocol::Envelope::kShardQuery:
     case protocol::Envelope::kShardCancel:
-        answerQuery(message);
+        m_requests.query(message);
         return;
     case protocol::Envelope::kShardSubmitReply: {
         const protocol::ShardSubmitReply& reply = message.shard_submit_reply();
         if (reply.verdict() <= static_cast<unsigned>(SubmitVerdict::NotReconciled))
             handleVerdict(RequestNumber::fromWire(reply.request()), static_cast<SubmitVerdict>(reply.verdict()),
-                std::chrono::milliseconds(reply.retry_after_ms()));
+                std::chrono::milliseconds(reply.retry_after_ms()), ShardId(reply.shard()));
         return;
     }
     case protocol::Envelope::kShardJobReply:
@@ -295,7 +343,7 @@
 
 void JobEntrance::handleJobReply(const protocol::ShardJobReply& reply)
 {
-    if (reply.state() > static_cast<unsigned>(JobState::Cancelled))
+    if (reply.state() > static_cast<unsigned>(JobState::Cancelled) || m_requests.replyReceived(reply))
         return;
     const auto state = static_cast<JobState>(reply.state());
     if (reply.request() == 0)
@@ -304,54 +352,4 @@
         m_queries.handleReply(RequestNumber::fromWire(reply.request()), reply.known(), state);
 }
 
-void JobEntrance::answerSubmit(const protocol::Envelope& message)
-{
-    const protocol::ShardSubmit& body = message.shard_submit();
-    const auto reply = [this, address = message.from_host(), request = body.request()](
-                           SubmitVerdict verdict, std::chrono::milliseconds retryAfter) {
-        protocol::Envelope answer = envelope();
-        answer.mutable_shard_submit_reply()->set_request(request);
-        answer.mutable_shard_submit_reply()->set_verdict(static_cast<std::uint32_t>(verdict));
-        answer.mutable_shard_submit_reply()->set_retry_after_ms(static_cast<std::uint32_t>(retryAfter.count()));
-        m_hooks.send(address, answer);
-    };
-    ShardDispatcher* const local = m_hooks.localDispatcher(ShardId(body.shard()));
-    if (!local) {
-        reply(SubmitVerdict::NotHolder, {});
-        return;
-    }
-    const std::uint64_t now = toMilliseconds(m_clock.now());
-    const std::uint64_t sentAt = body.has_receiver_clock_ms() ? std::min(body.receiver_clock_ms(), now) : now;
-    const std::chrono::milliseconds age(now - sentAt);
-    local->submit(body.job(), std::chrono::milliseconds(body.waited_ms()) + age, body.resent(),
-        { message.from_host(), m_clock.now() - age }, reply);
-}
-
-void JobEntrance::answerQuery(const protocol::Envelope& message)
-{
-    const bool isCancel = message.has_shard_cancel();
-    const JobId job(isCancel ? message.shard_cancel().id() : message.shard_query().id());
-    const std::uint64_t request = isCancel ? message.shard_cancel().request() : message.shard_query().request();
-    const auto reply = [this, address = message.from_host(), request, job](bool isKnown, JobState state) {
-        protocol::Envelope answer = envelope();
-        answer.mutable_shard_job_reply()->set_request(request);
-        answer.mutable_shard_job_reply()->set_id(job.value());
-        answer.mutable_shard_job_reply()->set_known(isKnown);
-        answer.mutable_shard_job_reply()->set_state(static_cast<std::uint32_t>(state));
-        m_hooks.send(address, answer);
-    };
-    for (const ShardId& shard : m_settings.loads.shards) {
-        ShardDispatcher* const local = m_hooks.localDispatcher(shard);
-        const std::optional<JobState> state = local ? local->state(job) : std::nullopt;
-        if (!state)
-            continue;
-        if (isCancel)
-            local->cancel(job, reply);
-        else
-            reply(true, *state);
-        return;
-    }
-    reply(false, JobState::Queued);
-}
-
 }
--- a/modules/rattanroad_shards/entrance/JobEntrance.h
+++ b/modules/rattanroad_shards/entrance/JobEntrance.h
@@ -1,7 +1,7 @@
 #pragma once
 
+#include "rattanroad_shards/entrance/HolderRequests.h"
 #include "rattanroad_shards/entrance/JobQueries.h"
-#include "rattanroad_shards/entrance/JobShardMap.h"
 
 namespace rattanroad::shards {
 
@@ -25,7 +25,7 @@
         std::string address;
         ShardLoads::Settings loads;
         JobQueries::Settings queries;
-        JobShardMap::Settings jobShards;
+        JobHomes::Settings homes;
         /** Timeout of one request: one store call, two network hops, and the batching delay of records. */
         std::chrono::milliseconds replyTimeout { 300 };
         std::chrono::milliseconds retryPause { 40 };
@@ -74,6 +74,7 @@
     /** Updates the load of a shard that this host or another holds. */
     void loadReceived(const protocol::ShardLoad& load);
     const ShardLoads& loads() const { return m_loads; }
+    JobHomes& homes() { return m_requests.homes(); }
     /** Answers the callers that wait for a job that has ended. */
     void jobEnded(const JobId& job, JobState state);
 
@@ -84,15 +85,20 @@
         TimePoint deadline;
         SubmitReply reply;
         ShardId shard;
+        /** The holder of the shard has accepted the best-effort job. */
+        bool isShardCertain { false };
+        /** Home through which the best-effort job was last submitted. */
+        ShardId home;
         std::uint64_t attempt { 0 };
         /** Attempts without a definite negative reply, after any of which the job may have been accepted. */
         std::uint32_t unresolvedAttempts { 0 };
-        /** A holder may have the job from another submission. */
-        bool wasSubmittedBefore { false };
     };
     void trySubmit(std::uint64_t id);
-    /** Sends a submission to the holder of a shard; @p address may be null if this host is the holder. */
-    void sendTo(std::uint64_t id, const ShardId& shard, const std::string* address);
+    /** Returns the shard through whose holder a best-effort job is to be submitted, or nothing when none can be reached
+        or the job can be sent to its shard directly. */
+    std::optional<ShardId> homeFor(const Submission& submission) const;
+    /** Sends a submission to a holder: that of its shard, or that of @p home if there is one. */
+    void sendTo(std::uint64_t id, const std::optional<ShardId>& home);
     /** Retries later while no shard is available, or refuses the job once the wait limit is reached. */
     void waitForShard(std::uint64_t id);
     /** Ends a submission whose deadline has passed. */
@@ -100,12 +106,18 @@
     void startReplyTimeout(std::uint64_t id);
     std::chrono::milliseconds effectiveWait(std::chrono::milliseconds requested) const;
     std::optional<ShardId> shardFor(const Submission& submission) const;
-    void handleVerdict(RequestNumber request, SubmitVerdict verdict, std::chrono::milliseconds retryAfter);
+    /** Returns whether a job has to stay in its shard: runs of one task of a best-effort job in two shards could
+        overlap. */
+    static bool isBound(const Submission& submission);
+    void handleVerdict(
+        RequestNumber request, SubmitVerdict verdict, std::chrono::milliseconds retryAfter, const ShardId& shard);
     void finishSubmission(std::uint64_t id, EntranceVerdict verdict, std::chrono::milliseconds retryAfter);
-    void answerSubmit(const protocol::Envelope& envelope);
-    void answerQuery(const protocol::Envelope& envelope);
     void handleJobReply(const protocol::ShardJobReply& reply);
     JobQueries::Hooks queryHooks();
+    HolderRequests::Settings requestSettings() const;
+    HolderRequests::Hooks requestHooks();
+    /** Sends a message to this or another host. Returns false when it was not sent. */
+    bool send(const std::string& address, const protocol::Envelope& message);
     protocol::Envelope envelope() const;
 
     Settings m_settings;
@@ -114,7 +126,7 @@
     Hooks m_hooks;
     ShardLoads m_loads;
     JobQueries m_queries;
-    JobShardMap m_jobShards;
+    HolderRequests m_requests;
     std::map<std::uint64_t, Submission> m_submissions;
     /** Open submissions of best-effort jobs, by job. */
     std::multimap<JobId, std::uint64_t> m_bestEffortSubmissions;
--- /dev/null
+++ b/modules/rattanroad_shards/entrance/JobHomes.cpp
@@ -0,0 +1,143 @@
+#include "rattanroad_shards/entrance/JobHomes.h"
+
+#include "rattanroad_shards/types/RendezvousHash.h"
+
+#include <algorithm>
+
+namespace rattanroad::shards {
+
+JobHomes::JobHomes(Settings settings, Timers timers, const Clock& clock, Hooks hooks)
+    : m_settings(std::move(settings))
+    , m_timers(std::move(timers))
+    , m_clock(clock)
+    , m_hooks(std::move(hooks))
+{
+}
+
+std::vector<ShardId> JobHomes::homesOf(const JobId& job) const
+{
+    std::vector<std::pair<std::uint64_t, ShardId>> weighted;
+    weighted.reserve(m_settings.shards.size());
+    for (const ShardId& shard : m_settings.shards)
+        weighted.emplace_back(rendezvousWeight(job.value(), shard.value()), shard);
+    std::sort(weighted.begin(), weighted.end(), std::greater<>());
+    std::vector<ShardId> homes;
+    homes.reserve(weighted.size());
+    for (auto& entry : weighted)
+        homes.push_back(std::move(entry.second));
+    return homes;
+}
+
+void JobHomes::begin(const ShardId& home, bool isFirstHolder)
+{
+    Home& begun = m_homes[home];
+    begun = {};
+    begun.completeFrom = isFirstHolder ? distantPast : m_clock.now() + m_settings.retention;
+}
+
+JobHomes::Home* JobHomes::homeOf(const ShardId& home)
+{
+    const auto found = m_homes.find(home);
+    return found == m_homes.end() ? nullptr : &found->second;
+}
+
+bool JobHomes::knowsAll(const ShardId& home, const JobId& job) const
+{
+    return m_clock.now() >= m_homes.at(home).completeFrom && homesOf(job).front() == home;
+}
+
+void JobHomes::locate(
+    const ShardId& home, const JobId& job, const ShardId& preferred, const Submission& submission, Located located)
+{
+    Home* const known = homeOf(home);
+    if (!known)
+        return;
+    const auto found = known->entries.find(job);
+    if (submission.isLocated) {
+        if (found == known->entries.end())
+            insert(*known, job, { preferred, submission, true });
+        else
+            found->second.shard = preferred;
+        located(preferred, true);
+        return;
+    }
+    if (found != known->entries.end()) {
+        Entry& entry = found->second;
+        entry.isShared = entry.isShared || !entry.submission.isSame(submission);
+        // No attempt of the only submission was accepted, so the job is in no shard.
+        if (!entry.isShared && submission.wasDeclined)
+            entry.shard = preferred;
+        located(ShardId(entry.shard), entry.isShared);
+        return;
+    }
+    if (knowsAll(home, job)) {
+        insert(*known, job, { preferred, submission, false });
+        located(preferred, false);
+        return;
+    }
+    const bool isSearched = known->searches.count(job) != 0;
+    known->searches[job].waiting.push_back({ preferred, submission, std::move(located) });
+    if (!isSearched)
+        search(home, job);
+}
+
+std::optional<ShardId> JobHomes::find(const ShardId& home, const JobId& job) const
+{
+    const auto known = m_homes.find(home);
+    if (known == m_homes.end())
+        return std::nullopt;
+    const auto entry = known->second.entries.find(job);
+    return entry == known->second.entries.end() ? std::nullopt : std::optional<ShardId>(entry->second.shard);
+}
+
+void JobHomes::search(const ShardId& home, const JobId& job)
+{
+    m_homes.at(home).searches.at(job).unanswered = m_settings.shards.size();
+    m_timers.after(m_settings.askTimeout, [this, home, job] {
+        Home* const known = homeOf(home);
+        if (!known || known->searches.count(job) == 0)
+            return;
+        m_hooks.log("job_location_unknown", job, "home " + home.value());
+        finishSearch(home, job, std::nullopt, true);
+    });
+    for (const ShardId& shard : m_settings.shards) {
+        m_hooks.ask(shard, job, [this, home, job, shard](bool isKnown) { handleAnswer(home, job, shard, isKnown); });
+    }
+}
+
+void JobHomes::handleAnswer(const ShardId& home, const JobId& job, const ShardId& asked, bool isKnown)
+{
+    Home* const known = homeOf(home);
+    const auto search = known ? known->searches.find(job) : std::map<JobId, Search>::iterator();
+    if (!known || search == known->searches.end())
+        return;
+    if (isKnown)
+        finishSearch(home, job, asked, true);
+    else if (--search->second.unanswered == 0)
+        finishSearch(home, job, std::nullopt, false);
+}
+
+void JobHomes::finishSearch(
+    const ShardId& home, const JobId& job, const std::optional<ShardId>& shard, bool mayBeSubmittedBefore)
+{
+    Home& known = *homeOf(home);
+    const std::vector<Waiting> waiting = std::move(known.searches.at(job).waiting);
+    known.searches.erase(job);
+    const ShardId location = shard.value_or(waiting.front().preferred);
+    insert(known, job, { location, waiting.front().submission, mayBeSubmittedBefore || waiting.size() > 1 });
+    for (std::size_t i = 0; i < waiting.size(); ++i)
+        waiting[i].located(location, mayBeSubmittedBefore || i > 0);
+}
+
+void JobHomes::insert(Home& home, const JobId& job, Entry entry)
+{
+    const TimePoint now = m_clock.now();
+    if (home.entries.emplace(job, std::move(entry)).second)
+        home.insertionOrder.emplace_back(now, job);
+    while (!home.insertionOrder.empty() && now - home.insertionOrder.front().first >= m_settings.retention) {
+        home.entries.erase(home.insertionOrder.front().second);
+        home.insertionOrder.pop_front();
+    }
+}
+
+}
--- /dev/null
+++ b/modules/rattanroad_shards/entrance/JobHomes.h
@@ -0,0 +1,115 @@
+#pragma once
+
+#include "rattanroad_shards/types/ShardTypes.h"
+
+#include <deque>
+#include <map>
+#include <memory>
+#include <optional>
+#include <vector>
+
+namespace rattanroad::shards {
+
+/** Tells in which shard a best-effort job is. Runs of one job in two shards could overlap, so a job that is submitted
+    again, to whichever host, has to go to the shard that it is in.
+
+    Each job id has a home among the shards, which follows from the id alone. The holder of the home remembers the shard
+    of the job; no other host has to. A holder that may not know all jobs of its home, because it has acquired it
+    recently or stands in for a home whose holder is silent, asks the holders of all shards first. A holder that does
+    not answer makes the answer unknown, which counts as submitted before.
+*/
+class JobHomes {
+public:
+    struct Settings {
+        /** All shards, in the same order on all hosts. */
+        std::vector<ShardId> shards;
+        /** How long the shard of a job is remembered: several times the longest wait of a caller. */
+        std::chrono::seconds retention { 30 };
+        /** Time for the holders of the other shards to answer: tens of round trips between failure domains. */
+        std::chrono::milliseconds askTimeout { 30 };
+    };
+    /** One submission of a job: all attempts of one origin host to hand over the request of one caller. */
+    struct Submission {
+        std::string origin;
+        Incarnation incarnation;
+        std::uint64_t number { 0 };
+        /** Each attempt so far was answered, and none was accepted. */
+        bool wasDeclined { false };
+        /** The preferred shard has accepted the job, which its home may not know. */
+        bool isLocated { false };
+
+        bool isSame(const Submission& other) const
+        {
+            return origin == other.origin && incarnation == other.incarnation && number == other.number;
+        }
+    };
+    /** Receives the shard of a job, and whether another submission may have brought it there. */
+    using Located = std::function<void(const ShardId&, bool mayBeSubmittedBefore)>;
+    struct Hooks {
+        /** Asks the holder of a shard whether it has a job. Calls back at most once, and never when it does not answer.
+         */
+        std::function<void(const ShardId&, const JobId&, std::function<void(bool isKnown)>)> ask;
+        std::function<void(const char* event, const JobId&, const std::string& detail)> log;
+    };
+
+    JobHomes(Settings settings, Timers timers, const Clock& clock, Hooks hooks);
+    JobHomes(const JobHomes&) = delete;
+    JobHomes& operator=(const JobHomes&) = delete;
+
+    /** Returns the shards in the order in which they serve as home of the job: the first whose holder is known to live.
+     */
+    std::vector<ShardId> homesOf(const JobId& job) const;
+    /** This host has begun to hold a shard. @p isFirstHolder tells that no other process has ever held it. */
+    void begin(const ShardId& home, bool isFirstHolder);
+    /** This host no longer holds the shard. */
+    void end(const ShardId& home) { m_homes.erase(home); }
+
+    /** Finds the shard of a job, which is @p preferred unless the job is in another one. Calls @p located once, or not
+       at all if this host stops to hold the home.
+        @pre this host holds @p home */
+    void locate(
+        const ShardId& home, const JobId& job, const ShardId& preferred, const Submission& submission, Located located);
+    /** Returns the shard of a job if this host remembers it. */
+    std::optional<ShardId> find(const ShardId& home, const JobId& job) const;
+
+private:
+    struct Entry {
+        ShardId shard;
+        Submission submission;
+        /** Another submission was sent to the shard too. */
+        bool isShared { false };
+    };
+    struct Waiting {
+        ShardId preferred;
+        Submission submission;
+        Located located;
+    };
+    struct Search {
+        std::vector<Waiting> waiting;
+        std::size_t unanswered { 0 };
+    };
+    struct Home {
+        /** From this time on the home knows all jobs that it needs to know. */
+        TimePoint completeFrom;
+        std::map<JobId, Entry> entries;
+        std::deque<std::pair<TimePoint, JobId>> insertionOrder;
+        std::map<JobId, Search> searches;
+    };
+
+    Home* homeOf(const ShardId& home);
+    bool knowsAll(const ShardId& home, const JobId& job) const;
+    void search(const ShardId& home, const JobId& job);
+    void handleAnswer(const ShardId& home, const JobId& job, const ShardId& asked, bool isKnown);
+    /** Ends a search. @p shard is absent when no holder is known to have the job. */
+    void finishSearch(
+        const ShardId& home, const JobId& job, const std::optional<ShardId>& shard, bool mayBeSubmittedBefore);
+    void insert(Home& home, const JobId& job, Entry entry);
+
+    Settings m_settings;
+    Timers m_timers;
+    const Clock& m_clock;
+    Hooks m_hooks;
+    std::map<ShardId, Home> m_homes;
+};
+
+}
--- a/modules/rattanroad_shards/entrance/ShardLoads.cpp
+++ b/modules/rattanroad_shards/entrance/ShardLoads.cpp
@@ -24,6 +24,7 @@
     if (load.generation() > latest.load.generation())
         m_clocks.erase(load.address());
     latest.load = load;
+    latest.isUnreachable = false;
     latest.receivedAt = m_clock.now() - std::chrono::milliseconds(load.age_ms());
     auto& assigned = latest.assignedMillicores;
     while (!assigned.empty() && assigned.front().first <= latest.receivedAt - m_settings.messageTime)
@@ -73,7 +74,8 @@
 
 bool ShardLoads::isUsable(const LatestLoad& latest) const
 {
-    return m_clock.now() - latest.receivedAt < m_settings.maximumLoadAge && latest.load.targets() > 0;
+    return m_clock.now() - latest.receivedAt < m_settings.maximumLoadAge && latest.load.targets() > 0
+        && !latest.isUnreachable;
 }
 
 std::optional<ShardId> ShardLoads::choose(const protocol::PlacedJob& job) const
@@ -122,6 +124,19 @@
     return cost;
 }
 
+bool ShardLoads::servesAsHome(const ShardId& shard) const
+{
+    const LatestLoad* const latest = loadOfHolder(shard);
+    return latest && latest->load.serves_as_home() && !latest->isUnreachable
+        && m_clock.now() - latest->receivedAt < m_settings.maximumLoadAge;
+}
+
+bool ShardLoads::hasHolderWithoutHomes() const
+{
+    return std::any_of(m_loads.begin(), m_loads.end(),
+        [this](const auto& entry) { return isUsable(entry.second) && !entry.second.load.serves_as_home(); });
+}
+
 const ShardLoads::LatestLoad* ShardLoads::loadOfHolder(const ShardId& shard) const
 {
     const auto latest = m_loads.find(shard);
--- a/modules/rattanroad_shards/entrance/ShardLoads.h
+++ b/modules/rattanroad_shards/entrance/ShardLoads.h
@@ -49,6 +49,13 @@
     void addAssignedJob(const ShardId& shard, const protocol::PlacedJob& job);
     /** Returns the shard with the lowest cost among those that can run the job, or nothing. */
     std::optional<ShardId> choose(const protocol::PlacedJob& job) const;
+    /** The holder of a shard could not be connected to: the shard is not chosen until a load arrives that is later than
+        the present one. */
+    void setUnreachable(const ShardId& shard) { m_loads[shard].isUnreachable = true; }
+    /** Returns whether the holder of a shard is known to live and to serve as home. */
+    bool servesAsHome(const ShardId& shard) const;
+    /** Returns whether the holder of some shard is of an earlier build, without homes. */
+    bool hasHolderWithoutHomes() const;
     /** Returns the address of a shard's holder, or null if no holder is known. */
     const std::string* holderAddress(const ShardId& shard) const;
     /** Returns the clock of the host at holderAddress(), in milliseconds, or nothing if that host has sent no load. */
@@ -63,6 +70,7 @@
         protocol::ShardLoad load;
         /** When the first host received it from the holder. */
         TimePoint receivedAt { distantPast };
+        bool isUnreachable { false };
         /** Capacity requested by jobs that were sent to the shard and are not contained in the load, in millicores,
            with the time that they were sent, oldest first. */
         std::deque<std::pair<TimePoint, std::uint64_t>> assignedMillicores;
--- a/modules/rattanroad_shards/jobs/JobTable.cpp
+++ b/modules/rattanroad_shards/jobs/JobTable.cpp
@@ -112,20 +112,4 @@
     return jobs;
 }
 
-std::set<JobId> JobTable::announced()
-{
-    const TimePoint oldest = m_clock.now() - m_settings.announcementDuration;
-    const auto first = std::find_if(
-        m_announced.begin(), m_announced.end(), [oldest](const auto& entry) { return entry.first >= oldest; });
-    m_announced.erase(m_announced.begin(), first);
-    std::set<JobId> jobs;
-    for (const auto& entry : m_announced)
-        jobs.insert(entry.second);
-    for (const auto& entry : m_open) {
-        if (entry.second->description.best_effort())
-            jobs.insert(entry.first);
-    }
-    return jobs;
-}
-
 }
--- a/modules/rattanroad_shards/jobs/JobTable.h
+++ b/modules/rattanroad_shards/jobs/JobTable.h
@@ -4,7 +4,6 @@
 
 #include <map>
 #include <memory>
-#include <set>
 
 namespace rattanroad::shards {
 
@@ -16,9 +15,6 @@
         std::chrono::seconds retention { 130 };
         /** The same for best-effort jobs, which callers resubmit within a few seconds or not at all. */
         std::chrono::seconds bestEffortRetention { 6 };
-        /** Best-effort jobs that were accepted or cancelled are announced for this long, because single messages may be
-            lost, and because the runs of a cancelled job take a while to stop. */
-        std::chrono::milliseconds announcementDuration { 650 };
     };
 
     JobTable(Settings settings, const Clock& clock);
@@ -48,17 +44,11 @@
     /** Returns the ended jobs whose retention is over. */
     std::vector<JobId> expired() const;
 
-    /** Announces the job to the other hosts with the next load messages, also if it is not open. */
-    void announce(const JobId& job) { m_announced.emplace_back(m_clock.now(), job); }
-    /** Returns the open best-effort jobs and those announced within the announcement duration. */
-    std::set<JobId> announced();
-
 private:
     Settings m_settings;
     const Clock& m_clock;
     std::map<JobId, std::unique_ptr<ShardJob>> m_jobs;
     std::map<JobId, ShardJob*> m_open;
-    std::vector<std::pair<TimePoint, JobId>> m_announced;
 };
 
 }
--- a/modules/rattanroad_shards/jobs/ShardDispatcher.cpp
+++ b/modules/rattanroad_shards/jobs/ShardDispatcher.cpp
@@ -161,7 +161,6 @@
         ShardJob& added = m_jobs.add(std::move(job));
         m_jobs.open(added);
         m_runner.trackLosses(added, false);
-        m_jobs.announce(added.id);
     }
     for (const protocol::JobHandover& handed : handover.stored_jobs()) {
         const JobId id(handed.job().id());
@@ -360,7 +359,6 @@
     job->isAccepted = true;
     ShardJob& added = m_jobs.add(std::move(job));
     m_jobs.open(added);
-    m_jobs.announce(added.id);
     m_hooks.log("job_taken", added.id,
         "shard " + m_settings.shard.value() + " for " + added.originAddress + (isResent ? ", resubmitted" : ""));
     reply(SubmitVerdict::Accepted, {});
@@ -432,8 +430,6 @@
     if (state != JobState::Cancelled)
         m_hooks.jobEnded(job);
     if (job.description.best_effort()) {
-        if (state == JobState::Cancelled)
-            m_jobs.announce(job.id);
         job.isFinalStateStored = true;
         acknowledgeCompletions(job, m_lastCompletionSequence);
         return;
--- a/modules/rattanroad_shards/jobs/ShardDispatcher.h
+++ b/modules/rattanroad_shards/jobs/ShardDispatcher.h
@@ -109,8 +109,6 @@
     bool hasOpenJobs() const { return !m_jobs.openJobs().empty(); }
     /** Returns the load that hosts compare when they choose a shard for a job. */
     protocol::ShardLoad load() const;
-    /** Returns the best-effort jobs that a caller may submit again while their runs are active. */
-    std::set<JobId> announcedJobs() { return m_jobs.announced(); }
 
 private:
     void loadRecord(const StoredItem& item);
--- a/modules/rattanroad_shards/node/ShardNode.cpp
+++ b/modules/rattanroad_shards/node/ShardNode.cpp
@@ -150,6 +150,7 @@
                 m_fleet, m_timers, m_clock, std::move(electionHooks));
         }
     }
+                m_entrance.homes().begin(shard, holding.generation == Generation(1) && !holding.isContinued);
 
     ShardElection::Settings electionSettings(const ShardId& shard, const FailureDomainId& domain) const
     {
@@ -161,6 +162,7 @@
         settings.address = m_settings.address;
         settings.selfDomain = m_settings.failureDomain;
         settings.selfProcessor = m_settings.processor;
+                m_entrance.homes().end(shard);
         return settings;
     }
 
@@ -454,8 +456,7 @@
             protocol::ShardLoad load = entry.second.dispatcher->load();
             load.set_address(m_settings.address);
             load.set_clock_ms(toMilliseconds(m_clock.now()));
-            for (const JobId& job : entry.second.dispatcher->announcedJobs())
-                load.add_new_jobs(job.value());
+            load.set_serves_as_home(true);
             m_entrance.loadReceived(load);
             loads.push_back(std::move(load));
         }
--- a/modules/rattanroad_shards/node/ShardNode.h
+++ b/modules/rattanroad_shards/node/ShardNode.h
@@ -45,9 +45,6 @@
         /** So many hosts, the holder included, follow the target list for each shard: a new holder that has followed it
             for a while can tell that no run of an earlier holder is left. */
         std::size_t followersPerShard { 3 };
-        /** Pause between two watches of the targets while this host holds a shard. Targets write every 1.5 s, and a
-            draining target must get no work after 2 s, so a holder has to notice within a quarter of that time. */
-        std::chrono::milliseconds targetListPause { 400 };
         /** Pause while this host follows the list without holding a shard. An entry of a target lasts for at least
             4.5 s, so each is read, also when the store is slow. */
         std::chrono::milliseconds idleTargetListPause { 3500 };
--- a/scripts/check-mutations.sh
+++ b/scripts/check-mutations.sh
@@ -79,15 +79,17 @@
 guard moved-target node/ShardNode.cpp 'known != m_shardByTarget.end() && known->second != shard->first' 'false'
 guard unreported-targets jobs/TaskRunner.cpp 'm_targets.expectedMillicores()' 'm_targets.usableMillicores()'
 guard overtaken-read store/PrefixWatcher.cpp ' || reply.storeRevision < m_watchRevision;' ';'
-guard open-job-unannounced jobs/JobTable.cpp 'if (entry.second->description.best_effort())' 'if (false)'
 guard outdated-submission jobs/ShardDispatcher.cpp \
     'm_clock.now() - origin.sentAt >= m_settings.running.originTimeout' 'false'
 guard handover-renews-job jobs/ShardDispatcher.cpp \
     'job->lastSubmittedAt = m_clock.now() - silence;' ''
 guard second-run jobs/TaskRunner.cpp 'if (m_targets.hasRun(id))' 'if (false)'
 guard attempt-again jobs/TaskRunner.cpp 'std::max(first, task.attempt + 1)' 'std::max(first, task.attempt)'
-guard job-moves entrance/JobEntrance.cpp 'if (auto placed = m_jobShards.shardOf(JobId(submission.job.id())))' \
-    'if (std::optional<ShardId> placed; placed)'
+guard job-moves entrance/JobHomes.cpp 'const auto found = known->entries.find(job);' 'const auto found = known->entries.end();'
+guard home-unasked entrance/JobHomes.cpp 'if (knowsAll(home, job)) {' 'if (true) {'
+guard unknown-as-new entrance/JobHomes.cpp 'finishSearch(home, job, std::nullopt, true);' 'finishSearch(home, job, std::nullopt, false);'
+guard located-job-moves entrance/JobHomes.cpp 'if (submission.isLocated) {' 'if (false) {'
+guard cancel-misses-home entrance/JobEntrance.cpp 'if (isThroughHome)' 'if (false)'
 guard refused-after-sending entrance/JobEntrance.cpp \
     'isCertain ? EntranceVerdict::Refused : EntranceVerdict::Unknown' 'EntranceVerdict::Refused'
 guard acceptance-without-shard store/RecordWriter.cpp \
--- a/tests/emulator/EmulatedFleet.cpp
+++ b/tests/emulator/EmulatedFleet.cpp
@@ -127,7 +127,7 @@
     const KeyValueStore calls = m_store.callsFrom(id);
     const auto wrap = replyWrapper(id);
     KeyValueStore store;
-    const auto count = [this] { ++m_traffic.storeCalls; };
+    const auto count = [this, id] { ++m_hosts[id].traffic.storeCalls; };
     store.read = [=](const auto& key, auto callback) {
         count();
         calls.read(key, wrapped(wrap, callback));
@@ -136,7 +136,7 @@
         count();
         calls.readPage(prefix, after, wrapped(wrap, std::function<void(const ReadReply&)>([=](const ReadReply& reply) {
             if (prefix == targetPrefix)
-                m_traffic.targetEntries += reply.items.size();
+                m_hosts[id].traffic.targetEntries += reply.items.size();
             callback(reply);
         })));
     };
@@ -386,8 +386,11 @@
     const auto found = m_hosts.find(to);
     if (found == m_hosts.end() || !found->second.node || !isLinked(m_hosts[from], to))
         return false;
-    ++m_traffic.messages;
-    m_traffic.messageBytes += message.ByteSizeLong();
+    const std::size_t size = message.ByteSizeLong();
+    ++m_hosts[from].traffic.messagesSent;
+    m_hosts[from].traffic.bytesSent += size;
+    ++found->second.traffic.messagesReceived;
+    found->second.traffic.bytesReceived += size;
     const bool isUnknownMessage = message.has_load_subscription() && m_earlierBuilds.count(from) != 0;
     if (!isReachable(m_hosts[from], found->second) || isUnknownMessage)
         return true;
--- a/tests/emulator/EmulatedFleet.h
+++ b/tests/emulator/EmulatedFleet.h
@@ -95,15 +95,17 @@
     /** Submits a job once more, as a caller that got no answer does. */
     void resend(Call& call, const HostId& host);
 
-    /** Messages between hosts and calls to the store, of all hosts since the start. */
+    /** Messages to other hosts and calls to the store of a host since the start of the fleet. */
     struct Traffic {
-        std::uint64_t messages { 0 };
-        std::uint64_t messageBytes { 0 };
+        std::uint64_t messagesSent { 0 };
+        std::uint64_t bytesSent { 0 };
+        std::uint64_t messagesReceived { 0 };
+        std::uint64_t bytesReceived { 0 };
         std::uint64_t storeCalls { 0 };
         /** Entries of targets that were read. */
         std::uint64_t targetEntries { 0 };
     };
-    const Traffic& traffic() const { return m_traffic; }
+    const Traffic& trafficOf(const HostId& host) const { return m_hosts.at(host).traffic; }
     /** Lets the holders of a host's fleet treat it as one of an earlier build, which does not subscribe to loads, and
         drops the subscriptions that it sends. */
     void setEarlierBuild(const HostId& host);
@@ -138,6 +140,7 @@
         std::vector<std::function<void()>> deferredActions;
         /** Calls that wait for an answer from this process. */
         std::vector<Call*> openCalls;
+        Traffic traffic;
     };
 
     /** Returns a function that runs @p action if the current process of the host is still alive. While the process is
@@ -171,7 +174,6 @@
     /** Messages that are held back, by sender. */
     std::map<HostId, std::vector<std::function<void()>>> m_heldMessages;
     std::vector<std::string> m_log;
-    Traffic m_traffic;
     std::set<HostId> m_earlierBuilds;
     std::uint64_t m_lastIncarnation { 0 };
     std::chrono::milliseconds m_callerWait { 1500 };
--- a/tests/shards/DispatcherTests.cpp
+++ b/tests/shards/DispatcherTests.cpp
@@ -75,13 +75,15 @@
     }
     int refusals() const { return m_refusals; }
 
-    /** Hands over a best-effort job with one task of 3 s that an earlier holder has started. */
-    void handOver(const std::string& job)
+    /** Hands over a best-effort job with one task of 3 s that an earlier holder has started, and whose origin was
+       silent for a while. */
+    void handOver(const std::string& job, std::chrono::milliseconds silence = {})
     {
         protocol::ShardHandover handover;
         protocol::JobHandover* const handed = handover.add_jobs();
         *handed->mutable_job() = description(job, 3000ms, true);
         handed->add_tasks()->set_attempt(1);
+        handed->set_silent_ms(static_cast<std::uint32_t>(silence.count()));
         m_dispatcher.handoverReceived(handover);
     }
 
@@ -212,6 +214,17 @@
     REQUIRE(fixture.runUntil([&] { return fixture.targets().running() == 1; }));
 }
 
+// Its caller submits it to another host, which may not find this holder.
+TEST_CASE("a job whose origin was silent before the handover is given up as soon as without the handover")
+{
+    DispatcherFixture fixture;
+    fixture.begin(2);
+    fixture.run(200ms);
+    fixture.handOver("a", 900ms);
+    fixture.run(250ms);
+    REQUIRE(fixture.dispatcher().state(JobId("a")) == JobState::Cancelled);
+}
+
 TEST_CASE("a resubmitted job starts without a complete target list once no earlier holder can be active")
 {
     DispatcherFixture fixture;
--- /dev/null
+++ b/tests/shards/JobHomesTests.cpp
@@ -0,0 +1,193 @@
+#include "fakes/EventQueue.h"
+#include "rattanroad_core/time/VirtualClock.h"
+#include "rattanroad_shards/entrance/JobHomes.h"
+
+#include <catch2/catch.hpp>
+#include <ctime>
+
+using namespace rattanroad;
+using namespace rattanroad::shards;
+using namespace std::chrono_literals;
+
+namespace {
+
+double processorMilliseconds()
+{
+    timespec time {};
+    clock_gettime(CLOCK_PROCESS_CPUTIME_ID, &time);
+    return static_cast<double>(time.tv_sec) * 1e3 + static_cast<double>(time.tv_nsec) / 1e6;
+}
+
+/** The homes of a host among three shards. Holders answer only when the test says so. */
+struct HomesFixture {
+    struct Question {
+        ShardId shard;
+        std::function<void(bool)> answer;
+    };
+    struct Location {
+        ShardId shard;
+        bool mayBeSubmittedBefore;
+
+        friend bool operator==(const Location& left, const Location& right)
+        {
+            return left.shard == right.shard && left.mayBeSubmittedBefore == right.mayBeSubmittedBefore;
+        }
+    };
+
+    const JobId job { "5c0e7a21d94b36f8" };
+    const ShardId north { "north" };
+    const ShardId south { "south" };
+    VirtualClock clock;
+    EventQueue queue { clock };
+    std::vector<Question> questions;
+    std::vector<Location> locations;
+    JobHomes homes { settings(), { [this](Duration delay, auto action) { queue.after(delay, std::move(action)); } },
+        clock, hooks() };
+    const ShardId home { homes.homesOf(job).front() };
+    const ShardId standIn { homes.homesOf(job)[1] };
+
+    static JobHomes::Settings settings()
+    {
+        JobHomes::Settings settings;
+        settings.shards = { ShardId("north"), ShardId("south"), ShardId("west") };
+        return settings;
+    }
+    JobHomes::Hooks hooks()
+    {
+        JobHomes::Hooks hooks;
+        hooks.ask = [this](const ShardId& shard, const JobId&, std::function<void(bool)> answer) {
+            questions.push_back({ shard, std::move(answer) });
+        };
+        hooks.log = [](const char*, const JobId&, const std::string&) {};
+        return hooks;
+    }
+    static JobHomes::Submission from(const std::string& origin, bool wasDeclined = true)
+    {
+        return { origin, Incarnation(1), 1, wasDeclined };
+    }
+    void locate(const ShardId& at, const ShardId& preferred, const JobHomes::Submission& submission)
+    {
+        homes.locate(at, job, preferred, submission, [this](const ShardId& shard, bool isResent) {
+            locations.push_back({ shard, isResent });
+        });
+    }
+    void answer(const ShardId& shard, bool isKnown)
+    {
+        for (const Question& question : std::vector<Question>(questions)) {
+            if (question.shard == shard)
+                question.answer(isKnown);
+        }
+    }
+};
+
+}
+
+TEST_CASE_METHOD(HomesFixture, "a job that is submitted to two hosts is in one shard, whichever they prefer")
+{
+    homes.begin(home, true);
+    locate(home, north, from("a"));
+    locate(home, south, from("b"));
+    CHECK(locations == std::vector<Location> { { north, false }, { north, true } });
+    CHECK(questions.empty());
+}
+
+TEST_CASE_METHOD(HomesFixture, "a new holder of a home asks where a job is before it counts as new")
+{
+    homes.begin(home, false);
+    locate(home, north, from("a"));
+    REQUIRE(questions.size() == 3);
+    CHECK(locations.empty());
+    SECTION("a holder has it")
+    {
+        answer(ShardId("west"), true);
+        CHECK(locations == std::vector<Location> { { ShardId("west"), true } });
+    }
+    SECTION("no holder has it")
+    {
+        for (const char* const shard : { "north", "south", "west" })
+            answer(ShardId(shard), false);
+        CHECK(locations == std::vector<Location> { { north, false } });
+    }
+    SECTION("a holder does not answer")
+    {
+        answer(north, false);
+        answer(south, false);
+        queue.runUntil(clock.now() + 100ms);
+        CHECK(locations == std::vector<Location> { { north, true } });
+    }
+    SECTION("another host submits it meanwhile")
+    {
+        locate(home, south, from("b"));
+        CHECK(questions.size() == 3);
+        for (const char* const shard : { "north", "south", "west" })
+            answer(ShardId(shard), false);
+        CHECK(locations == std::vector<Location> { { north, false }, { north, true } });
+    }
+}
+
+TEST_CASE_METHOD(
+    HomesFixture, "a holder that stands in for a home asks where a job is, however long it has held its shard")
+{
+    homes.begin(standIn, true);
+    locate(standIn, north, from("a"));
+    CHECK(questions.size() == 3);
+}
+
+TEST_CASE_METHOD(HomesFixture, "a home that was held anew does not rely on what it knew before")
+{
+    homes.begin(home, true);
+    locate(home, north, from("a"));
+    homes.end(home);
+    homes.begin(home, false);
+    locate(home, south, from("b"));
+    CHECK(questions.size() == 3);
+    answer(north, true);
+    CHECK(locations.back() == Location { north, true });
+}
+
+TEST_CASE_METHOD(HomesFixture, "a job that its shard has declined may move, unless another submission is there")
+{
+    homes.begin(home, true);
+    locate(home, north, from("a"));
+    SECTION("declined")
+    {
+        locate(home, south, from("a"));
+        CHECK(locations.back() == Location { south, false });
+    }
+    SECTION("not answered")
+    {
+        locate(home, south, from("a", false));
+        CHECK(locations.back() == Location { north, false });
+    }
+    SECTION("submitted by another host too")
+    {
+        locate(home, north, from("b"));
+        locate(home, south, from("a"));
+        CHECK(locations.back() == Location { north, true });
+    }
+}
+
+// A home knows a fifth of the jobs of five shards; control may take 3.3 % of a core.
+TEST_CASE_METHOD(HomesFixture, "a home is not slowed down by the jobs that it has forgotten")
+{
+    homes.begin(home, true);
+    std::vector<JobId> jobs;
+    for (int i = 0; jobs.size() < 40 * 800; ++i) {
+        const JobId candidate("job-" + std::to_string(i));
+        if (homes.homesOf(candidate).front() == home)
+            jobs.push_back(candidate);
+    }
+    std::size_t located = 0;
+    const auto locateForSeconds = [&](int seconds) {
+        for (int i = 0; i < seconds * 800; ++i) {
+            clock.advance(1250us);
+            homes.locate(home, jobs[located++], north, from("a"), [](const ShardId&, bool) {});
+        }
+    };
+    locateForSeconds(30);
+    const double before = processorMilliseconds();
+    locateForSeconds(10);
+    CHECK((processorMilliseconds() - before) / 10 < 33);
+    CHECK_FALSE(homes.find(home, jobs.front()));
+    CHECK(homes.find(home, jobs.back()) == north);
+}
--- a/tests/shards/LoadFeedTests.cpp
+++ b/tests/shards/LoadFeedTests.cpp
@@ -33,36 +33,54 @@
     return found;
 }
 
-struct Rates {
-    double messages;
-    double storeCalls;
-    double targetEntries;
-};
+/** What a host of a calm fleet sends, receives and reads in 10 s. */
+struct CalmTraffic {
+    explicit CalmTraffic(int hostsPerDomain)
+    {
+        EmulatedFleet fleet(settingsOf(hostsPerDomain));
+        fleet.startAll();
+        fleet.run(5s);
+        const auto before = sum(fleet);
+        fleet.run(10s);
+        const auto after = sum(fleet);
+        const auto perHost = [&fleet](std::uint64_t from, std::uint64_t to) {
+            return static_cast<double>(to - from) / static_cast<double>(fleet.hosts().size());
+        };
+        messages = perHost(before.messagesSent, after.messagesSent);
+        bytes = perHost(before.bytesSent, after.bytesSent);
+        storeCalls = perHost(before.storeCalls, after.storeCalls);
+        targetEntries = perHost(before.targetEntries, after.targetEntries);
+    }
 
-/** Returns what a host of a calm fleet sends and reads per second. */
-Rates calmRates(int hostsPerDomain)
-{
-    EmulatedFleet fleet(settingsOf(hostsPerDomain));
-    fleet.startAll();
-    fleet.run(5s);
-    const EmulatedFleet::Traffic before = fleet.traffic();
-    fleet.run(10s);
-    const EmulatedFleet::Traffic& after = fleet.traffic();
-    const auto perHost = [&fleet](std::uint64_t from, std::uint64_t to) {
-        return static_cast<double>(to - from) / 10.0 / static_cast<double>(fleet.hosts().size());
-    };
-    return { perHost(before.messages, after.messages), perHost(before.storeCalls, after.storeCalls),
-        perHost(before.targetEntries, after.targetEntries) };
-}
+    double messages { 0 };
+    double bytes { 0 };
+    double storeCalls { 0 };
+    double targetEntries { 0 };
+
+private:
+    static EmulatedFleet::Traffic sum(const EmulatedFleet& fleet)
+    {
+        EmulatedFleet::Traffic sum;
+        for (const HostId& host : fleet.hosts()) {
+            const EmulatedFleet::Traffic& traffic = fleet.trafficOf(host);
+            sum.messagesSent += traffic.messagesSent;
+            sum.bytesSent += traffic.bytesSent;
+            sum.storeCalls += traffic.storeCalls;
+            sum.targetEntries += traffic.targetEntries;
+        }
+        return sum;
+    }
+};
 
 }
 
 // Hosts that send to all others, or read all targets, cost more with each host that is added.
 TEST_CASE("what a host of a calm fleet sends and reads does not grow with the number of hosts")
 {
-    const Rates few = calmRates(15);
-    const Rates many = calmRates(60);
+    const CalmTraffic few(15);
+    const CalmTraffic many(60);
     CHECK(many.messages <= few.messages * 1.1);
+    CHECK(many.bytes <= few.bytes * 1.1);
     CHECK(many.storeCalls <= few.storeCalls * 1.1);
     CHECK(many.targetEntries <= few.targetEntries);
 }
--- a/tests/shards/OverlapTests.cpp
+++ b/tests/shards/OverlapTests.cpp
@@ -154,11 +154,12 @@
     fleet.node(forgetful.holder()).drain();
     fleet.run(100ms);
     fleet.kill(forgetful.origin());
+    // The next holder of the job's home does not know where the job is, and the handover is still under way.
+    fleet.node(fleet.holderOf("south")).drain();
     fleet.run(700ms);
     REQUIRE(fleet.holderOf("north") != forgetful.holder());
     fleet.start(forgetful.restarted());
-    fleet.run(1s);
-    REQUIRE(fleet.targets().running() == 1);
+    REQUIRE(fleet.runUntil([&fleet] { return fleet.targets().running() == 1; }, 3s));
     fleet.releaseMessages(forgetful.holder());
     fleet.run(5s);
     requireNoViolations(fleet);
