Take the limits of the platform from the settings

What stays constant: the lease of a host (1.8 s; the store's shortest is 1 s), the time without one (10 s), the election spacing, the read of a following host every 3.5 s (an entry lasts three heartbeats, 4.5 s) and lostStoreFailures.

--- a/apps/rattanroadd/fleet/FleetHost.cpp
+++ b/apps/rattanroadd/fleet/FleetHost.cpp
@@ -12,8 +12,10 @@
 namespace rattanroad::daemon {
 
 namespace {
-    /** The platform gives a process 6 s to stop. */
-    constexpr std::chrono::milliseconds drainTimeout { 5500 };
+    /** Part of the time to stop that is left for the end of the process. */
+    constexpr std::chrono::milliseconds shutdownMargin { 500 };
+    /** A job that is accepted later than this before the process stops could not end. */
+    constexpr std::chrono::milliseconds jobTimeBeforeStop { 2600 };
     /** The platform checks every 1 s whether the host takes connections and needs up to two checks to see a drain. */
     constexpr std::chrono::milliseconds minimumDrainTime { 2300 };
     constexpr std::chrono::milliseconds drainPollInterval { 50 };
@@ -38,6 +40,8 @@
         node.incarnation = incarnation;
         node.failureDomain = settings.failureDomain;
         node.processor = settings.processor;
+        node.limits = settings.platformLimits;
+        node.drainAcceptTime = settings.shutdownTime - shutdownMargin - jobTimeBeforeStop;
         node.address = settings.peerAddress;
         node.failureDomains = settings.failureDomains;
         node.configurationKey = adapter::configurationKey;
@@ -182,7 +186,7 @@
     {
         const Duration elapsed = m_clock.now() - m_drainStartedAt;
         const bool isIdle = m_callerServer.openRequests() == 0 && !m_node.isHolding() && elapsed >= minimumDrainTime;
-        if (isIdle || elapsed >= drainTimeout) {
+        if (isIdle || elapsed >= m_settings.shutdownTime - shutdownMargin) {
             logEvent("stopped", { { "open_requests", std::to_string(m_callerServer.openRequests()) } });
             m_loop.stop();
             return;
--- a/apps/rattanroadd/settings/Settings.cpp
+++ b/apps/rattanroadd/settings/Settings.cpp
@@ -55,6 +55,10 @@
         const bool isPlatform = settings.storeKind == Settings::StoreKind::Platform;
         if (isPlatform && (settings.readinessAddress.empty() || settings.failureDomains.empty()))
             errors += "$[store][kind]: platform needs $[listen][readiness] and $[failure_domains]\n";
+        const shards::PlatformLimits& limits = settings.platformLimits;
+        if (limits.resubmission < limits.targetLease)
+            errors += "$[platform_limits][resubmission_ms]: " + std::to_string(limits.resubmission.count())
+                + " is less than target_lease_ms, " + std::to_string(limits.targetLease.count()) + "\n";
         check("$[store][address]", settings.storeAddress);
         check("$[traces][address]", settings.traceAddress);
         for (std::size_t i = 0; i < settings.seedAddresses.size(); ++i)
@@ -90,6 +94,16 @@
         settings.region = RegionId(host.value("region", ""));
         settings.rack = RackId(host.value("rack", ""));
         settings.processor = processorTime(section("processor"));
+        const json limits = section("platform_limits");
+        settings.platformLimits.targetDrain
+            = milliseconds(limits, "target_drain_ms", settings.platformLimits.targetDrain);
+        settings.platformLimits.targetLease
+            = milliseconds(limits, "target_lease_ms", settings.platformLimits.targetLease);
+        settings.platformLimits.resubmission
+            = milliseconds(limits, "resubmission_ms", settings.platformLimits.resubmission);
+        const std::chrono::duration<double> shutdown(
+            limits.value("shutdown_s", std::chrono::duration<double>(settings.shutdownTime).count()));
+        settings.shutdownTime = std::chrono::duration_cast<std::chrono::milliseconds>(shutdown);
         settings.callerAddress = section("listen").value("callers", "");
         settings.peerAddress = section("listen").value("peers", "");
         settings.readinessAddress = section("listen").value("readiness", "");
--- a/apps/rattanroadd/settings/Settings.h
+++ b/apps/rattanroadd/settings/Settings.h
@@ -2,6 +2,7 @@
 
 #include "rattanroad_core/failure/Result.h"
 #include "rattanroad_dispatch/rattanroad_dispatch.h"
+#include "rattanroad_shards/types/PlatformLimits.h"
 #include "rattanroad_shards/types/ShardTypes.h"
 
 #include <string>
@@ -19,6 +20,10 @@
     /** Processor time of this host, from its share of a core and the speed of the core; only with
         StoreKind::Platform. */
     shards::HostMillicores processor;
+    /** Limits of the platform; only with StoreKind::Platform. */
+    shards::PlatformLimits platformLimits;
+    /** Time that the platform gives a process to stop; only with StoreKind::Platform. */
+    std::chrono::milliseconds shutdownTime { 6000 };
     /** Address of the HTTP interface, "<IPv4 address>:<port>". */
     std::string callerAddress;
     /** Address of the peer socket, to which the other entry hosts connect. */
--- a/apps/rattanroadd/settings/SettingsSchema.cpp
+++ b/apps/rattanroadd/settings/SettingsSchema.cpp
@@ -27,6 +27,15 @@
         "cores": { "type": "number", "exclusiveMinimum": 0, "maximum": 1024 }
       }
     },
+    "platform_limits": {
+      "type": "object", "additionalProperties": false,
+      "properties": {
+        "target_drain_ms": { "type": "integer", "minimum": 500, "maximum": 600000 },
+        "target_lease_ms": { "type": "integer", "minimum": 250, "maximum": 60000 },
+        "resubmission_ms": { "type": "integer", "minimum": 500, "maximum": 600000 },
+        "shutdown_s": { "type": "number", "minimum": 3.5, "maximum": 3600 }
+      }
+    },
     "listen": {
       "type": "object", "additionalProperties": false, "required": ["callers", "peers"],
       "properties": {
--- a/modules/rattanroad_shards/node/ShardNode.cpp
+++ b/modules/rattanroad_shards/node/ShardNode.cpp
@@ -6,6 +6,22 @@
 
 namespace rattanroad::shards {
 
+namespace {
+    void applyLimits(const PlatformLimits& limits, ShardDispatcher::Settings& settings)
+    {
+        ShardTargets::Settings& targets = settings.targets;
+        targets.maximumListAge = limits.maximumListAge();
+        targets.earlierHolderExpiry += limits.targetLease - targets.session.leaseDuration;
+        targets.session.silenceTimeout
+            = targets.session.silenceTimeout * limits.targetLease.count() / targets.session.leaseDuration.count();
+        targets.session.pollWait = limits.targetLease * 2 / 5;
+        targets.session.startLease = limits.targetLease / 2;
+        targets.session.leaseDuration = limits.targetLease;
+        settings.running.originTimeout = limits.originTimeout();
+        settings.running.maximumLeaseAfterSubmission = limits.maximumLeaseAfterSubmission();
+    }
+}
+
 class ShardNode::Impl {
 public:
     Impl(Settings settings, KeyValueStore store, TargetCalls targets, Timers timers, const Clock& clock, Hooks hooks)
@@ -114,6 +130,7 @@
             Shard& created = m_shards[shard];
             ShardDispatcher::Settings settings;
             settings.shard = shard;
+            applyLimits(m_settings.limits, settings);
             ShardDispatcher::Hooks hooks;
             hooks.jobEnded = [this](const ShardJob& job) { reportJobEnd(job); };
             hooks.keyChanged = [this, shard] { m_shards[shard].election->keyChanged(); };
@@ -133,6 +150,7 @@
                         { "target_list_age_ms", std::to_string(targetListAge().count()) },
                         { "millicores", std::to_string(m_settings.processor.value()) } });
                 m_shards[shard].dispatcher->begin(holding);
+                m_entrance.homes().begin(shard, holding.generation == Generation(1) && !holding.isContinued);
                 // Nothing starts until the list is current as of the acquisition.
                 if (m_targetList.isStarted())
                     m_targetList.refresh();
@@ -144,13 +162,13 @@
             electionHooks.lost = [this, shard](const char* reason) {
                 m_hooks.log("shard_lost", { { "shard", shard.value() }, { "reason", reason } });
                 m_shards[shard].dispatcher->end();
+                m_entrance.homes().end(shard);
             };
             electionHooks.hasOpenJobs = [this, shard] { return m_shards[shard].dispatcher->hasOpenJobs(); };
             created.election = std::make_unique<ShardElection>(electionSettings(shard, domain), m_store, m_lease,
                 m_fleet, m_timers, m_clock, std::move(electionHooks));
         }
     }
-                m_entrance.homes().begin(shard, holding.generation == Generation(1) && !holding.isContinued);
 
     ShardElection::Settings electionSettings(const ShardId& shard, const FailureDomainId& domain) const
     {
@@ -162,7 +180,6 @@
         settings.address = m_settings.address;
         settings.selfDomain = m_settings.failureDomain;
         settings.selfProcessor = m_settings.processor;
-                m_entrance.homes().end(shard);
         return settings;
     }
 
@@ -174,6 +191,8 @@
         settings.address = m_settings.address;
         for (const FailureDomainId& domain : m_settings.failureDomains)
             settings.loads.shards.emplace_back(domain.value());
+        settings.homes.shards = settings.loads.shards;
+        settings.replyTimeout = m_settings.limits.repetition();
         return settings;
     }
 
@@ -241,7 +260,7 @@
             = [this](const std::string& key) { unlistTarget(TargetId(key.substr(m_settings.targetPrefix.size()))); };
         hooks.interrupted = [this] { storeInterrupted(); };
         hooks.pause = [this]() -> Duration {
-            return isHolding() ? m_settings.targetListPause : m_settings.idleTargetListPause;
+            return isHolding() ? m_settings.limits.targetListPause() : m_settings.idleTargetListPause;
         };
         hooks.isChecked = [this] { return isHolding(); };
         hooks.updated = [this] {
--- a/modules/rattanroad_shards/node/ShardNode.h
+++ b/modules/rattanroad_shards/node/ShardNode.h
@@ -6,6 +6,7 @@
 #include "rattanroad_shards/holding/ShardElection.h"
 #include "rattanroad_shards/jobs/ShardDispatcher.h"
 #include "rattanroad_shards/store/PrefixWatcher.h"
+#include "rattanroad_shards/types/PlatformLimits.h"
 
 #include <memory>
 #include <optional>
@@ -32,6 +33,7 @@
         /** Key prefix of the target entries. */
         std::string targetPrefix;
         HostLease::Settings lease;
+        PlatformLimits limits;
         /** Interval of the load messages: about the run time of the shortest tasks. */
         std::chrono::milliseconds loadInterval { 100 };
         /** Interval at which the links to the holders are checked, so that they are open before a job needs them. */
@@ -69,7 +71,8 @@
         /** A draining host releases its shards after this time, which covers two store calls and a watch, so that hosts
             that drain together learn of one another first. */
         std::chrono::milliseconds releaseDelay { 150 };
-        /** A draining host accepts jobs for this long; later ones could not end before it stops. */
+        /** A draining host accepts jobs for this long; later ones could not end before it stops. The platform gives it
+            6 s. */
         std::chrono::milliseconds drainAcceptTime { 2900 };
         /** Minimum time between two log lines about an interruption of the store. */
         std::chrono::seconds interruptionLogInterval { 1 };
--- /dev/null
+++ b/modules/rattanroad_shards/types/PlatformLimits.h
@@ -0,0 +1,35 @@
+#pragma once
+
+#include <algorithm>
+#include <chrono>
+
+namespace rattanroad::shards {
+
+/** Limits of the platform that deployments set differently, and the times that follow from them. The defaults are the
+    shortest limits of a known deployment.
+*/
+struct PlatformLimits {
+    /** A target gets starts for this long after the store has acknowledged that it drains. */
+    std::chrono::milliseconds targetDrain { 2000 };
+    /** Longest lease that a target grants. */
+    std::chrono::milliseconds targetLease { 1000 };
+    /** A caller submits a best-effort job again this long after its connection broke. */
+    std::chrono::milliseconds resubmission { 1300 };
+
+    /** Nothing starts while the target list is older: a start takes up to 120 ms to reach its target, at a fifth of the
+        drain time and more when that is short. */
+    std::chrono::milliseconds maximumListAge() const { return targetDrain - std::min(targetDrain / 5, startTime); }
+    /** Pause between two checks of the target list while it is needed for starts. */
+    std::chrono::milliseconds targetListPause() const { return targetDrain / 5; }
+    /** No task starts when the origin of its job has been silent for longer. */
+    std::chrono::milliseconds originTimeout() const { return resubmission - resubmission * 3 / 13; }
+    /** Interval at which an origin repeats a submission: three repetitions within the origin timeout. */
+    std::chrono::milliseconds repetition() const { return originTimeout() * 3 / 10; }
+    /** No lease of a run ends later than this after the origin was last heard of. */
+    std::chrono::milliseconds maximumLeaseAfterSubmission() const { return resubmission - resubmission / 26; }
+
+private:
+    static constexpr std::chrono::milliseconds startTime { 200 };
+};
+
+}
--- a/tests/emulator/EmulatedFleet.cpp
+++ b/tests/emulator/EmulatedFleet.cpp
@@ -13,7 +13,6 @@
     constexpr auto linkRetryInterval = 1000ms;
     constexpr auto linkOpenDelay = 10ms;
     constexpr auto callerLatency = 3ms;
-    constexpr auto resendPause = 1300ms;
     const std::string service = "quotes";
     const std::string targetPrefix = "servers/";
     const std::string drainingSuffix = " draining";
@@ -24,7 +23,7 @@
     : m_settings(std::move(settings))
     , m_queue(m_clock)
     , m_store(m_queue)
-    , m_targets(m_queue)
+    , m_targets(m_queue, m_settings.limits)
 {
     for (const std::string& domain : m_settings.domains) {
         for (int i = 0; i < m_settings.hostsPerDomain; ++i)
@@ -189,6 +188,7 @@
     settings.failureDomain = FailureDomainId(host.domain);
     settings.address = id.value();
     settings.processor = processorOf(id);
+    settings.limits = m_settings.limits;
     for (const std::string& domain : m_settings.domains)
         settings.failureDomains.emplace_back(domain);
     settings.configurationKey = "config";
@@ -462,7 +462,7 @@
 {
     if (call->attempts >= 3)
         return;
-    m_queue.after(resendPause, [this, call] {
+    m_queue.after(m_settings.limits.resubmission, [this, call] {
         const auto preferred = m_hosts.find(call->nextHost);
         if (preferred != m_hosts.end() && preferred->second.node) {
             resend(*call, call->nextHost);
--- a/tests/emulator/EmulatedFleet.h
+++ b/tests/emulator/EmulatedFleet.h
@@ -18,6 +18,8 @@
         int hostsPerDomain { 2 };
         int targetsPerDomain { 3 };
         shards::Resources capacity { 32000, 65536, 0 };
+        /** Limits that the targets and callers keep, and that the hosts are told of. */
+        shards::PlatformLimits limits;
         /** Processor time that hosts publish; unknown for hosts that are not listed. */
         std::map<HostId, shards::HostMillicores> processors;
     };
@@ -138,9 +140,9 @@
         /** Links to other hosts. The first message to a host opens one and is dropped. */
         std::map<HostId, Link> links;
         std::vector<std::function<void()>> deferredActions;
+        Traffic traffic;
         /** Calls that wait for an answer from this process. */
         std::vector<Call*> openCalls;
-        Traffic traffic;
     };
 
     /** Returns a function that runs @p action if the current process of the host is still alive. While the process is
--- a/tests/emulator/EmulatedTargets.cpp
+++ b/tests/emulator/EmulatedTargets.cpp
@@ -10,11 +10,8 @@
 
 namespace {
     constexpr auto latency = 1ms;
-    constexpr auto longestLease = 1000ms;
     constexpr auto stopDuration = 40ms;
     constexpr auto leaseCheckInterval = 10ms;
-    /** A target that drains serves for this long. */
-    constexpr auto drainNotice = 2000ms;
 }
 
 std::string taskPayload(std::chrono::milliseconds duration, Resources resources, bool fails)
@@ -217,7 +214,7 @@
         ended.end());
     if (request.leaseEndMs) {
         const TimePoint requestedEnd = toTimePoint(target, *request.leaseEndMs);
-        target.leaseEnd = std::max(target.leaseEnd, std::min(requestedEnd, m_queue.now() + longestLease));
+        target.leaseEnd = std::max(target.leaseEnd, std::min(requestedEnd, m_queue.now() + m_limits.targetLease));
     }
     auto isAnswered = std::make_shared<bool>(false);
     const auto answer = [this, request, callback, isAnswered, incarnation = target.incarnation] {
@@ -266,7 +263,7 @@
     const TimePoint requestedEnd = toTimePoint(target, request.leaseEndMs);
     if (requestedEnd <= now)
         return TargetCallResult::LeaseExpired;
-    target.leaseEnd = std::max(target.leaseEnd, std::min(requestedEnd, now + longestLease));
+    target.leaseEnd = std::max(target.leaseEnd, std::min(requestedEnd, now + m_limits.targetLease));
     const auto present = target.live.find(request.task);
     if (present != target.live.end() && present->second.attempt == request.attempt)
         return TargetCallResult::Done;
@@ -319,7 +316,7 @@
 void EmulatedTargets::checkDraining(const TargetId& target)
 {
     const auto since = m_drainingSince.find(target);
-    if (since == m_drainingSince.end() || m_queue.now() - since->second <= drainNotice)
+    if (since == m_drainingSince.end() || m_queue.now() - since->second <= m_limits.targetDrain)
         return;
     const auto elapsed = std::chrono::duration_cast<std::chrono::milliseconds>(m_queue.now() - since->second);
     m_violations.push_back(
--- a/tests/emulator/EmulatedTargets.h
+++ b/tests/emulator/EmulatedTargets.h
@@ -2,6 +2,7 @@
 
 #include "fakes/EventQueue.h"
 #include "rattanroad_shards/targets/TargetCalls.h"
+#include "rattanroad_shards/types/PlatformLimits.h"
 
 #include <map>
 #include <memory>
@@ -55,8 +56,9 @@
         std::string ending;
     };
 
-    explicit EmulatedTargets(EventQueue& queue)
+    explicit EmulatedTargets(EventQueue& queue, const shards::PlatformLimits& limits = {})
         : m_queue(queue)
+        , m_limits(limits)
     {
         expireLeases();
     }
@@ -131,6 +133,7 @@
     void expireLeases();
 
     EventQueue& m_queue;
+    const shards::PlatformLimits m_limits;
     std::map<TargetId, shards::TargetReport> m_reports;
     std::map<TargetId, Target> m_targets;
     std::set<TargetId> m_removed;
--- a/tests/network/DaemonPartsTests.cpp
+++ b/tests/network/DaemonPartsTests.cpp
@@ -71,6 +71,17 @@
     settings = validSettings();
     settings["processor"] = { { "share", 0 } };
     CHECK_THAT(settingsError(settings), Catch::Contains("[processor][share]"));
+    for (const char* const limit : { "target_drain_ms", "target_lease_ms", "resubmission_ms", "shutdown_s" }) {
+        settings = validSettings();
+        settings["platform_limits"][limit] = 0;
+        CHECK_THAT(settingsError(settings), Catch::Contains(std::string("[platform_limits][") + limit));
+        settings["platform_limits"][limit] = "1000";
+        CHECK_THAT(settingsError(settings), Catch::Contains(std::string("[platform_limits][") + limit));
+    }
+    settings = validSettings();
+    settings["platform_limits"] = { { "target_lease_ms", 2000 }, { "resubmission_ms", 1300 } };
+    CHECK_THAT(settingsError(settings),
+        Catch::Contains("[platform_limits][resubmission_ms]: 1300 is less than target_lease_ms, 2000"));
 }
 
 TEST_CASE("the processor time of a host is its share of a core times the speed of the core", "[settings]")
