Start a job whose shard is unknown instead of holding it at a new holder

Cause: a home that asks the holders of all shards and misses one answer within 30 ms passed the job on as submitted before. Change: such a job keeps the shard that its origin prefers and starts there at once. What makes that safe is the limit on leases: a run ends 1.25 s after its origin last repeated the submission, and callers come back after 1.3 s. An origin that was paused could repeat one after that: a repetition that is more than 100 ms late now waits until what has arrived meanwhile was read.

--- a/modules/rattanroad_shards/entrance/JobEntrance.cpp
+++ b/modules/rattanroad_shards/entrance/JobEntrance.cpp
@@ -221,15 +221,24 @@
 {
     const Submission& submission = m_submissions[id];
     const auto limit = std::min<Duration>(m_settings.replyTimeout, submission.deadline - m_clock.now());
-    m_timers.after(limit, [this, id, attempt = submission.attempt] {
-        const auto entry = m_submissions.find(id);
-        if (entry == m_submissions.end() || entry->second.attempt != attempt)
-            return;
-        const Submission& unanswered = entry->second;
-        if (!unanswered.job.best_effort())
-            m_hooks.log("submit_unanswered", JobId(unanswered.job.id()), "shard " + unanswered.shard.value());
-        trySubmit(id);
-    });
+    m_timers.after(
+        limit, [this, id, attempt = submission.attempt, due = m_clock.now() + limit] { repeat(id, attempt, due); });
+}
+
+void JobEntrance::repeat(std::uint64_t id, std::uint64_t attempt, TimePoint due)
+{
+    const auto entry = m_submissions.find(id);
+    if (entry == m_submissions.end() || entry->second.attempt != attempt)
+        return;
+    const Submission& unanswered = entry->second;
+    if (unanswered.job.best_effort() && m_clock.now() - due >= m_settings.lateRepetition) {
+        m_timers.after(m_settings.lateRepetition,
+            [this, id, attempt, later = m_clock.now() + m_settings.lateRepetition] { repeat(id, attempt, later); });
+        return;
+    }
+    if (!unanswered.job.best_effort())
+        m_hooks.log("submit_unanswered", JobId(unanswered.job.id()), "shard " + unanswered.shard.value());
+    trySubmit(id);
 }
 
 std::optional<ShardId> JobEntrance::shardFor(const Submission& submission) const
--- a/modules/rattanroad_shards/entrance/JobEntrance.h
+++ b/modules/rattanroad_shards/entrance/JobEntrance.h
@@ -29,6 +29,9 @@
         /** Timeout of one request: one store call, two network hops, and the batching delay of records. */
         std::chrono::milliseconds replyTimeout { 300 };
         std::chrono::milliseconds retryPause { 40 };
+        /** A repetition that is later than this was delayed by a pause of the process, during which the caller may have
+            left. It waits once more for the same time, until what has arrived meanwhile was read. */
+        std::chrono::milliseconds lateRepetition { 100 };
         /** Pause after SubmitVerdict::NotReconciled. A new holder needs at least some tenths of a second until no run
             of an earlier holder can be left. */
         std::chrono::milliseconds notReconciledPause { 150 };
@@ -104,6 +107,8 @@
     /** Ends a submission whose deadline has passed. */
     void expire(std::uint64_t id);
     void startReplyTimeout(std::uint64_t id);
+    /** Tries again after a reply timeout that ended at @p due. */
+    void repeat(std::uint64_t id, std::uint64_t attempt, TimePoint due);
     std::chrono::milliseconds effectiveWait(std::chrono::milliseconds requested) const;
     std::optional<ShardId> shardFor(const Submission& submission) const;
     /** Returns whether a job has to stay in its shard: runs of one task of a best-effort job in two shards could
--- a/modules/rattanroad_shards/entrance/JobHomes.cpp
+++ b/modules/rattanroad_shards/entrance/JobHomes.cpp
@@ -98,7 +98,7 @@
         if (!known || known->searches.count(job) == 0)
             return;
         m_hooks.log("job_location_unknown", job, "home " + home.value());
-        finishSearch(home, job, std::nullopt, true);
+        finishSearch(home, job, Answer::Unknown, {});
     });
     for (const ShardId& shard : m_settings.shards) {
         m_hooks.ask(shard, job, [this, home, job, shard](bool isKnown) { handleAnswer(home, job, shard, isKnown); });
@@ -112,21 +112,21 @@
     if (!known || search == known->searches.end())
         return;
     if (isKnown)
-        finishSearch(home, job, asked, true);
+        finishSearch(home, job, Answer::Found, asked);
     else if (--search->second.unanswered == 0)
-        finishSearch(home, job, std::nullopt, false);
+        finishSearch(home, job, Answer::InNoShard, {});
 }
 
-void JobHomes::finishSearch(
-    const ShardId& home, const JobId& job, const std::optional<ShardId>& shard, bool mayBeSubmittedBefore)
+void JobHomes::finishSearch(const ShardId& home, const JobId& job, Answer answer, const ShardId& shard)
 {
     Home& known = *homeOf(home);
     const std::vector<Waiting> waiting = std::move(known.searches.at(job).waiting);
     known.searches.erase(job);
-    const ShardId location = shard.value_or(waiting.front().preferred);
-    insert(known, job, { location, waiting.front().submission, mayBeSubmittedBefore || waiting.size() > 1 });
+    const bool isFound = answer == Answer::Found;
+    const ShardId location = isFound ? shard : waiting.front().preferred;
+    insert(known, job, { location, waiting.front().submission, answer != Answer::InNoShard || waiting.size() > 1 });
     for (std::size_t i = 0; i < waiting.size(); ++i)
-        waiting[i].located(location, mayBeSubmittedBefore || i > 0);
+        waiting[i].located(location, isFound || i > 0);
 }
 
 void JobHomes::insert(Home& home, const JobId& job, Entry entry)
--- a/modules/rattanroad_shards/entrance/JobHomes.h
+++ b/modules/rattanroad_shards/entrance/JobHomes.h
@@ -15,8 +15,9 @@
 
     Each job id has a home among the shards, which follows from the id alone. The holder of the home remembers the shard
     of the job; no other host has to. A holder that may not know all jobs of its home, because it has acquired it
-    recently or stands in for a home whose holder is silent, asks the holders of all shards first. A holder that does
-    not answer makes the answer unknown, which counts as submitted before.
+    recently or stands in for a home whose holder is silent, asks the holders of all shards first. When one of them does
+    not answer, the shard of the job stays unknown: the job goes to the shard that its origin prefers and keeps it.
+    TaskRunner::Settings::maximumLeaseAfterSubmission then ensures that a run of which nobody can tell has ended.
 */
 class JobHomes {
 public:
@@ -100,9 +101,13 @@
     bool knowsAll(const ShardId& home, const JobId& job) const;
     void search(const ShardId& home, const JobId& job);
     void handleAnswer(const ShardId& home, const JobId& job, const ShardId& asked, bool isKnown);
-    /** Ends a search. @p shard is absent when no holder is known to have the job. */
-    void finishSearch(
-        const ShardId& home, const JobId& job, const std::optional<ShardId>& shard, bool mayBeSubmittedBefore);
+    enum class Answer {
+        Found,
+        InNoShard,
+        Unknown,
+    };
+    /** Ends a search. @p shard is that in which the job was found. */
+    void finishSearch(const ShardId& home, const JobId& job, Answer answer, const ShardId& shard);
     void insert(Home& home, const JobId& job, Entry entry);
 
     Settings m_settings;
--- a/tests/shards/LoadFeedTests.cpp
+++ b/tests/shards/LoadFeedTests.cpp
@@ -164,6 +164,59 @@
     requireNoViolations(fleet);
 }
 
+// While a holder is gone, every job whose home asks it has an unknown shard.
+TEST_CASE("jobs end in time at new holders while another shard has no holder")
+{
+    EmulatedFleet::Settings settings;
+    settings.domains = { "north", "south", "west" };
+    settings.hostsPerDomain = 3;
+    EmulatedFleet fleet(settings);
+    fleet.startAll();
+    fleet.run(5s);
+    for (const char* const domain : { "north", "south" })
+        fleet.kill(fleet.holderOf(domain));
+    fleet.run(4s);
+    fleet.kill(fleet.holderOf("west"));
+    const HostId origin = hostWithoutShard(fleet, "north");
+    for (int i = 0; i < 60; ++i) {
+        fleet.submit(origin, "job-" + std::to_string(i), 1, 100ms, true);
+        fleet.run(20ms);
+    }
+    fleet.run(1s);
+    showLog(fleet);
+    int inTime = 0;
+    for (const auto& call : fleet.calls())
+        inTime += isDone(call) && call.answeredAt - call.sentAt <= 400ms;
+    CHECK(inTime >= 54);
+    requireNoViolations(fleet);
+}
+
+// Its caller may have submitted the job to another host, whose run the job would overlap.
+TEST_CASE("an origin that was paused repeats no submission before it has seen that its caller has left")
+{
+    EmulatedFleet fleet(settingsOf(3));
+    fleet.startAll();
+    fleet.run(5s);
+    const HostId origin = hostWithoutShard(fleet, "north");
+    protocol::PlacedJob job = fleet.submit(origin, "a", 1, 10ms, true).description;
+    fleet.run(500ms);
+    job.set_id("b");
+    job.set_payload(taskPayload(8s, { 14000, 64, 0 }));
+    job.mutable_phases(0)->set_estimated_ms(8000);
+    const std::uint64_t submission
+        = fleet.node(origin).entrance().submit(job, 10s, [](EntranceVerdict, std::chrono::milliseconds) {});
+    fleet.run(100ms);
+    REQUIRE(fleet.targets().running() == 1);
+    fleet.pause(origin);
+    fleet.run(3s);
+    REQUIRE(fleet.targets().running() == 0);
+    fleet.resume(origin);
+    fleet.queue().after(1ms, [&] { fleet.node(origin).entrance().abandon(submission); });
+    fleet.run(1s);
+    showLog(fleet);
+    CHECK(fleet.startCount("b") == 1);
+}
+
 // The first host to start, or a large one that joins, may have no list at all when it acquires a shard.
 TEST_CASE("a host that has not followed the target list refuses no job when it acquires a shard")
 {
