Move the links to other hosts out of ShardNode

Change: HostLinks sends messages, opens links and keeps them open; behaviour is unchanged. Result: test_shards passes.

--- a/modules/rattanroad_shards/node/ShardNode.cpp
+++ b/modules/rattanroad_shards/node/ShardNode.cpp
@@ -1,6 +1,7 @@
 #include "rattanroad_shards/node/ShardNode.h"
 
 #include "rattanroad_shards/holding/StoreKeys.h"
+#include "rattanroad_shards/node/HostLinks.h"
 
 #include <algorithm>
 
@@ -40,9 +41,11 @@
         , m_fleetList({ storekeys::fleetPrefix }, m_store, m_timers, clock, fleetHooks())
         , m_entrance(entranceSettings(), m_store, m_fleet, m_timers, clock, entranceHooks())
         , m_loadFeed(feedSettings(), m_fleet, m_entrance.loads(), clock,
-              { [this](
-                    const std::string& address, const protocol::Envelope& message) { return send(address, message); },
+              { [this](const std::string& address, const protocol::Envelope& message) {
+                   return m_links.send(address, message);
+               },
                   [this] { return envelope(); } })
+        , m_links({ m_settings.address }, clock, { m_hooks.send, m_hooks.hostStarted, [this] { return envelope(); } })
     {
         makeShards();
     }
@@ -76,7 +79,7 @@
         detectPause();
         if (message.has_shard_submit() && m_clock.now() - m_resumedAt < m_settings.staleMessageWindow)
             return;
-        openLink(message.from_host());
+        m_links.open(message.from_host());
         if (message.has_shard_load()) {
             loadReceived(message.shard_load(), message.from_host());
             return;
@@ -208,8 +211,9 @@
     JobEntrance::Hooks entranceHooks()
     {
         JobEntrance::Hooks hooks;
-        hooks.send
-            = [this](const std::string& address, const protocol::Envelope& message) { return send(address, message); };
+        hooks.send = [this](const std::string& address, const protocol::Envelope& message) {
+            return m_links.send(address, message);
+        };
         hooks.localDispatcher = [this](const ShardId& shard) { return dispatcher(shard); };
         hooks.log = [this](const char* event, const JobId& job, const std::string& detail) {
             m_hooks.log(event, { { "job", job.value() }, { "detail", detail } });
@@ -310,7 +314,7 @@
                 return;
             m_shards[*shard].election->reevaluate();
             if (const ShardHolder* const holder = m_fleet.holder(*shard))
-                openLink(holder->address);
+                m_links.open(holder->address);
             handOver(*shard);
         };
         hooks.removed = [this](const std::string& key) {
@@ -334,11 +338,7 @@
         if (known == live->second.incarnation)
             return;
         known = live->second.incarnation;
-        const auto link = m_links.find(live->second.address);
-        if (link == m_links.end())
-            return;
-        link->second.lastSent = distantPast;
-        m_hooks.hostStarted(live->second.address);
+        m_links.hostStarted(live->second.address);
     }
 
     void storeInterrupted()
@@ -417,7 +417,7 @@
     /** Sends a handover as soon as the link to the new holder is open. */
     void sendHandover(const std::string& address, const protocol::Envelope& message, TimePoint since)
     {
-        if (send(address, message) || m_clock.now() - since >= m_settings.handoverRetryTime)
+        if (m_links.send(address, message) || m_clock.now() - since >= m_settings.handoverRetryTime)
             return;
         m_timers.after(m_settings.handoverRetryPause, [this, address, message, since, builtAt = m_clock.now()] {
             protocol::Envelope later = message;
@@ -509,40 +509,16 @@
         if (isFromHolder && m_entrance.loads().hasLaterHolder(shard, generation))
             m_loadFeed.correct(load);
         m_entrance.loadReceived(load);
-        openLink(load.address());
-    }
-
-    /** Sends a message. Returns false when it was not sent. */
-    bool send(const std::string& address, const protocol::Envelope& message)
-    {
-        Link& link = m_links[address];
-        link.lastTried = m_clock.now();
-        if (!m_hooks.send(address, message))
-            return false;
-        link.lastSent = link.lastTried;
-        return true;
-    }
-
-    /** Opens the link to another host, or keeps it open, with an empty message. */
-    void openLink(const std::string& address)
-    {
-        if (address.empty() || address == m_settings.address)
-            return;
-        const auto link = m_links.find(address);
-        if (link == m_links.end() || m_clock.now() - link->second.lastSent >= m_settings.linkRefresh)
-            send(address, envelope());
+        m_links.open(load.address());
     }
 
     void openLinks()
     {
         for (const ShardId& shard : m_entrance.loads().shards()) {
             if (const std::string* const address = m_entrance.loads().holderAddress(shard))
-                openLink(*address);
-        }
-        for (auto link = m_links.begin(); link != m_links.end();) {
-            const bool isUnused = m_clock.now() - link->second.lastTried >= 3 * m_settings.linkRefresh;
-            link = isUnused ? m_links.erase(link) : std::next(link);
+                m_links.open(*address);
         }
+        m_links.removeUnused();
         m_timers.after(m_settings.linkInterval, [this] { openLinks(); });
     }
 
@@ -589,7 +565,7 @@
         message.mutable_shard_job_reply()->set_id(job.id.value());
         message.mutable_shard_job_reply()->set_known(true);
         message.mutable_shard_job_reply()->set_state(static_cast<std::uint32_t>(job.state));
-        m_hooks.send(job.originAddress, message);
+        m_links.send(job.originAddress, message);
     }
 
     const Settings m_settings;
@@ -611,12 +587,7 @@
     JobEntrance m_entrance;
     LoadFeed m_loadFeed;
     std::map<HostId, Incarnation> m_knownIncarnations;
-    struct Link {
-        TimePoint lastTried { distantPast };
-        TimePoint lastSent { distantPast };
-    };
-    /** Links to other hosts, by address. */
-    std::map<std::string, Link> m_links;
+    HostLinks m_links;
     /** When the timer that sends the loads last fired. */
     TimePoint m_lastLoadTimerRun { TimePoint::max() };
     TimePoint m_loadTimerDue { TimePoint::max() };
--- a/modules/rattanroad_shards/node/ShardNode.h
+++ b/modules/rattanroad_shards/node/ShardNode.h
@@ -38,9 +38,6 @@
         std::chrono::milliseconds loadInterval { 100 };
         /** Interval at which the links to the holders are checked, so that they are open before a job needs them. */
         std::chrono::milliseconds linkInterval { 500 };
-        /** A link gets an empty message when nothing was sent on it for this long: unused links are closed after 60 s.
-         */
-        std::chrono::seconds linkRefresh { 20 };
         std::chrono::milliseconds electionInterval { 100 };
         /** Interval at which a host decides whether it has to follow the target list. */
         std::chrono::milliseconds followInterval { 500 };
