--- a/review/2/case.py
+++ b/review/2/case.py
@@ -8,7 +8,7 @@
 import standin  # noqa: E402
 
 JOB = "00000000000000b1"
-CRASH_AFTER_S = 0.1
+CRASH_AFTER_S = 0.05
 BACK_AFTER_S = 0.5
 
 
