Let a fault of a case end with 2, and end the processes on SIGTERM

Cause: an unexpected exception ended a case with 1, which reads as a broken rule. Change: every exception ends it with 2; SIGTERM ends the processes that the case started.

--- a/review/lib/standin.py
+++ b/review/lib/standin.py
@@ -63,7 +63,8 @@
         return round(time.monotonic() - self.started, 4)
 
     def write(self, event, **fields):
-        self.file.write(json.dumps({"t": self.now(), "event": event, **fields}) + "\n")
+        if not self.file.closed:
+            self.file.write(json.dumps({"t": self.now(), "event": event, **fields}) + "\n")
 
     def close(self):
         self.file.close()
@@ -643,6 +644,8 @@
     has_trouble = os.environ.get("TROUBLE", "1") != "0"
 
     async def main():
+        # Ends the processes also when this one is asked to stop.
+        asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, asyncio.current_task().cancel)
         fleet = Fleet(folder, **fleet_settings)
         try:
             await fleet.start()
@@ -656,7 +659,7 @@
 
     try:
         breaches = asyncio.run(asyncio.wait_for(main(), 115))
-    except (CannotRun, asyncio.TimeoutError, OSError) as problem:
+    except (Exception, asyncio.CancelledError) as problem:  # A fault of the case is no verdict.
         print("could not run: " + repr(problem))
         sys.exit(2)
     for breach in breaches[:10]:
