Confirm starts by replies that name no incarnation

Cause: replies to starts name no incarnation; only reports and lists of runs do. TargetSession took the missing field for an earlier incarnation and left the run in state Starting. A restart keeps such runs, since their start may have reached the new incarnation, and nothing ended them later. Tests could not see it: emulated targets named the incarnation in every reply.

Change: an answered start is confirmed, and the next list that is requested after it decides whether the run is still there. It counts as lost by a crash only if the list of the new incarnation lacks it. The emulated targets and the stand-in of the platform answer as the targets do.

--- a/modules/rattanroad_shards/targets/TargetCalls.h
+++ b/modules/rattanroad_shards/targets/TargetCalls.h
@@ -97,7 +97,8 @@
     TargetCallResult result { TargetCallResult::Unknown };
     /** The target's clock when it answered, in milliseconds; absent without a body. */
     std::optional<std::uint64_t> clockMs;
-    /** Start time of the target's process in milliseconds, which identifies its incarnation; 0 when unknown. */
+    /** Start time of the target's process in milliseconds, which identifies its incarnation; 0 when the reply does not
+        name it. Replies to polls name it. */
     std::uint64_t incarnationMs { 0 };
 };
 
--- a/modules/rattanroad_shards/targets/TargetSession.cpp
+++ b/modules/rattanroad_shards/targets/TargetSession.cpp
@@ -117,7 +117,7 @@
     assert(!m_isClosed && m_isReady && m_isListed && !m_report.isDraining && !m_runs.count(task));
     Run& run = m_runs[task];
     run = Run { attempt, payload, isIsolated ? m_report.capacity : resources, Run::State::Starting, m_clock.now(),
-        std::nullopt, predicted, savedProgress, 0, false, isIsolated };
+        std::nullopt, predicted, savedProgress, 0, false, std::nullopt, isIsolated };
     m_used += run.resources;
     sendStart(task, run);
 }
@@ -173,7 +173,7 @@
 
 void TargetSession::processStartReply(const TaskId& task, std::uint32_t attempt, const TargetReply& reply)
 {
-    const bool isCurrentIncarnation = updateTargetClock(reply);
+    const bool isOfKnownIncarnation = updateTargetClock(reply);
     // The run may have been stopped meanwhile.
     if (reply.result == TargetCallResult::Unknown)
         recordUnansweredStart(task, attempt);
@@ -188,9 +188,9 @@
         return;
     }
     if (reply.result == TargetCallResult::Done) {
-        if (isCurrentIncarnation)
-            run.isStartConfirmed = true;
-        if (isCurrentIncarnation && run.state == Run::State::Starting) {
+        run.isStartConfirmed = run.isStartConfirmed || isOfKnownIncarnation;
+        // The next list shows whether the incarnation that carried out the start has ended meanwhile.
+        if (run.state == Run::State::Starting) {
             run.state = Run::State::Running;
             run.confirmedAt = m_clock.now();
         }
@@ -236,7 +236,6 @@
         // An earlier send was carried out: the next poll reports the run's completion, or shows that it was stopped.
         run.state = Run::State::Running;
         run.confirmedAt = m_clock.now();
-        run.isStartConfirmed = true;
         pollNow();
         return;
     }
@@ -402,15 +401,15 @@
     std::vector<TaskId> lostRuns;
     for (auto& entry : m_runs) {
         Run& run = entry.second;
-        run.isStartConfirmed = false;
         // A start without a reply may have reached the new incarnation, so a run in state Starting is kept.
-        if (run.state == Run::State::Starting)
+        if (run.state == Run::State::Starting || mayBeInLaterIncarnation(entry.first, run))
             continue;
         if (run.state == Run::State::Running && !mayStartLate(entry.first, run.attempt)) {
             lostRuns.push_back(entry.first);
             continue;
         }
         // The start may still be in flight, and the new incarnation has not seen the stop.
+        run.isStartConfirmed = false;
         run.state = Run::State::Stopping;
         run.confirmedAt.reset();
         sendStop(entry.first, run.attempt);
@@ -456,6 +455,7 @@
             Run& run = found->second;
             run.savedProgress = running.savedProgress;
             run.isStartConfirmed = true;
+            run.possibleLoss.reset();
             if (run.state == Run::State::Starting) {
                 run.state = Run::State::Running;
                 run.confirmedAt = m_clock.now();
@@ -470,7 +470,7 @@
         const std::optional<Resources> adopted = m_hooks.foundRun(*this, running);
         const TimePoint now = m_clock.now();
         m_runs[running.task] = Run { running.attempt, "", adopted.value_or(m_report.capacity), Run::State::Running, now,
-            now, std::chrono::milliseconds(0), running.savedProgress, 0, true, false };
+            now, std::chrono::milliseconds(0), running.savedProgress, 0, true, std::nullopt, false };
         m_used += m_runs[running.task].resources;
         if (!adopted)
             stop(running.task);
@@ -481,6 +481,13 @@
         if (!active.count(entry.first) && run.confirmedAt && *run.confirmedAt < sentAt)
             missing.push_back(entry.first);
     }
+    std::vector<RunLoss> losses;
+    for (const TaskId& task : missing) {
+        if (const auto& loss = m_runs[task].possibleLoss)
+            losses.push_back(*loss);
+    }
+    for (const RunLoss& loss : losses)
+        m_hooks.lost(*this, loss);
     interrupt(missing);
 }
 
@@ -516,13 +523,25 @@
     if (incarnationMs == m_drainingIncarnationMs)
         return;
     std::vector<RunLoss> losses;
-    for (const auto& entry : m_runs)
-        losses.push_back(
-            { entry.first, incarnationMs, entry.second.isStartConfirmed, hasRestarted, m_runs.size() == 1 });
+    for (auto& entry : m_runs) {
+        Run& run = entry.second;
+        const RunLoss loss { entry.first, incarnationMs, run.isStartConfirmed, hasRestarted, m_runs.size() == 1 };
+        if (!hasRestarted || !mayBeInLaterIncarnation(entry.first, run)) {
+            losses.push_back(loss);
+        } else if (!run.possibleLoss) {
+            run.possibleLoss = loss;
+            run.possibleLoss->isStartConfirmed = true;
+        }
+    }
     for (const RunLoss& loss : losses)
         m_hooks.lost(*this, loss);
 }
 
+bool TargetSession::mayBeInLaterIncarnation(const TaskId& task, const Run& run) const
+{
+    return run.state == Run::State::Running && !run.isStartConfirmed && !mayStartLate(task, run.attempt);
+}
+
 void TargetSession::checkLease()
 {
     const TimePoint now = m_clock.now();
--- a/modules/rattanroad_shards/targets/TargetSession.h
+++ b/modules/rattanroad_shards/targets/TargetSession.h
@@ -72,8 +72,11 @@
         std::string savedProgress;
         /** Number of times that the start was sent. */
         std::uint32_t sends { 0 };
-        /** The target has confirmed the start or reported the run as active. */
+        /** The known incarnation of the target has the run. Not set by a confirmation that names no incarnation. */
         bool isStartConfirmed { false };
+        /** Reported as lost if the list of a new incarnation lacks the run, whose start was confirmed by a reply that
+            named no incarnation. */
+        std::optional<RunLoss> possibleLoss;
         /** No other run may start on the target; @c resources is its whole capacity. */
         bool isIsolated { false };
     };
@@ -166,8 +169,8 @@
     bool isLossy() const;
     std::chrono::milliseconds callTimeout() const;
     void checkFencing(const TargetReply& reply, FencingToken token);
-    /** Updates the known clock of the target. Returns false when the reply has no clock or is of an earlier
-        incarnation. */
+    /** Updates the known clock of the target. Returns false when the reply has no clock, names no incarnation, or is of
+        an earlier one. */
     bool updateTargetClock(const TargetReply& reply);
     void beginIncarnation(std::uint64_t incarnationMs);
     /** Returns whether the reply has new completions. */
@@ -180,8 +183,10 @@
     void removeRun(const TaskId& task);
     void interrupt(const std::vector<TaskId>& tasks);
     void interruptAll();
-    /** Reports all runs as lost that the current incarnation has or may have. */
+    /** Reports all runs as lost that this incarnation has or may have. */
     void reportLosses(std::uint64_t incarnationMs, bool hasRestarted);
+    /** Returns whether the run may be in a later incarnation than the known one. The next list of runs shows it. */
+    bool mayBeInLaterIncarnation(const TaskId& task, const Run& run) const;
     void checkLease();
     bool maySend() const { return !m_isClosed && !m_isMoved; }
     /** Returns the latest time at which the lease may end because of the runs on the target. */
--- a/tests/emulator/EmulatedTargets.cpp
+++ b/tests/emulator/EmulatedTargets.cpp
@@ -88,7 +88,6 @@
     TargetReply reply;
     reply.result = ending;
     reply.clockMs = clockMs(m_targets.at(target));
-    reply.incarnationMs = m_targets.at(target).incarnation;
     return reply;
 }
 
@@ -243,6 +242,7 @@
     const Target& target = m_targets[request.target];
     PollReply answer;
     static_cast<TargetReply&>(answer) = reply(request.target, TargetCallResult::Done);
+    answer.incarnationMs = target.incarnation;
     for (const auto& live : target.live)
         answer.running.push_back({ live.first, live.second.attempt, "" });
     answer.completions = target.ended;
--- a/tests/emulator/EmulatedTargets.h
+++ b/tests/emulator/EmulatedTargets.h
@@ -121,6 +121,7 @@
     void executeLate(const TargetId& target, std::function<void()> carryOut);
     void stop(const shards::StopRequest& request, const std::function<void(const shards::TargetReply&)>& callback);
     void poll(const shards::PollRequest& request, const std::function<void(const shards::PollReply&)>& callback);
+    /** Returns a reply that does not name the incarnation, which only the lists of runs do. */
     shards::TargetReply reply(const TargetId& target, shards::TargetCallResult ending) const;
     shards::TargetCallResult start(const shards::StartRequest& request);
     void checkDraining(const TargetId& target);
--- a/tests/platform/PlatformStandin.cpp
+++ b/tests/platform/PlatformStandin.cpp
@@ -104,7 +104,8 @@
             { TargetCallResult::StaleAttempt, "old" }, { TargetCallResult::LeaseExpired, "late" },
             { TargetCallResult::NoCapacity, "room" } };
         body["clockMs"] = reply.clockMs.value_or(0);
-        body["born"] = reply.incarnationMs;
+        if (reply.incarnationMs != 0)
+            body["born"] = reply.incarnationMs;
         const auto reason = reasons.find(reply.result);
         if (reason != reasons.end())
             body["reason"] = reason->second;
--- a/tests/shards/CrashTests.cpp
+++ b/tests/shards/CrashTests.cpp
@@ -332,3 +332,22 @@
     CHECK(crashing.state("a") == JobState::Done);
     requireNoViolations(fleet);
 }
+
+// A target that is back before it counts as silent has lost runs that no poll has listed. They stayed in state
+// Starting.
+TEST_CASE("a stored job goes on after a target has crashed right after it confirmed the start of its tasks")
+{
+    CrashingFleet crashing;
+    EmulatedFleet& fleet = crashing.fleet();
+    fleet.targets().faults.crashingJobs.clear();
+    fleet.targets().faults.crashDuration = GENERATE(50ms, 200ms, 500ms, 900ms);
+    const Duration crashedAfter = GENERATE(5ms, 50ms, 100ms);
+    crashing.submit("a", 900ms, false);
+    REQUIRE(fleet.runUntil([&] { return fleet.targets().running() == 1; }, 1s));
+    fleet.run(crashedAfter);
+    fleet.targets().crash(crashing.runs().back().target);
+    fleet.run(6s);
+    showLog(fleet);
+    CHECK(crashing.state("a") == JobState::Done);
+    requireNoViolations(fleet);
+}
--- a/tests/shards/SessionTests.cpp
+++ b/tests/shards/SessionTests.cpp
@@ -22,6 +22,11 @@
             ++m_stopRequests;
             stop(request, std::move(callback));
         };
+        m_calls.start = [this, start = m_calls.start](const StartRequest& request, auto callback) {
+            start(request, [this, callback](const TargetReply& reply) {
+                m_queue.after(m_startReplyDelay, [callback, reply] { callback(reply); });
+            });
+        };
         m_calls.poll = [this, poll = m_calls.poll](const PollRequest& request, auto callback) {
             poll(request,
                 [this, callback](const PollReply& reply) { callback(m_arePollRepliesLost ? PollReply() : reply); });
@@ -33,8 +38,8 @@
         m_targets.add(report);
         TargetSession::Hooks hooks;
         hooks.ready = [](TargetSession&) {};
-        hooks.ended = [](TargetSession&, const RunCompletion&) {};
-        hooks.lost = [](TargetSession&, const RunLoss&) {};
+        hooks.ended = [this](TargetSession&, const RunCompletion& completion) { m_completions.push_back(completion); };
+        hooks.lost = [this](TargetSession&, const RunLoss& loss) { m_losses.push_back(loss); };
         hooks.foundRun = [](TargetSession&, const RunningTask&) { return std::nullopt; };
         hooks.rejected = [](TargetSession&, const TaskId&, std::uint32_t, TargetCallResult) {};
         hooks.roomChanged = [] {};
@@ -52,7 +57,10 @@
     void run(Duration duration) { m_queue.runUntil(m_clock.now() + duration); }
 
     void setPollRepliesLost(bool areLost) { m_arePollRepliesLost = areLost; }
+    void setStartRepliesDelayed(Duration delay) { m_startReplyDelay = delay; }
     std::size_t stopRequests() const { return m_stopRequests; }
+    const std::vector<RunCompletion>& completions() const { return m_completions; }
+    const std::vector<RunLoss>& losses() const { return m_losses; }
     EmulatedTargets& targets() { return m_targets; }
     TargetSession& session() { return *m_session; }
 
@@ -64,7 +72,10 @@
     std::unique_ptr<TargetSession> m_session;
     /** Replies to polls are lost. */
     bool m_arePollRepliesLost { false };
+    Duration m_startReplyDelay { 0 };
     std::size_t m_stopRequests { 0 };
+    std::vector<RunCompletion> m_completions;
+    std::vector<RunLoss> m_losses;
 };
 
 const TaskId task { JobId("a"), 0, 0 };
@@ -104,3 +115,57 @@
     REQUIRE(fixture.stopRequests() == 0);
     REQUIRE(fixture.targets().runs().at(task).size() == 1);
 }
+
+// The reply to a start names no incarnation. The run stayed in state Starting until a poll listed it, and nothing ended
+// it when the target restarted before that: its task never started again.
+TEST_CASE("a run is lost when its target restarts before a poll has listed it")
+{
+    SessionFixture fixture;
+    fixture.session().start(task, 1, taskPayload(900ms, resources), resources, 900ms, "");
+    fixture.run(20ms);
+    REQUIRE(fixture.targets().running() == 1);
+    fixture.targets().restart(TargetId("target"));
+    fixture.run(1s);
+    CHECK(fixture.session().runs().empty());
+    REQUIRE(fixture.completions().size() == 1);
+    CHECK(fixture.completions().front().outcome == RunOutcome::Interrupted);
+    REQUIRE(fixture.losses().size() == 1);
+    CHECK(fixture.losses().front().incarnationMs == 1);
+    CHECK(fixture.losses().front().isStartConfirmed);
+    CHECK(fixture.losses().front().hasRestarted);
+}
+
+// The same reply may come from an incarnation that no poll has shown yet. Its run is neither ended nor counted as lost.
+TEST_CASE("a run goes on when an incarnation that is not known yet has confirmed its start")
+{
+    SessionFixture fixture;
+    fixture.run(1ms);
+    fixture.targets().restart(TargetId("target"));
+    fixture.session().start(task, 1, taskPayload(900ms, resources), resources, 900ms, "");
+    fixture.run(700ms);
+    CHECK(fixture.session().incarnationMs() == 2);
+    CHECK(fixture.targets().running() == 1);
+    CHECK(fixture.session().runs().size() == 1);
+    CHECK(fixture.losses().empty());
+    CHECK(fixture.stopRequests() == 0);
+    fixture.run(1s);
+    REQUIRE(fixture.completions().size() == 1);
+    CHECK(fixture.completions().front().outcome == RunOutcome::Done);
+}
+
+// The reply to the start arrives after a poll has shown the next incarnation.
+TEST_CASE("a run is lost when the confirmation of its start arrives after its target has restarted")
+{
+    SessionFixture fixture;
+    fixture.setStartRepliesDelayed(700ms);
+    fixture.session().start(task, 1, taskPayload(900ms, resources), resources, 900ms, "");
+    fixture.run(20ms);
+    REQUIRE(fixture.targets().running() == 1);
+    fixture.targets().restart(TargetId("target"));
+    fixture.run(680ms);
+    REQUIRE(fixture.session().incarnationMs() == 2);
+    REQUIRE(fixture.session().runs().size() == 1);
+    fixture.run(1s);
+    CHECK(fixture.session().runs().empty());
+    CHECK(fixture.completions().size() == 1);
+}
