Count a failed run once, also when it is reported again

Cause: the record of a job held how often each task had failed, and targets report a completion until the poll after that write acknowledges it. A handover of best-effort jobs, and a session that is opened anew, had the same gap.

Change: failed runs are named by target, incarnation and attempt, in memory, records and handovers; one that is named is not counted again. The count is still written for hosts of the previous build, and what they counted without names stays counted.

Measured: "failed runs that a killed holder has recorded are not counted again" fails before in its 3 variants, and passes after.

--- a/modules/rattanroad_shards/jobs/JobCodec.cpp
+++ b/modules/rattanroad_shards/jobs/JobCodec.cpp
@@ -23,6 +23,27 @@
         return runs;
     }
 
+    /** Adds the failed runs of a task to its progress or its handover. */
+    template <typename Message> void encodeFailures(const ShardTask& task, Message& message)
+    {
+        message.set_failed_runs(task.failureCount());
+        for (const FailedRun& run : task.failedRuns) {
+            protocol::FailedRun* const encoded = message.add_failures();
+            encoded->set_target(run.target.value());
+            encoded->set_incarnation_ms(run.incarnationMs);
+            encoded->set_attempt(run.attempt);
+        }
+    }
+
+    template <typename Message> void applyFailures(const Message& message, ShardTask& task)
+    {
+        task.failedRuns.clear();
+        for (const protocol::FailedRun& run : message.failures())
+            task.failedRuns.push_back({ TargetId(run.target()), run.incarnation_ms(), run.attempt() });
+        const auto named = static_cast<std::uint32_t>(task.failedRuns.size());
+        task.unnamedFailures = std::max(message.failed_runs(), named) - named;
+    }
+
     /** Returns the lost runs of a task and its current run. */
     std::vector<LostRun> runsToHandOver(const ShardTask& task, const TaskId& id, const CurrentRun& currentRun)
     {
@@ -60,15 +81,15 @@
             const ShardTask& task = job.phases[phase][index];
             const bool isDone = task.state == ShardTask::State::Done;
             const bool hasRecordedRun = task.state == ShardTask::State::Placed && task.recordedAttempt == task.attempt;
-            if (!isDone && task.failedRuns == 0 && task.lostRuns.empty() && !hasRecordedRun)
+            if (!isDone && task.failureCount() == 0 && task.lostRuns.empty() && !hasRecordedRun)
                 continue;
             protocol::TaskProgress* const progress = record.add_progress();
             progress->set_phase(static_cast<std::uint32_t>(phase));
             progress->set_index(static_cast<std::uint32_t>(index));
             progress->set_done(isDone);
-            progress->set_failed_runs(task.failedRuns);
             if (isDone)
                 continue;
+            encodeFailures(task, *progress);
             const TaskId id { job.id, progress->phase(), progress->index() };
             for (const LostRun& run : hasRecordedRun ? runsToHandOver(task, id, currentRun) : task.lostRuns)
                 encode(run, *progress->add_lost_runs());
@@ -83,7 +104,7 @@
         ShardTask* const task = job.task({ job.id, progress.phase(), progress.index() });
         if (!task)
             continue;
-        task->failedRuns = progress.failed_runs();
+        applyFailures(progress, *task);
         add(lostRunsOf(progress, now), *task);
         if (progress.done())
             task->state = ShardTask::State::Done;
@@ -109,7 +130,7 @@
             state->set_done(task.state == ShardTask::State::Done);
             // A run that no holder has found again has at least the first attempt number.
             state->set_attempt(std::max(task.attempt, task.mayHaveEarlierRun ? 1U : 0U));
-            state->set_failed_runs(task.failedRuns);
+            encodeFailures(task, *state);
             const TaskId id { job.id, state->phase(), state->index() };
             for (const LostRun& run : runsToHandOver(task, id, currentRun))
                 encode(run, *state->add_lost_runs());
@@ -125,7 +146,7 @@
         if (!task)
             continue;
         task->attempt = state.attempt();
-        task->failedRuns = state.failed_runs();
+        applyFailures(state, *task);
         task->state = state.done() ? ShardTask::State::Done : ShardTask::State::Waiting;
         task->mayHaveEarlierRun = !state.done() && state.attempt() > 0;
     }
--- a/modules/rattanroad_shards/jobs/ShardJob.h
+++ b/modules/rattanroad_shards/jobs/ShardJob.h
@@ -9,6 +9,19 @@
 
 namespace rattanroad::shards {
 
+/** A run that ended as failed. A target may report it more than once. */
+struct FailedRun {
+    TargetId target;
+    /** Start time of the target incarnation that had the run. */
+    std::uint64_t incarnationMs { 0 };
+    std::uint32_t attempt { 0 };
+
+    bool operator==(const FailedRun& other) const
+    {
+        return target == other.target && incarnationMs == other.incarnationMs && attempt == other.attempt;
+    }
+};
+
 /** State of one task of a job in the memory of the shard's holder. */
 struct ShardTask {
     enum class State {
@@ -18,9 +31,10 @@
     };
     State state { State::Waiting };
     std::uint32_t attempt { 0 };
-    std::uint32_t failedRuns { 0 };
-    /** Targets on which the task has failed, most recent last. */
-    std::vector<TargetId> failedOn;
+    /** Distinct failed runs, most recent last. */
+    std::vector<FailedRun> failedRuns;
+    /** Failed runs that a host of an earlier build has counted without naming them. */
+    std::uint32_t unnamedFailures { 0 };
     /** Distinct target incarnations that were lost under a run of the task, oldest first. */
     std::vector<LostRun> lostRuns;
     /** ShardJob::lossSequence at the last change of lostRuns. */
@@ -37,6 +51,16 @@
     std::string savedProgress;
     /** An overdue run was stopped to start the task elsewhere. Done only once, because the task itself may be long. */
     bool wasRescheduled { false };
+
+    std::uint32_t failureCount() const { return unnamedFailures + static_cast<std::uint32_t>(failedRuns.size()); }
+    /** Returns the targets on which the task has failed, most recent last. */
+    std::vector<TargetId> failedOn() const
+    {
+        std::vector<TargetId> targets;
+        for (const FailedRun& run : failedRuns)
+            targets.push_back(run.target);
+        return targets;
+    }
 };
 
 /** A run completion that a target keeps reporting until it is acknowledged. It is acknowledged once the job's record in
--- a/modules/rattanroad_shards/jobs/TaskRunner.cpp
+++ b/modules/rattanroad_shards/jobs/TaskRunner.cpp
@@ -61,7 +61,7 @@
         taskDone(job, task, completion.task);
         return;
     }
-    if (completion.outcome == RunOutcome::Failed && recordFailure(job, task, session, completion.task))
+    if (completion.outcome == RunOutcome::Failed && recordFailure(job, task, session, completion))
         return;
     if (!completion.savedProgress.empty())
         task.savedProgress = completion.savedProgress;
@@ -72,15 +72,21 @@
     }
 }
 
-bool TaskRunner::recordFailure(ShardJob& job, ShardTask& task, const TargetSession& session, const TaskId& id)
+bool TaskRunner::recordFailure(
+    ShardJob& job, ShardTask& task, const TargetSession& session, const RunCompletion& completion)
 {
-    ++task.failedRuns;
-    m_targets.runFailed(session, task.failedOn);
-    task.failedOn.push_back(session.report().id);
-    m_hooks.log("run_failed", job.id,
-        "task " + std::to_string(id.index) + " on " + session.report().id.value() + ", failure "
-            + std::to_string(task.failedRuns));
-    if (task.failedRuns < job.description.rule().maximum_attempts())
+    const FailedRun run { session.report().id, session.incarnationMs(), completion.attempt };
+    const std::string description = "task " + std::to_string(completion.task.index) + " on " + run.target.value()
+        + ", attempt " + std::to_string(run.attempt);
+    // The target reports the completion again to a later holder, and to a session that was opened anew.
+    if (std::find(task.failedRuns.begin(), task.failedRuns.end(), run) != task.failedRuns.end()) {
+        m_hooks.log("run_failure_known", job.id, description);
+        return false;
+    }
+    m_targets.runFailed(session, task.failedOn());
+    task.failedRuns.push_back(run);
+    m_hooks.log("run_failed", job.id, description + ", failure " + std::to_string(task.failureCount()));
+    if (task.failureCount() < job.description.rule().maximum_attempts())
         return false;
     m_hooks.finished(job, JobState::Failed, "a task has used up its attempts");
     return true;
@@ -332,7 +338,7 @@
     // A run of an earlier attempt or holder may still be active.
     if (m_targets.hasRun(id))
         return true;
-    const auto choice = pass.choose(id, request, job.phases[phase][index].failedOn);
+    const auto choice = pass.choose(id, request, job.phases[phase][index].failedOn());
     if (!choice)
         return false;
     TargetSession& session = *choice->session;
--- a/modules/rattanroad_shards/jobs/TaskRunner.h
+++ b/modules/rattanroad_shards/jobs/TaskRunner.h
@@ -89,7 +89,7 @@
     std::uint32_t nextAttempt(const ShardJob& job, const ShardTask& task) const;
     void taskDone(ShardJob& job, ShardTask& task, const TaskId& id);
     /** Returns whether the job has failed because the task has used up its attempts. */
-    bool recordFailure(ShardJob& job, ShardTask& task, const TargetSession& session, const TaskId& id);
+    bool recordFailure(ShardJob& job, ShardTask& task, const TargetSession& session, const RunCompletion& completion);
     void rescheduleOverdueRun(TargetSession& session, const TaskId& id);
     void settleLosses(ShardJob& job, ShardTask& task, const TaskId& id, const TargetSession& session);
     /** Ends the job as failed if the task has crashed its targets too often; otherwise has the lost runs recorded. */
--- a/tests/emulator/EmulatedTargets.cpp
+++ b/tests/emulator/EmulatedTargets.cpp
@@ -301,7 +301,7 @@
     }
     if (faults.hangingTargets.count(request.target))
         return TargetCallResult::Done;
-    if (faults.failingTargets.count(request.target)) {
+    if (willFailAtOnce(request.task, request.target)) {
         fails = true;
         duration = 2;
     }
@@ -313,6 +313,19 @@
     return TargetCallResult::Done;
 }
 
+bool EmulatedTargets::willFailAtOnce(const TaskId& task, const TargetId& target) const
+{
+    if (faults.failingTargets.count(target))
+        return true;
+    const auto failures = faults.failuresBeforeSuccess.find(task.job);
+    const auto runs = m_runs.find(task);
+    if (failures == faults.failuresBeforeSuccess.end() || runs == m_runs.end())
+        return false;
+    const auto failed = std::count_if(
+        runs->second.begin(), runs->second.end(), [](const Run& run) { return run.ending == "failed"; });
+    return static_cast<std::size_t>(failed) < failures->second;
+}
+
 void EmulatedTargets::checkDraining(const TargetId& target)
 {
     const auto since = m_drainingSince.find(target);
--- a/tests/emulator/EmulatedTargets.h
+++ b/tests/emulator/EmulatedTargets.h
@@ -25,6 +25,8 @@
         std::set<TargetId> hangingTargets;
         /** Targets on which runs fail almost at once. */
         std::set<TargetId> failingTargets;
+        /** Number of runs of each task of a job that fail almost at once before one succeeds. */
+        std::map<shards::JobId, std::size_t> failuresBeforeSuccess;
         /** Jobs whose tasks crash each target that starts them. */
         std::set<shards::JobId> crashingJobs;
         /** Time from the start of such a task to the crash; with 0 the start is not answered. */
@@ -124,6 +126,8 @@
     /** Returns a reply that does not name the incarnation, which only the lists of runs do. */
     shards::TargetReply reply(const TargetId& target, shards::TargetCallResult ending) const;
     shards::TargetCallResult start(const shards::StartRequest& request);
+    /** Returns whether the next run of the task is one that fails almost at once. */
+    bool willFailAtOnce(const shards::TaskId& task, const TargetId& target) const;
     void checkDraining(const TargetId& target);
     void end(const TargetId& target, const shards::TaskId& task, shards::RunOutcome outcome, const char* name);
     void answerPoll(const shards::PollRequest& request, const std::function<void(const shards::PollReply&)>& callback);
