End no run that is missing from a list that was cut off

Cause: a target lists 500 completions at a time. They are acknowledged once records cover them, which needs the store, so the lists were soon full, and a run beyond the 500 counted as interrupted. In the record of the case completion 501 is that of the first task that starts again, 12 ms after it. A new holder also took a first list of 500 for all.

Change: the adapter tells when a list is as long as a target lists at a time; then no missing run has ended, and the target is not reconciled yet.

--- a/modules/rattanroad_shards/targets/ShardTargets.cpp
+++ b/modules/rattanroad_shards/targets/ShardTargets.cpp
@@ -128,13 +128,14 @@
 {
     const bool isListComplete = m_isListCurrent && m_clock.now() - m_lastListGap >= m_settings.earlierHolderExpiry;
     return isListComplete && !m_sessions.empty()
-        && std::all_of(m_sessions.begin(), m_sessions.end(), [](const auto& entry) { return entry.second->isReady(); });
+        && std::all_of(
+            m_sessions.begin(), m_sessions.end(), [](const auto& entry) { return entry.second->isReconciled(); });
 }
 
 std::string ShardTargets::describeList() const
 {
     const auto reconciled = std::count_if(
-        m_sessions.begin(), m_sessions.end(), [](const auto& entry) { return entry.second->isReady(); });
+        m_sessions.begin(), m_sessions.end(), [](const auto& entry) { return entry.second->isReconciled(); });
     const auto sinceGap = std::chrono::duration_cast<std::chrono::milliseconds>(m_clock.now() - m_lastListGap);
     return std::to_string(m_reports.size()) + " targets listed, " + std::to_string(reconciled) + " of "
         + std::to_string(m_sessions.size()) + " have reported, no gap for " + std::to_string(sinceGap.count()) + " ms";
@@ -240,7 +241,7 @@
         const bool isGone = !session.isListed() && now - session.unlistedSince() >= m_settings.unlistedRetention
             && session.runs().empty();
         // A target that has not reported its runs may still have some of an earlier holder.
-        if (isGone && !session.isReady())
+        if (isGone && !session.isReconciled())
             m_lastListGap = now;
         entry = isGone ? m_sessions.erase(entry) : std::next(entry);
     }
--- a/modules/rattanroad_shards/targets/TargetCalls.h
+++ b/modules/rattanroad_shards/targets/TargetCalls.h
@@ -105,6 +105,8 @@
 struct PollReply : TargetReply {
     std::vector<RunningTask> running;
     std::vector<RunCompletion> completions;
+    /** The target lists no more completions at a time and may have others. */
+    bool mayHaveMoreCompletions { false };
 };
 
 /** Asynchronous calls to targets. Each callback is called exactly once, never inside the call. */
--- a/modules/rattanroad_shards/targets/TargetSession.cpp
+++ b/modules/rattanroad_shards/targets/TargetSession.cpp
@@ -360,6 +360,7 @@
     }
     const bool wasReady = m_isReady;
     m_isReady = true;
+    m_hasListedAll = (wasReady && m_hasListedAll) || !reply.mayHaveMoreCompletions;
     const bool hasNewCompletions = processCompletions(reply);
     reconcileRuns(reply, sentAt);
     if (!wasReady)
@@ -475,6 +476,9 @@
         if (!adopted)
             stop(running.task);
     }
+    // A run that is not listed may be one whose completion did not fit into the list.
+    if (reply.mayHaveMoreCompletions)
+        return;
     std::vector<TaskId> missing;
     for (const auto& entry : m_runs) {
         const Run& run = entry.second;
--- a/modules/rattanroad_shards/targets/TargetSession.h
+++ b/modules/rattanroad_shards/targets/TargetSession.h
@@ -133,6 +133,8 @@
     /** Returns whether the target may get new starts. */
     bool canStart() const;
     bool isReady() const { return m_isReady; }
+    /** Returns whether the target has reported all its runs and completions under the current token. */
+    bool isReconciled() const { return m_isReady && m_hasListedAll; }
     bool isListed() const { return m_isListed; }
     Resources free() const { return m_report.capacity.minus(m_used); }
     const TargetReport& report() const { return m_report; }
@@ -209,6 +211,8 @@
     Resources m_used;
     bool m_isClosed { false };
     bool m_isReady { false };
+    /** A list of all completions has arrived since m_isReady was last set. */
+    bool m_hasListedAll { false };
     bool m_isListed { true };
     bool m_isMoved { false };
     TimePoint m_unlistedSince;
--- a/scripts/check-mutations.sh
+++ b/scripts/check-mutations.sh
@@ -61,7 +61,7 @@
 guard unsettled-targets targets/ShardTargets.cpp 'return isListComplete && !m_sessions.empty()' \
     'return true || !m_sessions.empty()'
 guard unsettled-list targets/ShardTargets.cpp 'm_clock.now() - m_lastListGap >= m_settings.earlierHolderExpiry;' 'true;'
-guard forgotten-target targets/ShardTargets.cpp 'if (isGone && !session.isReady())' 'if (false)'
+guard forgotten-target targets/ShardTargets.cpp 'if (isGone && !session.isReconciled())' 'if (false)'
 guard missed-removal targets/ShardTargets.cpp 'if (!opened || m_isClosed)' 'if (false)'
 guard missed-interruption targets/ShardTargets.h 'void listInterrupted() { m_lastListGap = m_clock.now(); }' 'void listInterrupted() { }'
 guard waits-for-ever jobs/ShardDispatcher.cpp '!areEarlierHoldersExpired && ' ''
--- a/tests/emulator/EmulatedTargets.cpp
+++ b/tests/emulator/EmulatedTargets.cpp
@@ -245,7 +245,9 @@
     answer.incarnationMs = target.incarnation;
     for (const auto& live : target.live)
         answer.running.push_back({ live.first, live.second.attempt, "" });
-    answer.completions = target.ended;
+    const std::size_t listed = std::min(target.ended.size(), faults.completionsPerReply);
+    answer.completions.assign(target.ended.begin(), target.ended.begin() + static_cast<std::ptrdiff_t>(listed));
+    answer.mayHaveMoreCompletions = listed == faults.completionsPerReply;
     if (faults.unreachableTargets.count(request.target))
         m_queue.after(request.timeout, [callback] { callback({}); });
     else
--- a/tests/emulator/EmulatedTargets.h
+++ b/tests/emulator/EmulatedTargets.h
@@ -47,6 +47,8 @@
         std::uint64_t delayEvery { 0 };
         /** Number of start requests to execute without a reply. */
         int startRepliesToLose { 0 };
+        /** Largest number of completions in a reply to a poll. */
+        std::size_t completionsPerReply { 500 };
     };
     struct Run {
         TargetId target;
--- a/tests/shards/SessionTests.cpp
+++ b/tests/shards/SessionTests.cpp
@@ -169,3 +169,21 @@
     CHECK(fixture.session().runs().empty());
     CHECK(fixture.completions().size() == 1);
 }
+
+// A target lists a limited number of completions at a time. A run that is not listed may have a completion beyond them.
+TEST_CASE("a run whose completion does not fit into the list of its target has not ended yet")
+{
+    SessionFixture fixture;
+    fixture.targets().faults.completionsPerReply = 1;
+    const TaskId later { JobId("a"), 0, 1 };
+    fixture.session().start(task, 1, taskPayload(20ms, resources), resources, 20ms, "");
+    fixture.session().start(later, 1, taskPayload(40ms, resources), resources, 40ms, "");
+    fixture.run(500ms);
+    REQUIRE(fixture.completions().size() == 1);
+    CHECK(fixture.session().runs().count(later) == 1);
+    fixture.session().acknowledgeCompletion(1, 1);
+    fixture.run(500ms);
+    REQUIRE(fixture.completions().size() == 2);
+    CHECK(fixture.completions().back().outcome == RunOutcome::Done);
+    CHECK(fixture.session().runs().empty());
+}
