Number the requests of each process from ids of its own

A reply that was under way while its receiver restarted could tell another caller that a job was stored which was not: hosts numbered their requests from 1 and matched replies by the number alone. Found by the review, by reading.

Measured: "a late reply to a host's earlier process does not answer a request of its present one" fails before and passes after.

--- a/modules/rattanroad_shards/entrance/HolderRequests.cpp
+++ b/modules/rattanroad_shards/entrance/HolderRequests.cpp
@@ -20,6 +20,7 @@
     , m_clock(clock)
     , m_hooks(std::move(hooks))
     , m_homes(m_settings.homes, std::move(timers), clock, homeHooks())
+    , m_lastQuestion(RequestNumber::firstId(m_settings.incarnation))
 {
 }
 
--- a/modules/rattanroad_shards/entrance/HolderRequests.h
+++ b/modules/rattanroad_shards/entrance/HolderRequests.h
@@ -14,6 +14,8 @@
 class HolderRequests {
 public:
     struct Settings {
+        /** This process. */
+        Incarnation incarnation;
         /** Address of this host. */
         std::string address;
         JobHomes::Settings homes;
@@ -68,7 +70,7 @@
     JobHomes m_homes;
     /** Questions to the holders of other shards, by number. */
     std::map<std::uint64_t, Question> m_questions;
-    std::uint64_t m_lastQuestion { 0 };
+    std::uint64_t m_lastQuestion;
 };
 
 }
--- a/modules/rattanroad_shards/entrance/JobEntrance.cpp
+++ b/modules/rattanroad_shards/entrance/JobEntrance.cpp
@@ -13,8 +13,9 @@
     , m_clock(clock)
     , m_hooks(std::move(hooks))
     , m_loads(m_settings.loads, fleet, clock)
-    , m_queries(m_settings.queries, store, m_loads, m_timers, clock, queryHooks())
+    , m_queries(querySettings(), store, m_loads, m_timers, clock, queryHooks())
     , m_requests(requestSettings(), m_loads, m_timers, clock, requestHooks())
+    , m_lastSubmission(RequestNumber::firstId(m_settings.incarnation))
 {
 }
 
@@ -27,7 +28,17 @@
     return hooks;
 }
 
-HolderRequests::Settings JobEntrance::requestSettings() const { return { m_settings.address, m_settings.homes }; }
+JobQueries::Settings JobEntrance::querySettings() const
+{
+    JobQueries::Settings settings = m_settings.queries;
+    settings.incarnation = m_settings.incarnation;
+    return settings;
+}
+
+HolderRequests::Settings JobEntrance::requestSettings() const
+{
+    return { m_settings.incarnation, m_settings.address, m_settings.homes };
+}
 
 HolderRequests::Hooks JobEntrance::requestHooks()
 {
--- a/modules/rattanroad_shards/entrance/JobEntrance.h
+++ b/modules/rattanroad_shards/entrance/JobEntrance.h
@@ -118,6 +118,7 @@
         RequestNumber request, SubmitVerdict verdict, std::chrono::milliseconds retryAfter, const ShardId& shard);
     void finishSubmission(std::uint64_t id, EntranceVerdict verdict, std::chrono::milliseconds retryAfter);
     void handleJobReply(const protocol::ShardJobReply& reply);
+    JobQueries::Settings querySettings() const;
     JobQueries::Hooks queryHooks();
     HolderRequests::Settings requestSettings() const;
     HolderRequests::Hooks requestHooks();
@@ -135,7 +136,7 @@
     std::map<std::uint64_t, Submission> m_submissions;
     /** Open submissions of best-effort jobs, by job. */
     std::multimap<JobId, std::uint64_t> m_bestEffortSubmissions;
-    std::uint64_t m_lastSubmission { 0 };
+    std::uint64_t m_lastSubmission;
     bool m_isAccepting { true };
 };
 
--- a/modules/rattanroad_shards/entrance/JobQueries.cpp
+++ b/modules/rattanroad_shards/entrance/JobQueries.cpp
@@ -13,6 +13,7 @@
     , m_clock(clock)
     , m_hooks(std::move(hooks))
     , m_states(settings.states, clock)
+    , m_lastId(RequestNumber::firstId(settings.incarnation))
 {
 }
 
--- a/modules/rattanroad_shards/entrance/JobQueries.h
+++ b/modules/rattanroad_shards/entrance/JobQueries.h
@@ -13,6 +13,8 @@
 class JobQueries {
 public:
     struct Settings {
+        /** This process. */
+        Incarnation incarnation;
         /** Timeout of one request: one store call, two network hops, and the batching delay of records. */
         std::chrono::milliseconds replyTimeout { 300 };
         std::chrono::milliseconds retryPause { 40 };
--- a/modules/rattanroad_shards/entrance/RequestNumber.h
+++ b/modules/rattanroad_shards/entrance/RequestNumber.h
@@ -1,11 +1,13 @@
 #pragma once
 
+#include "rattanroad_core/identifiers/Identifiers.h"
+
 #include <cstdint>
 
 namespace rattanroad::shards {
 
 /** Correlates a request to another host with its reply. Contains the attempt, so that a late reply to an earlier
-    attempt is recognized.
+    attempt is recognized. Ids count up from firstId().
 */
 class RequestNumber {
 public:
@@ -14,6 +16,9 @@
         , m_attempt(attempt % attemptsPerRequest)
     {
     }
+    /** Returns the id of the first request of a process. It is far from those of other processes at the same address,
+       so that a late reply to a request of an earlier process matches none of this one. */
+    static std::uint64_t firstId(Incarnation incarnation);
     static RequestNumber fromWire(std::uint64_t number)
     {
         return { number / attemptsPerRequest, number % attemptsPerRequest };
--- a/tests/shards/RecoveryTests.cpp
+++ b/tests/shards/RecoveryTests.cpp
@@ -707,3 +707,35 @@
     for (const HostId& host : fleet.hosts())
         REQUIRE(fleet.node(host).queues()->version == 6);
 }
+
+// Each process numbered its requests from 1, and a reply is matched by its number alone. A reply that was under way
+// while its receiver restarted told another caller that a job was stored which was not.
+TEST_CASE("a late reply to a host's earlier process does not answer a request of its present one")
+{
+    EmulatedFleet fleet;
+    fleet.startAll();
+    const HostId origin = hostWithoutShard(fleet);
+    for (const char* const domain : { "north", "south" })
+        fleet.holdMessages(fleet.holderOf(domain));
+    auto& call = fleet.submit(origin, "a", 1, 60ms, false);
+    fleet.run(50ms);
+    REQUIRE(call.verdicts.empty());
+    protocol::Envelope late;
+    late.mutable_shard_submit_reply()->set_request(RequestNumber(1, 1).toWire());
+    late.mutable_shard_submit_reply()->set_verdict(static_cast<std::uint32_t>(SubmitVerdict::Accepted));
+    fleet.node(origin).received(late);
+    CHECK(call.verdicts.empty());
+    for (const char* const domain : { "north", "south" })
+        fleet.releaseMessages(fleet.holderOf(domain));
+    fleet.run(1s);
+    CHECK(call.verdicts == std::vector<EntranceVerdict> { EntranceVerdict::Accepted });
+}
+
+TEST_CASE("processes number their requests from ids that are far apart")
+{
+    const std::uint64_t earlier = RequestNumber::firstId(Incarnation(1));
+    const std::uint64_t later = RequestNumber::firstId(Incarnation(2));
+    const std::uint64_t distance = std::max(earlier, later) - std::min(earlier, later);
+    CHECK(distance > std::uint64_t { 1 } << 32U);
+    CHECK(RequestNumber::fromWire(RequestNumber(later, 3).toWire()).id() == later);
+}
