Send unanswered stops again when a shard is held again

A run whose stop was unanswered when its holder lost the lease went on for ever, kept its room, and its task could not start again: nothing is sent while the shard is not held, and nothing sent the stop later.

Change: a session that may send requests again sends its unanswered stops first.

Measured: "a stop that was unanswered when the shard was lost is sent again when the shard is held again" fails before and passes after.

--- a/modules/rattanroad_shards/targets/TargetSession.cpp
+++ b/modules/rattanroad_shards/targets/TargetSession.cpp
@@ -35,13 +35,17 @@
     m_token = token;
     m_isClosed = false;
     m_isReady = false;
+    resendStops();
 }
 
 void TargetSession::setReport(const TargetReport& report)
 {
     m_isListed = true;
+    const bool wasMoved = m_isMoved;
     m_isMoved = false;
     m_report = report;
+    if (wasMoved)
+        resendStops();
     if (report.isDraining)
         m_drainingIncarnationMs = report.bornMs;
 }
@@ -280,6 +284,14 @@
         });
 }
 
+void TargetSession::resendStops()
+{
+    for (const auto& entry : m_runs) {
+        if (entry.second.state == Run::State::Stopping && !entry.second.confirmedAt)
+            sendStop(entry.first, entry.second.attempt);
+    }
+}
+
 void TargetSession::checkFencing(const TargetReply& reply, FencingToken token)
 {
     // A refused request with an earlier token of this host does not show another holder.
--- a/modules/rattanroad_shards/targets/TargetSession.h
+++ b/modules/rattanroad_shards/targets/TargetSession.h
@@ -181,6 +181,8 @@
     void sendStart(const TaskId& task, Run& run);
     void processStartReply(const TaskId& task, std::uint32_t attempt, const TargetReply& reply);
     void sendStop(const TaskId& task, std::uint32_t attempt);
+    /** Sends the stops again that were left unanswered when the session stopped sending requests. */
+    void resendStops();
     void processStopReply(const TaskId& task, std::uint32_t attempt, const TargetReply& reply);
     void removeRun(const TaskId& task);
     void interrupt(const std::vector<TaskId>& tasks);
--- a/tests/shards/SessionTests.cpp
+++ b/tests/shards/SessionTests.cpp
@@ -187,3 +187,21 @@
     CHECK(fixture.completions().back().outcome == RunOutcome::Done);
     CHECK(fixture.session().runs().empty());
 }
+
+// While the shard is not held, nothing is sent. The run kept its state, so it went on, and kept its room, for ever.
+TEST_CASE("a stop that was unanswered when the shard was lost is sent again when the shard is held again")
+{
+    SessionFixture fixture;
+    fixture.session().start(task, 1, taskPayload(60000ms, resources), resources, 60000ms, "");
+    fixture.run(500ms);
+    fixture.targets().faults.unreachableTargets = { TargetId("target") };
+    fixture.session().stop(task);
+    fixture.run(20ms);
+    fixture.session().close();
+    fixture.run(300ms);
+    fixture.targets().faults.unreachableTargets.clear();
+    fixture.session().setToken(FencingToken(2));
+    fixture.run(1s);
+    CHECK(fixture.targets().runs().at(task).front().ending == "stopped");
+    CHECK(fixture.session().runs().empty());
+}
