--- a/tests/shards/SessionTests.cpp
+++ b/tests/shards/SessionTests.cpp
@@ -205,3 +205,26 @@
     CHECK(fixture.targets().runs().at(task).front().ending == "stopped");
     CHECK(fixture.session().runs().empty());
 }
+
+// The number of the last acknowledged completion was sent to a new incarnation, which counts from 1 and forgot the
+// completion of the run. The run counted as lost by a crash, and the task started again although it had succeeded.
+TEST_CASE("a completion of a new incarnation is not acknowledged by the number of an earlier one")
+{
+    SessionFixture fixture;
+    for (std::uint32_t i = 0; i < 3; ++i) {
+        fixture.session().start({ JobId("a"), 0, i }, 1, taskPayload(10ms, resources), resources, 10ms, "");
+        fixture.run(100ms);
+        fixture.session().acknowledgeCompletion(1, i + 1);
+    }
+    REQUIRE(fixture.completions().size() == 3);
+    fixture.run(100ms);
+    fixture.targets().restart(TargetId("target"));
+    // The poll that is under way is lost with the earlier incarnation.
+    const TaskId later { JobId("a"), 0, 3 };
+    fixture.session().start(later, 1, taskPayload(10ms, resources), resources, 10ms, "");
+    fixture.run(2s);
+    REQUIRE(fixture.session().incarnationMs() == 2);
+    REQUIRE(fixture.completions().size() == 4);
+    CHECK(fixture.completions().back().outcome == RunOutcome::Done);
+    CHECK(fixture.losses().empty());
+}
