--- a/modules/rattanroad_shards/targets/TargetSession.cpp
+++ b/modules/rattanroad_shards/targets/TargetSession.cpp
@@ -345,8 +345,8 @@
         return;
     }
     const TimePoint now = m_clock.now();
-    PollRequest request { m_report.id, m_report.address, m_token, m_isIncarnationCertain ? m_acknowledged : 0,
-        std::nullopt, wait, callTimeout() };
+    PollRequest request { m_report.id, m_report.address, m_token, m_wasPollAnswered ? m_acknowledged : 0, std::nullopt,
+        wait, callTimeout() };
     m_leaseLimit = leaseLimit();
     if (mayRenewLease()) {
         const auto lease = limitedLease(m_settings.leaseDuration);
@@ -359,7 +359,7 @@
         if (!*isAlive)
             return;
         recordLoss(reply);
-        m_isIncarnationCertain = reply.result == TargetCallResult::Done;
+        m_wasPollAnswered = reply.result == TargetCallResult::Done;
         processPollReply(reply, sentAt, isLoop, token);
         checkFencing(reply, token);
     });
--- a/modules/rattanroad_shards/targets/TargetSession.h
+++ b/modules/rattanroad_shards/targets/TargetSession.h
@@ -234,9 +234,9 @@
     TimePoint m_startsPausedUntil { distantPast };
     std::uint64_t m_lastCompletion { 0 };
     std::uint64_t m_acknowledged { 0 };
-    /** The last poll was answered by the known incarnation. Otherwise a new one may be up, and would take the number of
-        an earlier one as an acknowledgement of its own completions. */
-    bool m_isIncarnationCertain { false };
+    /** The last poll was answered. Otherwise a new incarnation may be up, and would take a number that an earlier one
+       has counted as an acknowledgement of its own completions. */
+    bool m_wasPollAnswered { false };
     /** Acknowledged completions above m_acknowledged, which wait for the lower numbers. */
     std::set<std::uint64_t> m_acknowledgedOutOfOrder;
     struct UnansweredStart {
--- a/scripts/check-mutations.sh
+++ b/scripts/check-mutations.sh
@@ -110,7 +110,7 @@
 guard partial-list targets/TargetSession.cpp 'if (reply.mayHaveMoreCompletions)' 'if (false)'
 guard partial-first-list targets/TargetSession.h 'return m_isReady && m_hasListedAll;' 'return m_isReady;'
 guard forgotten-stop targets/TargetSession.cpp 'if (entry.second.state == Run::State::Stopping && !entry.second.confirmedAt)' 'if (false)'
-guard earlier-acknowledgement targets/TargetSession.cpp 'm_isIncarnationCertain ? m_acknowledged : 0' 'm_acknowledged'
+guard earlier-acknowledgement targets/TargetSession.cpp 'm_wasPollAnswered ? m_acknowledged : 0' 'm_acknowledged'
 guard failure-counted-again jobs/TaskRunner.cpp \
     'if (std::find(task.failedRuns.begin(), task.failedRuns.end(), run) != task.failedRuns.end()) {' 'if (false) {'
 guard earlier-process entrance/RequestNumber.cpp 'XXH64(&value, sizeof value, 0) >> unusedBits' 'value * 0 * unusedBits'
--- a/tests/adapter/OddDocumentTests.cpp
+++ b/tests/adapter/OddDocumentTests.cpp
@@ -4,6 +4,7 @@
 #include "platform/TargetHttpClient.h"
 #include "rattanroad_core/random/PcgRandomSource.h"
 #include "rattanroad_network/http/SocketAddress.h"
+#include "support/MutatedText.h"
 
 #include <catch2/catch.hpp>
 
@@ -92,24 +93,9 @@
         R"({"cpu":16000,"memMb":32768,"gpus":1})", R"(,"labels":["a","r1-3"],"born":1700000000000,"other":[[1]])");
     REQUIRE(parseTargetEntry("i", valid));
     PcgRandomSource random(22);
-    static const std::string alphabet = "0123456789[]{}\",:-+.eE\\ntru\xff";
     int accepted = 0;
     for (int round = 0; round < 20000; ++round) {
-        std::string entry = valid;
-        for (std::uint64_t change = 0; change <= random.below(3); ++change) {
-            const auto at = random.below(entry.size());
-            const char character = alphabet[random.below(alphabet.size())];
-            switch (random.below(3)) {
-            case 0:
-                entry[at] = character;
-                break;
-            case 1:
-                entry.insert(at, random.below(40) + 1, character);
-                break;
-            default:
-                entry.erase(at, random.below(4) + 1);
-            }
-        }
+        const std::string entry = mutatedText(valid, random);
         const auto report = parseTargetEntry("i", entry);
         if (!report)
             continue;
--- a/tests/platform/TargetHttpClientTests.cpp
+++ b/tests/platform/TargetHttpClientTests.cpp
@@ -1,9 +1,8 @@
+#include "platform/AnsweringServer.h"
 #include "platform/TargetHttpClient.h"
-#include "rattanroad_core/rattanroad_core.h"
-#include "rattanroad_network/http/HttpServer.h"
-#include "rattanroad_network/loop/EventLoop.h"
+#include "rattanroad_core/random/PcgRandomSource.h"
+#include "support/MutatedText.h"
 
-#include <catch2/catch.hpp>
 #include <nlohmann/json.hpp>
 
 using namespace rattanroad;
@@ -16,48 +15,29 @@
 /** A target that answers each request with the same body. */
 class AnsweringTarget {
 public:
-    explicit AnsweringTarget(json body)
-        : m_body(std::move(body))
-    {
-        const auto port = m_server.listen("127.0.0.1:0");
-        REQUIRE(port);
-        m_address = "127.0.0.1:" + std::to_string(*port);
-    }
+    explicit AnsweringTarget(std::string body) { setBody(std::move(body)); }
 
+    void setBody(std::string body) { m_server.setBody(std::move(body)); }
     PollReply poll()
     {
-        std::optional<PollReply> reply;
-        m_client.targetCalls().poll({ TargetId("target"), m_address, FencingToken(1), 0, std::nullopt, 0ms, 5000ms },
-            [&reply](const PollReply& received) { reply = received; });
-        m_loop.runUntil([&reply] { return reply.has_value(); }, 6s);
-        REQUIRE(reply);
-        return *reply;
+        return m_server.await<PollReply>([this](std::function<void(const PollReply&)> callback) {
+            m_calls.poll({ TargetId("target"), m_server.address(), FencingToken(1), 0, std::nullopt, 0ms, 5000ms },
+                std::move(callback));
+        });
     }
     TargetReply start()
     {
-        std::optional<TargetReply> reply;
-        m_client.targetCalls().start(
-            { TargetId("target"), m_address, { JobId("a"), 0, 0 }, 1, "", 1000, FencingToken(1), "", 5000ms },
-            [&reply](const TargetReply& received) { reply = received; });
-        m_loop.runUntil([&reply] { return reply.has_value(); }, 6s);
-        REQUIRE(reply);
-        return *reply;
+        return m_server.await<TargetReply>([this](std::function<void(const TargetReply&)> callback) {
+            m_calls.start({ TargetId("target"), m_server.address(), { JobId("a"), 0, 0 }, 1, "", 1000, FencingToken(1),
+                              "", 5000ms },
+                std::move(callback));
+        });
     }
 
 private:
-    json m_body;
-    SteadyClock m_clock;
-    EventLoop m_loop { m_clock };
-    HttpServer m_server { m_loop, {}, [this](HttpRequest&&, const HttpResponder& responder) {
-                             HttpResponse response;
-                             response.status = 200;
-                             response.headers = { { "content-type", "application/json" } };
-                             response.body = m_body.dump();
-                             responder.send(std::move(response));
-                         } };
-    HttpClient m_http { m_loop, {} };
-    adapter::TargetHttpClient m_client { m_http, {} };
-    std::string m_address;
+    AnsweringServer m_server;
+    adapter::TargetHttpClient m_client { m_server.client() };
+    TargetCalls m_calls { m_client.targetCalls() };
 };
 
 json listOf(std::size_t completions)
@@ -73,9 +53,9 @@
 // A list of completions that was cut off was taken for a complete one, and done tasks started again.
 TEST_CASE("a list of as many completions as a target lists at a time may be cut off")
 {
-    CHECK_FALSE(AnsweringTarget(listOf(0)).poll().mayHaveMoreCompletions);
-    CHECK_FALSE(AnsweringTarget(listOf(499)).poll().mayHaveMoreCompletions);
-    const PollReply full = AnsweringTarget(listOf(500)).poll();
+    CHECK_FALSE(AnsweringTarget(listOf(0).dump()).poll().mayHaveMoreCompletions);
+    CHECK_FALSE(AnsweringTarget(listOf(499).dump()).poll().mayHaveMoreCompletions);
+    const PollReply full = AnsweringTarget(listOf(500).dump()).poll();
     CHECK(full.completions.size() == 500);
     CHECK(full.mayHaveMoreCompletions);
 }
@@ -85,14 +65,33 @@
 {
     json list = listOf(499);
     list["finished"].push_back("odd");
-    CHECK(AnsweringTarget(list).poll().mayHaveMoreCompletions);
+    CHECK(AnsweringTarget(list.dump()).poll().mayHaveMoreCompletions);
 }
 
 // A confirmed start was taken for a reply of an earlier incarnation, which has a lower number.
 TEST_CASE("a reply to a start names no incarnation and confirms the start")
 {
-    const TargetReply reply = AnsweringTarget(json { { "clockMs", 482113 } }).start();
+    const TargetReply reply = AnsweringTarget(R"({"clockMs":482113})").start();
     CHECK(reply.result == TargetCallResult::Done);
     CHECK(reply.clockMs == 482113U);
     CHECK(reply.incarnationMs == 0);
 }
+
+// An exception in the callback of a reply would end the process.
+TEST_CASE("replies of a target that were changed at random are read or ignored")
+{
+    json list = listOf(3);
+    list["running"].push_back({ "5c0e7a21d94b36f8.0.1.17", 2, "00000bb87a21d94b", 41 });
+    const std::string valid = list.dump();
+    PcgRandomSource random(33);
+    AnsweringTarget target(valid);
+    REQUIRE(target.poll().running.size() == 1);
+    for (int round = 0; round < 2000; ++round) {
+        target.setBody(mutatedText(valid, random));
+        const PollReply reply = target.poll();
+        REQUIRE(reply.result == TargetCallResult::Done);
+        REQUIRE(reply.completions.size() <= 4);
+        target.setBody(mutatedText(R"({"clockMs":482113,"reason":"fence"})", random));
+        REQUIRE(target.start().result == TargetCallResult::Done);
+    }
+}
--- a/tests/shards/CompletionListTests.cpp
+++ b/tests/shards/CompletionListTests.cpp
@@ -26,17 +26,6 @@
     return count;
 }
 
-std::optional<JobState> stateOf(EmulatedFleet& fleet, const HostId& host, const std::string& job)
-{
-    std::optional<JobState> seen;
-    fleet.node(host).entrance().query(JobId(job), 1000ms, [&seen](JobEntrance::QueryResult result, JobState state) {
-        if (result == JobEntrance::QueryResult::Known)
-            seen = state;
-    });
-    fleet.run(1200ms);
-    return seen;
-}
-
 }
 
 // While the store is down no completion is acknowledged, so a target soon has more of them than it lists at a time.
--- a/tests/shards/FailureCountTests.cpp
+++ b/tests/shards/FailureCountTests.cpp
@@ -18,9 +18,9 @@
     explicit FailingTaskFleet(bool isBestEffort)
     {
         m_fleet.startAll();
-        m_fleet.targets().faults.failuresBeforeSuccess = { { job, 2 } };
+        m_fleet.targets().faults.failuresBeforeSuccess = { { m_job, 2 } };
         m_fleet.setCallerWait(20s);
-        m_call = &m_fleet.submit(hostWithoutShard(), job.value(), 1, 2000ms, isBestEffort);
+        m_call = &m_fleet.submit(hostWithoutShard(), m_job.value(), 1, 2000ms, isBestEffort);
     }
 
     EmulatedFleet& fleet() { return m_fleet; }
@@ -29,38 +29,27 @@
     std::uint32_t recordedFailures() const
     {
         protocol::JobRecord record;
-        const auto value = m_fleet.store().value("rattanroad/job/" + job.value());
+        const auto value = m_fleet.store().value("rattanroad/job/" + m_job.value());
         if (!value || !record.ParseFromString(*value) || record.progress().empty())
             return 0;
         return record.progress(0).failed_runs();
     }
     std::size_t failures() const
     {
-        const auto found = m_fleet.targets().runs().find(task);
+        const auto found = m_fleet.targets().runs().find(m_task);
         if (found == m_fleet.targets().runs().end())
             return 0;
         return static_cast<std::size_t>(std::count_if(
             found->second.begin(), found->second.end(), [](const auto& run) { return run.ending == "failed"; }));
     }
     /** Returns the target of the latest run. */
-    TargetId lastTarget() const { return m_fleet.targets().runs().at(task).back().target; }
+    TargetId lastTarget() const { return m_fleet.targets().runs().at(m_task).back().target; }
     /** Returns the holder of the shard of the latest run. */
     HostId holder() const
     {
         return m_fleet.holderOf(m_fleet.targets().reports().at(lastTarget()).failureDomain.value());
     }
-    std::optional<JobState> state()
-    {
-        std::optional<JobState> seen;
-        m_fleet.node(hostWithoutShard())
-            .entrance()
-            .query(job, 1000ms, [&seen](JobEntrance::QueryResult result, JobState state) {
-                if (result == JobEntrance::QueryResult::Known)
-                    seen = state;
-            });
-        m_fleet.run(1200ms);
-        return seen;
-    }
+    std::optional<JobState> state() { return stateOf(m_fleet, hostWithoutShard(), m_job.value()); }
 
 private:
     HostId hostWithoutShard() const
@@ -72,8 +61,8 @@
         return HostId();
     }
 
-    const JobId job { "a" };
-    const TaskId task { job, 0, 0 };
+    const JobId m_job { "a" };
+    const TaskId m_task { m_job, 0, 0 };
     mutable EmulatedFleet m_fleet;
     EmulatedFleet::Call* m_call { nullptr };
 };
--- a/tests/shards/FleetChecks.h
+++ b/tests/shards/FleetChecks.h
@@ -22,4 +22,17 @@
     showLog(fleet);
 }
 
+/** Asks a host for the state of a job, for up to 1.2 s. Returns nothing when the host does not know it. */
+inline std::optional<shards::JobState> stateOf(EmulatedFleet& fleet, const HostId& host, const std::string& job)
+{
+    std::optional<shards::JobState> seen;
+    fleet.node(host).entrance().query(shards::JobId(job), std::chrono::milliseconds(1000),
+        [&seen](shards::JobEntrance::QueryResult result, shards::JobState state) {
+            if (result == shards::JobEntrance::QueryResult::Known)
+                seen = state;
+        });
+    fleet.run(std::chrono::milliseconds(1200));
+    return seen;
+}
+
 }
--- a/tests/shards/RecoveryTests.cpp
+++ b/tests/shards/RecoveryTests.cpp
@@ -55,17 +55,6 @@
     return found;
 }
 
-std::optional<JobState> stateOf(EmulatedFleet& fleet, const HostId& host, const std::string& job)
-{
-    std::optional<JobState> seen;
-    fleet.node(host).entrance().query(JobId(job), 1000ms, [&seen](JobEntrance::QueryResult result, JobState state) {
-        if (result == JobEntrance::QueryResult::Known)
-            seen = state;
-    });
-    fleet.run(1200ms);
-    return seen;
-}
-
 }
 
 TEST_CASE("a best-effort job is answered when it ends")
