--- a/review/lib-2/standins.py
+++ b/review/lib-2/standins.py
@@ -8,6 +8,7 @@
 import base64
 import json
 import os
+import random
 import shutil
 import signal
 import socket
@@ -238,6 +239,8 @@
         self.is_up = False
         # All runs of all lives, in order: dicts with task, attempt, began, ended, how.
         self.history = []
+        # The times at which its lease has lapsed.
+        self.lapses_at = []
         # Decides about a call: returns "drop" to leave it unanswered, or None.
         self.fault = lambda path, body: None
 
@@ -246,6 +249,7 @@
         self.started = time.monotonic()
         self.fence = 0
         self.lease_end = 0
+        self.has_lease = False
         self.runs = {}
         self.highest_ended = {}
         self.ends = []
@@ -253,6 +257,10 @@
         self.state = "ready"
         self.ended = asyncio.Event()
         self.is_up = True
+        # A runner that is back is registered before it answers its first call.
+        if self.http.port:
+            self.register()
+            await asyncio.sleep(0.02)
         await self.http.start(self.http.port)
         self.register()
         self.beats = asyncio.ensure_future(self.beat())
@@ -275,7 +283,9 @@
 
     async def watch_lease(self):
         while True:
-            if self.runs and self.clock_ms() >= self.lease_end:
+            if self.has_lease and self.clock_ms() >= self.lease_end:
+                self.has_lease = False
+                self.lapses_at.append(self.record.now())
                 for task in list(self.runs):
                     self.end(task, "lapsed")
             await asyncio.sleep(0.005)
@@ -368,6 +378,7 @@
 
     def extend(self, deadline_ms):
         self.lease_end = max(self.lease_end, min(deadline_ms, self.clock_ms() + BOUNDS["holdMaxMs"]))
+        self.has_lease = self.clock_ms() < self.lease_end
 
     def reply(self, **fields):
         return dict(fields, clockMs=self.clock_ms(), born=self.born)
@@ -441,9 +452,16 @@
 
 
 def free_port():
-    with socket.socket() as probe:
-        probe.bind(("127.0.0.1", 0))
-        return probe.getsockname()[1]
+    """Returns a free port below the range from which the kernel takes the ports of outgoing connections, so that it is
+    still free when a process starts again."""
+    while True:
+        port = random.randrange(20000, 30000)
+        with socket.socket() as probe:
+            try:
+                probe.bind(("127.0.0.1", port))
+            except OSError:
+                continue
+        return port
 
 
 async def request(address, method, path, headers, body, timeout):
