--- a/review/lib-2/standins.py
+++ b/review/lib-2/standins.py
@@ -109,17 +109,9 @@
         self.leases = {}
         self.last_lease = 1000
         self.changed = asyncio.Event()
-        self.http = HttpServer(self.handle)
         # Decides about a call before it is carried out: returns a status to refuse it with, or None.
         self.refuse = lambda method, path, body: None
 
-    async def start(self):
-        await self.http.start()
-
-    @property
-    def address(self):
-        return "127.0.0.1:%d" % self.http.port
-
     def notify(self):
         self.changed.set()
         self.changed = asyncio.Event()
@@ -223,6 +215,20 @@
         return 200, {"revision": self.revision}
 
 
+class StoreGate:
+    """The way of one host to the store. `refuse` decides about the host's calls before they reach the store: it returns
+    a status to refuse a call with, or None."""
+
+    def __init__(self, store):
+        self.store = store
+        self.refuse = lambda method, path, body: None
+        self.http = HttpServer(self.handle)
+
+    async def handle(self, method, path, query, headers, body):
+        refused = self.refuse(method, path, body)
+        return (refused, {}) if refused else await self.store.handle(method, path, query, headers, body)
+
+
 class Runner:
     """A runner that starts whatever it is told to (`admissionCheck` is false). A task runs for the milliseconds in its
     `taskSpec`, "ms=N", and ends `done`, or `failed` with "ms=N fail"."""
@@ -407,9 +413,8 @@
         self.platform, self.name, self.zone = platform, name, zone
         self.callers, self.ready, self.peers, self.metrics = ("127.0.0.1:%d" % free_port() for _ in range(4))
         self.process = None
+        self.gate = StoreGate(platform.store)
         self.settings = os.path.join(platform.folder, name + ".json")
-        with open(self.settings, "w", encoding="utf-8") as file:
-            json.dump(self.make_settings(), file)
 
     def make_settings(self):
         """Returns what the platform makes of deploy/settings.json."""
@@ -421,11 +426,15 @@
             "listen": {"callers": self.callers, "readiness": self.ready, "peers": self.peers,
                        "metrics": self.metrics},
             "failure_domains": self.platform.zones,
-            "store": {"kind": "platform", "address": self.platform.store.address},
+            "store": {"kind": "platform", "address": "127.0.0.1:%d" % self.gate.http.port},
             "logs": {"file": "-"},
         }
 
     async def start(self):
+        if not self.gate.http.port:
+            await self.gate.http.start()
+        with open(self.settings, "w", encoding="utf-8") as file:
+            json.dump(self.make_settings(), file)
         log = open(os.path.join(self.platform.folder, self.name + ".log"), "ab")
         environment = {"PATH": os.environ.get("PATH", ""), "HOME": os.environ.get("HOME", "/"),
                        "RATTANROAD_CONFIG": self.settings}
@@ -504,7 +513,6 @@
 
     async def start_store(self, maximum_attempts=3):
         self.store = Store()
-        await self.store.start()
         self.spawn(self.store.run())
         self.store.put("op/config", json.dumps({
             "version": 7,
@@ -577,8 +585,8 @@
                 runner.shut_down()
         for task in self.tasks:
             task.cancel()
-        if self.store:
-            self.store.http.stop()
+        for host in self.hosts:
+            host.gate.http.stop()
         self.record.close()
         if os.environ.get("KEEP"):
             sys.stderr.write("logs of the hosts: %s\n" % self.folder)
