Give the stand-ins of the review ports of their own

Cause: ports drawn at random met one another when cases ran side by side (exit code 2). Change: ports are counted up from a start that differs by process, below the range of outgoing connections.

--- a/review/lib-2/standins.py
+++ b/review/lib-2/standins.py
@@ -8,7 +8,6 @@
 import base64
 import json
 import os
-import random
 import shutil
 import signal
 import socket
@@ -59,8 +58,8 @@
         self.port = 0
 
     async def start(self, port=0):
-        self.server = await asyncio.start_server(self.serve, "127.0.0.1", port)
-        self.port = self.server.sockets[0].getsockname()[1]
+        self.port = port or free_port()
+        self.server = await asyncio.start_server(self.serve, "127.0.0.1", self.port)
 
     def stop(self):
         """Closes the listener and all connections, as a process that has ended."""
@@ -461,16 +460,21 @@
 
 
 def free_port():
-    """Returns a free port below the range from which the kernel takes the ports of outgoing connections, so that it is
-    still free when a process starts again."""
+    """Returns a free port that was not returned before. It is below the range from which the kernel takes the ports of
+    outgoing connections, so that it is still free when a process starts again."""
+    global next_port
     while True:
-        port = random.randrange(20000, 30000)
+        next_port = next_port + 1 if next_port < 31999 else 20000
         with socket.socket() as probe:
             try:
-                probe.bind(("127.0.0.1", port))
+                probe.bind(("127.0.0.1", next_port))
             except OSError:
                 continue
-        return port
+        return next_port
+
+
+# Cases that are played side by side begin at different ports.
+next_port = 20000 + os.getpid() * 97 % 12000
 
 
 async def request(address, method, path, headers, body, timeout):
