End what a case has started when it gets SIGTERM

Cause: a case that was told to stop left its processes running. Change: SIGTERM cancels the case, which then ends its processes and exits with 2.

--- a/review/lib-2/standins.py
+++ b/review/lib-2/standins.py
@@ -603,6 +603,8 @@
     if there is none, and 2 if the case could not run."""
     async def run():
         platform = Platform(case_folder, zones)
+        # A case that is told to stop ends what it has started.
+        asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, asyncio.current_task().cancel)
         trouble = os.environ.get("TROUBLE", "1") != "0"
         platform.record.add("case_begins", trouble=int(trouble))
         try:
@@ -614,7 +616,7 @@
                 print("violation: " + violation)
             platform.record.add("case_ends", violations=len(violations))
             return 1 if violations else 0
-        except Exception as error:  # The case could not run; not a verdict.
+        except (Exception, asyncio.CancelledError) as error:  # The case could not run; not a verdict.
             platform.record.add("case_could_not_run", error=repr(error))
             print("could not run: %r" % error)
             return 2
