--- a/modules/rattanroad_shards/node/ShardNode.cpp
+++ b/modules/rattanroad_shards/node/ShardNode.cpp
@@ -2,6 +2,7 @@
 
 #include "rattanroad_shards/holding/StoreKeys.h"
 #include "rattanroad_shards/node/HostLinks.h"
+#include "rattanroad_shards/node/TargetListFollower.h"
 
 #include <algorithm>
 
@@ -37,7 +38,7 @@
             m_hooks.log("fleet_key_ignored", { { "key", key } });
         })
         , m_configuration({ m_settings.configurationKey }, m_store, m_timers, clock, configurationHooks())
-        , m_targetList({ m_settings.targetPrefix }, m_store, m_timers, clock, targetHooks())
+        , m_targetList(targetListSettings(), m_store, m_timers, clock, targetListHooks())
         , m_fleetList({ storekeys::fleetPrefix }, m_store, m_timers, clock, fleetHooks())
         , m_entrance(entranceSettings(), m_store, m_fleet, m_timers, clock, entranceHooks())
         , m_loadFeed(feedSettings(), m_fleet, m_entrance.loads(), clock,
@@ -46,6 +47,11 @@
                },
                   [this] { return envelope(); } })
         , m_links({ m_settings.address }, clock, { m_hooks.send, m_hooks.hostStarted, [this] { return envelope(); } })
+        , m_handovers(m_settings.handover, m_timers, clock,
+              [this](const std::string& address, const protocol::Envelope& message) {
+                  return m_links.send(address, message);
+              })
+        , m_loopMonitor(m_settings.loop, clock, { m_hooks.loopLag, [this](Duration lag) { reportLateLoop(lag); } })
     {
         makeShards();
     }
@@ -58,7 +64,7 @@
         updateLoads();
         openLinks();
         reviewElections();
-        reviewTargetList();
+        m_targetList.start();
     }
 
     void drain()
@@ -76,8 +82,8 @@
 
     void received(const protocol::Envelope& message)
     {
-        detectPause();
-        if (message.has_shard_submit() && m_clock.now() - m_resumedAt < m_settings.staleMessageWindow)
+        m_loopMonitor.detectPause();
+        if (message.has_shard_submit() && m_clock.now() - m_loopMonitor.resumedAt() < m_settings.staleMessageWindow)
             return;
         m_links.open(message.from_host());
         if (message.has_shard_load()) {
@@ -97,7 +103,7 @@
             if (shard == m_shards.end())
                 return;
             shard->second.dispatcher->handoverReceived(message.shard_handover());
-            readTargetList(shard->first);
+            m_targetList.readFor(shard->first);
             return;
         }
         m_entrance.received(message);
@@ -150,17 +156,14 @@
                     { { "shard", shard.value() }, { "token", std::to_string(holding.token.value()) },
                         { "generation", std::to_string(holding.generation.value()) },
                         { "continued", holding.isContinued ? "true" : "false" },
-                        { "target_list_age_ms", std::to_string(targetListAge().count()) },
+                        { "target_list_age_ms", std::to_string(m_targetList.age().count()) },
                         { "millicores", std::to_string(m_settings.processor.value()) } });
                 m_shards[shard].dispatcher->begin(holding);
                 m_entrance.homes().begin(shard, holding.generation == Generation(1) && !holding.isContinued);
                 // Nothing starts until the list is current as of the acquisition.
-                if (m_targetList.isStarted())
-                    m_targetList.refresh();
-                else
-                    followTargetList();
+                m_targetList.refresh();
                 if (!holding.isContinued)
-                    m_timers.after(m_settings.displacementTime, [this, shard] { readTargetList(shard); });
+                    m_timers.after(m_settings.displacementTime, [this, shard] { m_targetList.readFor(shard); });
             };
             electionHooks.lost = [this, shard](const char* reason) {
                 m_hooks.log("shard_lost", { { "shard", shard.value() }, { "reason", reason } });
@@ -242,67 +245,45 @@
         return hooks;
     }
 
-    PrefixWatcher::Hooks targetHooks()
+    TargetListFollower::Settings targetListSettings() const
     {
-        PrefixWatcher::Hooks hooks;
-        hooks.written = [this](const StoredItem& item) {
-            const TargetId id(item.key.substr(m_settings.targetPrefix.size()));
-            const auto report = m_hooks.parseTarget(id.value(), item.value);
-            const auto shard = report ? m_shards.find(ShardId(report->failureDomain.value())) : m_shards.end();
-            if (shard == m_shards.end()) {
-                m_hooks.log("target_ignored", { { "target", id.value() } });
-                unlistTarget(id);
-                return;
-            }
-            const auto known = m_shardByTarget.find(id);
-            if (known != m_shardByTarget.end() && known->second != shard->first)
-                m_shards[known->second].dispatcher->targetMoved(id);
-            m_shardByTarget[id] = shard->first;
-            shard->second.dispatcher->targetListed(*report);
+        return { m_settings.targetPrefix, m_settings.followInterval, m_settings.limits.targetListPause(),
+            m_settings.idleTargetListPause };
+    }
+
+    TargetListFollower::Hooks targetListHooks()
+    {
+        TargetListFollower::Hooks hooks;
+        hooks.parseTarget = m_hooks.parseTarget;
+        hooks.dispatcher = [this](const ShardId& shard) {
+            const auto found = m_shards.find(shard);
+            return found == m_shards.end() ? nullptr : found->second.dispatcher.get();
         };
-        hooks.removed
-            = [this](const std::string& key) { unlistTarget(TargetId(key.substr(m_settings.targetPrefix.size()))); };
-        hooks.interrupted = [this] { storeInterrupted(); };
-        hooks.pause = [this]() -> Duration {
-            return isHolding() ? m_settings.limits.targetListPause() : m_settings.idleTargetListPause;
+        hooks.allDispatchers = [this] {
+            std::vector<ShardDispatcher*> dispatchers;
+            for (const auto& entry : m_shards)
+                dispatchers.push_back(entry.second.dispatcher.get());
+            return dispatchers;
         };
-        hooks.isChecked = [this] { return isHolding(); };
-        hooks.updated = [this] {
-            // Targets that left the list before it was read are not known.
-            for (auto& entry : m_shards) {
-                if (m_isTargetListNew)
-                    entry.second.dispatcher->targetListInterrupted();
-            }
-            m_isTargetListNew = false;
-            for (auto& entry : m_shards)
-                entry.second.dispatcher->targetListUpdated(m_targetList.currentAsOf());
+        hooks.isHolding = [this] { return isHolding(); };
+        hooks.isNeeded = [this]() -> std::optional<bool> {
+            // Before the other hosts are known, every host would be the next one.
+            if (!m_fleetList.isSynchronized())
+                return std::nullopt;
+            return isHolding() || (!m_isDraining && isNextHolder());
+        };
+        hooks.interrupted = [this] { storeInterrupted(); };
+        hooks.log = [this](const char* event, const TargetId& target) {
+            if (target.value().empty())
+                m_hooks.log(event, {});
+            else
+                m_hooks.log(event, { { "target", target.value() } });
         };
         return hooks;
     }
 
     bool isStoreLost() const { return !m_lease.isValid() && m_targetList.failures() >= m_settings.lostStoreFailures; }
 
-    std::chrono::milliseconds targetListAge() const
-    {
-        return std::chrono::duration_cast<std::chrono::milliseconds>(m_clock.now() - m_targetList.currentAsOf());
-    }
-
-    /** Removes a target from the list of its shard, if it is in one. */
-    void unlistTarget(const TargetId& target)
-    {
-        const auto shard = m_shardByTarget.find(target);
-        if (shard == m_shardByTarget.end())
-            return;
-        m_shards[shard->second].dispatcher->targetUnlisted(target);
-        m_shardByTarget.erase(shard);
-    }
-
-    /** Called when the previous holder of the shard has stopped. By then it can have used targets that are new here. */
-    void readTargetList(const ShardId& shard)
-    {
-        m_targetList.readNow(shard.value(), [this, shard] { m_shards[shard].dispatcher->targetListRead(); });
-    }
-
     PrefixWatcher::Hooks fleetHooks()
     {
         PrefixWatcher::Hooks hooks;
@@ -411,23 +392,7 @@
         protocol::Envelope message = envelope();
         *message.mutable_shard_handover() = m_shards[shard].dispatcher->takeHandover();
         if (message.shard_handover().jobs_size() > 0)
-            sendHandover(holder->address, message, m_clock.now());
-    }
-
-    /** Sends a handover as soon as the link to the new holder is open. */
-    void sendHandover(const std::string& address, const protocol::Envelope& message, TimePoint since)
-    {
-        if (m_links.send(address, message) || m_clock.now() - since >= m_settings.handoverRetryTime)
-            return;
-        m_timers.after(m_settings.handoverRetryPause, [this, address, message, since, builtAt = m_clock.now()] {
-            protocol::Envelope later = message;
-            const auto elapsed = std::chrono::ceil<std::chrono::milliseconds>(m_clock.now() - builtAt);
-            for (protocol::JobHandover& job : *later.mutable_shard_handover()->mutable_jobs()) {
-                job.set_waited_ms(job.waited_ms() + static_cast<std::uint32_t>(elapsed.count()));
-                job.set_silent_ms(job.silent_ms() + static_cast<std::uint32_t>(elapsed.count()));
-            }
-            sendHandover(address, later, since);
-        });
+            m_handovers.send(holder->address, message);
     }
 
     protocol::Envelope envelope() const
@@ -439,24 +404,8 @@
         return envelope;
     }
 
-    void detectPause()
-    {
-        const TimePoint now = m_clock.now();
-        if (now > m_lastLoadTimerRun && now - m_lastLoadTimerRun > m_settings.pauseThreshold)
-            m_resumedAt = now;
-    }
-
-    void reportLoopLag()
+    void reportLateLoop(Duration lag)
     {
-        const TimePoint now = m_clock.now();
-        if (now < m_loadTimerDue)
-            return;
-        const Duration lag = now - m_loadTimerDue;
-        if (m_hooks.loopLag)
-            m_hooks.loopLag(lag);
-        if (lag <= m_settings.loopLagThreshold || now - m_lastLoopLagLog < m_settings.loopLagLogInterval)
-            return;
-        m_lastLoopLagLog = now;
         const auto milliseconds = std::chrono::duration_cast<std::chrono::milliseconds>(lag).count();
         m_hooks.log("loop_late",
             { { "delay_ms", std::to_string(milliseconds) }, { "holding", isHolding() ? "true" : "false" },
@@ -465,9 +414,7 @@
 
     void updateLoads()
     {
-        detectPause();
-        reportLoopLag();
-        m_lastLoadTimerRun = m_clock.now();
+        m_loopMonitor.timerFired();
         std::vector<protocol::ShardLoad> loads;
         for (const auto& entry : m_shards) {
             if (!entry.second.dispatcher->isHolding())
@@ -480,7 +427,7 @@
             loads.push_back(std::move(load));
         }
         m_loadFeed.update(loads);
-        m_loadTimerDue = m_clock.now() + m_settings.loadInterval;
+        m_loopMonitor.timerSet(m_clock.now() + m_settings.loadInterval);
         m_timers.after(m_settings.loadInterval, [this] { updateLoads(); });
     }
 
@@ -522,35 +469,12 @@
         m_timers.after(m_settings.linkInterval, [this] { openLinks(); });
     }
 
-    /** Follows the target list while this host holds a shard or is among the next to acquire one. */
-    void reviewTargetList()
-    {
-        m_timers.after(m_settings.followInterval, [this] { reviewTargetList(); });
-        // Before the other hosts are known, every host would be the next one.
-        if (!m_fleetList.isSynchronized())
-            return;
-        const bool isNeeded = isHolding() || (!m_isDraining && isNextHolder());
-        if (isNeeded && !m_targetList.isStarted()) {
-            followTargetList();
-        } else if (!isNeeded && m_targetList.isStarted()) {
-            m_hooks.log("target_list_left", {});
-            m_targetList.stop();
-        }
-    }
-
     bool isNextHolder() const
     {
         return std::any_of(m_shards.begin(), m_shards.end(),
             [this](const auto& entry) { return entry.second.election->rank() < m_settings.followersPerShard; });
     }
 
-    void followTargetList()
-    {
-        m_hooks.log("target_list_followed", {});
-        m_isTargetListNew = true;
-        m_targetList.start();
-    }
-
     void reportJobEnd(const ShardJob& job)
     {
         if (m_hooks.jobDuration && job.endedAt)
@@ -577,22 +501,17 @@
     HostLease m_lease;
     FleetView m_fleet;
     std::map<ShardId, Shard> m_shards;
-    std::map<TargetId, ShardId> m_shardByTarget;
     std::optional<QueueTable> m_queues;
-    /** The target list has not been read since this host follows it. */
-    bool m_isTargetListNew { false };
     PrefixWatcher m_configuration;
-    PrefixWatcher m_targetList;
+    TargetListFollower m_targetList;
     PrefixWatcher m_fleetList;
     JobEntrance m_entrance;
     LoadFeed m_loadFeed;
     std::map<HostId, Incarnation> m_knownIncarnations;
     HostLinks m_links;
-    /** When the timer that sends the loads last fired. */
-    TimePoint m_lastLoadTimerRun { TimePoint::max() };
-    TimePoint m_loadTimerDue { TimePoint::max() };
-    TimePoint m_lastLoopLagLog { distantPast };
-    TimePoint m_resumedAt { distantPast };
+    HandoverSender m_handovers;
+    /** Watches the timer that sends the loads. */
+    LoopMonitor m_loopMonitor;
     bool m_isRegistered { false };
     bool m_isDraining { false };
     TimePoint m_lastInterruptionLog { distantPast };
--- a/modules/rattanroad_shards/node/ShardNode.h
+++ b/modules/rattanroad_shards/node/ShardNode.h
@@ -5,6 +5,8 @@
 #include "rattanroad_shards/entrance/QueueTable.h"
 #include "rattanroad_shards/holding/ShardElection.h"
 #include "rattanroad_shards/jobs/ShardDispatcher.h"
+#include "rattanroad_shards/node/HandoverSender.h"
+#include "rattanroad_shards/node/LoopMonitor.h"
 #include "rattanroad_shards/store/PrefixWatcher.h"
 #include "rattanroad_shards/types/PlatformLimits.h"
 
@@ -53,18 +55,11 @@
         /** Time after the acquisition of a shard within which its previous holder, if it lives, learns of it from a
            load and stops: the records are loaded from a slow store, and two loads are sent. */
         std::chrono::milliseconds displacementTime { 500 };
-        /** The process is taken to have been paused when the load timer is overdue by more than this. */
-        std::chrono::milliseconds pauseThreshold { 500 };
-        /** The event loop is logged as late when the load timer is overdue by more than this. */
-        std::chrono::milliseconds loopLagThreshold { 100 };
-        /** Minimum time between two log lines about a late event loop. */
-        std::chrono::seconds loopLagLogInterval { 1 };
+        LoopMonitor::Settings loop;
         /** Submissions that arrive this soon after a pause were sent during it and are dropped; their origin hosts
             submit them again if they are still wanted. */
         std::chrono::milliseconds staleMessageWindow { 100 };
-        /** Pause before a handover is sent again that could not be sent, and the time after which it is dropped. */
-        std::chrono::milliseconds handoverRetryPause { 10 };
-        std::chrono::milliseconds handoverRetryTime { 300 };
+        HandoverSender::Settings handover;
         /** A draining host releases its shards after this time, which covers two store calls and a watch, so that hosts
             that drain together learn of one another first. */
         std::chrono::milliseconds releaseDelay { 150 };
