Split TargetSession: runs, lease, responses, completion numbers and unanswered starts are classes of their own

Change: TargetRuns, TargetLease, ResponseMonitor, CompletionCursor and UnansweredStarts; no change of behaviour. The quotes of scripts/check-mutations.sh follow.

--- a/modules/rattanroad_shards/targets/TargetSession.cpp
+++ b/modules/rattanroad_shards/targets/TargetSession.cpp
@@ -14,10 +14,14 @@
     , m_timers(std::move(timers))
     , m_clock(clock)
     , m_hooks(std::move(hooks))
-    , m_leaseEnd(clock.now())
+    , m_responses({ settings.callTimeout, settings.silenceTimeout, settings.lossWindow, settings.lossyTimeoutMargin,
+                      settings.lossyTimeoutFactor, settings.maximumLossyTimeout, settings.responseTimeSamples },
+          clock)
+    , m_lease({ settings.clockDrift, settings.pollRetryPause }, clock)
+    , m_unansweredStarts(settings.lateRequestWindow, clock)
 {
     // An earlier holder may have renewed the lease just now.
-    extendLease(m_settings.leaseDuration);
+    m_lease.extend(m_settings.leaseDuration);
     if (m_report.isDraining)
         m_drainingIncarnationMs = m_report.bornMs;
 }
@@ -69,18 +73,13 @@
     const TimePoint now = m_clock.now();
     const bool isLeaseLongEnough = m_leaseLimit - now >= m_settings.startLease / 2;
     return !m_isClosed && m_isReady && m_isListed && !m_report.isDraining && now >= m_startsPausedUntil
-        && isLeaseLongEnough && now - m_lastResponseAt < m_settings.silenceTimeout;
-}
-
-bool TargetSession::hasIsolatedRun() const
-{
-    return std::any_of(m_runs.begin(), m_runs.end(), [](const auto& run) { return run.second.isIsolated; });
+        && isLeaseLongEnough && !m_responses.isSilenceTimeoutOver();
 }
 
 TimePoint TargetSession::leaseLimit() const
 {
     TimePoint limit = TimePoint::max();
-    for (const auto& entry : m_runs) {
+    for (const auto& entry : m_runs.all()) {
         if (m_hooks.leaseLimit)
             limit = std::min(limit, m_hooks.leaseLimit(entry.first));
     }
@@ -94,35 +93,20 @@
     return std::chrono::duration_cast<std::chrono::milliseconds>(limited);
 }
 
-std::uint64_t TargetSession::targetLeaseEndMs(std::chrono::milliseconds length) const
-{
-    const auto elapsed = std::chrono::duration_cast<std::chrono::milliseconds>(m_clock.now() - m_targetClockReadAt);
-    return *m_targetClockMs + static_cast<std::uint64_t>((elapsed + length).count());
-}
-
 bool TargetSession::mayRenewLease() const
 {
-    const TimePoint now = m_clock.now();
-    const bool isListed = m_isListed || now - m_unlistedSince < m_settings.unlistedTimeout;
-    return m_targetClockMs && isListed && now - m_lastResponseAt < m_settings.silenceTimeout;
-}
-
-void TargetSession::extendLease(std::chrono::milliseconds length)
-{
-    const auto longest = std::chrono::duration_cast<Duration>(length * (1 + m_settings.clockDrift));
-    // The target read its clock up to one call duration before the reply arrived here.
-    m_leaseEnd = std::max(m_leaseEnd, m_clock.now() + longest + m_settings.pollRetryPause);
+    const bool isListed = m_isListed || m_clock.now() - m_unlistedSince < m_settings.unlistedTimeout;
+    return m_lease.isTargetClockKnown() && isListed && !m_responses.isSilenceTimeoutOver();
 }
 
 void TargetSession::start(const TaskId& task, std::uint32_t attempt, const std::string& payload, Resources resources,
     std::chrono::milliseconds predicted, const std::string& savedProgress, bool isIsolated)
 {
     // The time limits of canStart() are not checked: they may have passed since the target was chosen.
-    assert(!m_isClosed && m_isReady && m_isListed && !m_report.isDraining && !m_runs.count(task));
-    Run& run = m_runs[task];
-    run = Run { attempt, payload, isIsolated ? m_report.capacity : resources, Run::State::Starting, m_clock.now(),
-        std::nullopt, predicted, savedProgress, 0, false, std::nullopt, isIsolated };
-    m_used += run.resources;
+    assert(!m_isClosed && m_isReady && m_isListed && !m_report.isDraining && !m_runs.find(task));
+    Run& run = m_runs.add(task,
+        { attempt, payload, isIsolated ? m_report.capacity : resources, Run::State::Starting, m_clock.now(),
+            std::nullopt, predicted, savedProgress, 0, false, std::nullopt, isIsolated });
     sendStart(task, run);
 }
 
@@ -131,60 +115,30 @@
     ++run.sends;
     const auto lease = limitedLease(m_settings.startLease);
     m_leaseLimit = std::min(m_leaseLimit, leaseLimit());
-    extendLease(lease);
-    const StartRequest request { m_report.id, m_report.address, task, run.attempt, run.payload, targetLeaseEndMs(lease),
-        m_token, run.savedProgress, callTimeout() };
+    m_lease.extend(lease);
+    const StartRequest request { m_report.id, m_report.address, task, run.attempt, run.payload,
+        m_lease.targetEndMs(lease), m_token, run.savedProgress, m_responses.callTimeout() };
     m_calls.start(request,
         [this, isAlive = m_isAlive, task, attempt = run.attempt, token = m_token, sentAt = m_clock.now()](
             const TargetReply& reply) {
             if (!*isAlive)
                 return;
-            recordResponse(reply, sentAt);
+            m_responses.recordResponse(reply, sentAt);
             processStartReply(task, attempt, reply);
             checkFencing(reply, token);
         });
 }
 
-void TargetSession::recordResponse(const TargetReply& reply, TimePoint sentAt)
-{
-    recordLoss(reply);
-    if (!reply.clockMs)
-        return;
-    const Duration sample = m_clock.now() - sentAt;
-    m_responseTime = std::max(sample, m_responseTime + (sample - m_responseTime) / m_settings.responseTimeSamples);
-}
-
-void TargetSession::recordLoss(const TargetReply& reply)
-{
-    if (reply.result == TargetCallResult::Unknown)
-        m_lastLoss = m_clock.now();
-}
-
-bool TargetSession::isLossy() const
-{
-    const TimePoint now = m_clock.now();
-    return now - m_lastLoss < m_settings.lossWindow && now - m_lastResponseAt < m_settings.silenceTimeout;
-}
-
-std::chrono::milliseconds TargetSession::callTimeout() const
-{
-    if (!isLossy())
-        return m_settings.callTimeout;
-    const auto allowance
-        = std::chrono::duration_cast<std::chrono::milliseconds>(m_responseTime * m_settings.lossyTimeoutFactor);
-    return std::min(m_settings.lossyTimeoutMargin + allowance, m_settings.maximumLossyTimeout);
-}
-
 void TargetSession::processStartReply(const TaskId& task, std::uint32_t attempt, const TargetReply& reply)
 {
     const bool isOfKnownIncarnation = updateTargetClock(reply);
     // The run may have been stopped meanwhile.
     if (reply.result == TargetCallResult::Unknown)
-        recordUnansweredStart(task, attempt);
-    const auto found = m_runs.find(task);
-    if (found == m_runs.end() || found->second.attempt != attempt)
+        m_unansweredStarts.add(task, attempt);
+    Run* const found = m_runs.find(task, attempt);
+    if (!found)
         return;
-    Run& run = found->second;
+    Run& run = *found;
     // A definite reply to the last send says nothing about earlier sends, which may still be in flight.
     const bool mayRun = reply.result == TargetCallResult::Unknown || run.sends > 1;
     if (mayRun && reply.result != TargetCallResult::Done) {
@@ -204,32 +158,15 @@
         m_startsPausedUntil = m_clock.now() + m_settings.refusalPause;
     if (reply.result == TargetCallResult::WrongTarget)
         m_isReady = false;
-    removeRun(task);
+    m_runs.remove(task);
     m_hooks.rejected(*this, task, attempt, reply.result);
     m_hooks.roomChanged();
 }
 
-void TargetSession::recordUnansweredStart(const TaskId& task, std::uint32_t attempt)
-{
-    const TimePoint now = m_clock.now();
-    while (!m_unansweredStarts.empty() && now - m_unansweredStarts.front().sentAt >= m_settings.lateRequestWindow)
-        m_unansweredStarts.pop_front();
-    m_unansweredStarts.push_back({ task, attempt, now });
-}
-
-bool TargetSession::mayStartLate(const TaskId& task, std::uint32_t highestAttempt) const
-{
-    return std::any_of(m_unansweredStarts.begin(), m_unansweredStarts.end(), [&](const UnansweredStart& start) {
-        return start.task == task && start.attempt <= highestAttempt
-            && m_clock.now() - start.sentAt < m_settings.lateRequestWindow;
-    });
-}
-
 bool TargetSession::isStopNeeded(const TaskId& task, std::uint32_t attempt) const
 {
-    const auto found = m_runs.find(task);
-    const bool isOfRun = found != m_runs.end() && found->second.attempt == attempt;
-    return isOfRun ? found->second.state == Run::State::Stopping : mayStartLate(task, attempt);
+    const Run* const run = m_runs.find(task, attempt);
+    return run ? run->state == Run::State::Stopping : m_unansweredStarts.mayArriveLate(task, attempt);
 }
 
 void TargetSession::resolveUnconfirmedStart(const TaskId& task, Run& run, TargetCallResult result)
@@ -258,24 +195,24 @@
 
 void TargetSession::stop(const TaskId& task)
 {
-    const auto found = m_runs.find(task);
-    if (found == m_runs.end() || found->second.state == Run::State::Stopping)
+    Run* const run = m_runs.find(task);
+    if (!run || run->state == Run::State::Stopping)
         return;
-    found->second.state = Run::State::Stopping;
-    found->second.confirmedAt.reset();
-    sendStop(task, found->second.attempt);
+    run->state = Run::State::Stopping;
+    run->confirmedAt.reset();
+    sendStop(task, run->attempt);
 }
 
 void TargetSession::sendStop(const TaskId& task, std::uint32_t attempt)
 {
     if (!maySend())
         return;
-    m_calls.stop({ m_report.id, m_report.address, task, attempt, m_token, callTimeout() },
+    m_calls.stop({ m_report.id, m_report.address, task, attempt, m_token, m_responses.callTimeout() },
         [this, isAlive = m_isAlive, task, attempt, token = m_token, sentAt = m_clock.now(),
             incarnationMs = m_incarnationMs](const TargetReply& reply) {
             if (!*isAlive)
                 return;
-            recordResponse(reply, sentAt);
+            m_responses.recordResponse(reply, sentAt);
             updateTargetClock(reply);
             // A new incarnation was sent a stop of its own.
             if (incarnationMs == m_incarnationMs)
@@ -286,7 +223,7 @@
 
 void TargetSession::resendStops()
 {
-    for (const auto& entry : m_runs) {
+    for (const auto& entry : m_runs.all()) {
         if (entry.second.state == Run::State::Stopping && !entry.second.confirmedAt)
             sendStop(entry.first, entry.second.attempt);
     }
@@ -304,10 +241,10 @@
     if (!isStopNeeded(task, attempt))
         return;
     if (reply.result == TargetCallResult::Done) {
-        const auto found = m_runs.find(task);
-        if (found == m_runs.end() || found->second.attempt != attempt)
+        Run* const run = m_runs.find(task, attempt);
+        if (!run)
             return;
-        found->second.confirmedAt = m_clock.now();
+        run->confirmedAt = m_clock.now();
         // A run that never started has no completion that the polling loop would report.
         pollNow();
         return;
@@ -323,7 +260,7 @@
 
 void TargetSession::poll()
 {
-    const auto wait = isLossy() ? m_settings.lossyPollWait : m_settings.pollWait;
+    const auto wait = m_responses.isLossy() ? m_settings.lossyPollWait : m_settings.pollWait;
     sendPoll(m_isReady ? wait : std::chrono::milliseconds(0), true);
 }
 
@@ -345,20 +282,20 @@
         return;
     }
     const TimePoint now = m_clock.now();
-    PollRequest request { m_report.id, m_report.address, m_token, m_wasPollAnswered ? m_acknowledged : 0, std::nullopt,
-        wait, callTimeout() };
+    PollRequest request { m_report.id, m_report.address, m_token, m_wasPollAnswered ? m_completions.acknowledged() : 0,
+        std::nullopt, wait, m_responses.callTimeout() };
     m_leaseLimit = leaseLimit();
     if (mayRenewLease()) {
         const auto lease = limitedLease(m_settings.leaseDuration);
-        request.leaseEndMs = targetLeaseEndMs(lease);
+        request.leaseEndMs = m_lease.targetEndMs(lease);
         // A short lease is renewed in time.
         request.wait = std::min(wait, std::max(lease / 2, m_settings.lossyPollWait));
-        extendLease(lease);
+        m_lease.extend(lease);
     }
     m_calls.poll(request, [this, isAlive = m_isAlive, sentAt = now, isLoop, token = m_token](const PollReply& reply) {
         if (!*isAlive)
             return;
-        recordLoss(reply);
+        m_responses.recordLoss(reply);
         m_wasPollAnswered = reply.result == TargetCallResult::Done;
         processPollReply(reply, sentAt, isLoop, token);
         checkFencing(reply, token);
@@ -396,9 +333,8 @@
         return false;
     if (reply.incarnationMs > m_incarnationMs)
         beginIncarnation(reply.incarnationMs);
-    m_targetClockMs = reply.clockMs;
-    m_targetClockReadAt = m_clock.now();
-    m_lastResponseAt = m_targetClockReadAt;
+    m_lease.setTargetClock(*reply.clockMs);
+    m_responses.answered();
     return true;
 }
 
@@ -410,31 +346,27 @@
         return;
     reportLosses(earlierMs, true);
     m_isReady = false;
-    m_lastCompletion = 0;
-    m_acknowledged = 0;
-    m_acknowledgedOutOfOrder.clear();
+    m_completions.reset();
     std::vector<TaskId> lostRuns;
-    for (auto& entry : m_runs) {
-        Run& run = entry.second;
+    for (const TaskId& task : m_runs.tasks()) {
+        Run& run = *m_runs.find(task);
         // A start without a reply may have reached the new incarnation, so a run in state Starting is kept.
-        if (run.state == Run::State::Starting || mayBeInLaterIncarnation(entry.first, run))
+        if (run.state == Run::State::Starting || mayBeInLaterIncarnation(task, run))
             continue;
-        if (run.state == Run::State::Running && !mayStartLate(entry.first, run.attempt)) {
-            lostRuns.push_back(entry.first);
+        if (run.state == Run::State::Running && !m_unansweredStarts.mayArriveLate(task, run.attempt)) {
+            lostRuns.push_back(task);
             continue;
         }
         // The start may still be in flight, and the new incarnation has not seen the stop.
         run.isStartConfirmed = false;
         run.state = Run::State::Stopping;
         run.confirmedAt.reset();
-        sendStop(entry.first, run.attempt);
+        sendStop(task, run.attempt);
     }
     interrupt(lostRuns);
     // The new incarnation does not know the stopped attempts and would run a start that arrives late.
-    for (const UnansweredStart& start : m_unansweredStarts) {
-        const auto found = m_runs.find(start.task);
-        const bool isOfRun = found != m_runs.end() && found->second.attempt == start.attempt;
-        if (!isOfRun && mayStartLate(start.task, start.attempt))
+    for (const UnansweredStarts::Start& start : m_unansweredStarts.starts()) {
+        if (!m_runs.find(start.task, start.attempt) && m_unansweredStarts.mayArriveLate(start.task, start.attempt))
             sendStop(start.task, start.attempt);
     }
 }
@@ -443,16 +375,11 @@
 {
     bool hasNew = false;
     for (const RunCompletion& completion : reply.completions) {
-        if (completion.number <= m_lastCompletion)
+        if (!m_completions.receive(completion.number))
             continue;
-        // Lower numbers that are not reported were acknowledged by an earlier holder.
-        if (m_lastCompletion == 0)
-            m_acknowledged = std::max(m_acknowledged, completion.number - 1);
-        m_lastCompletion = completion.number;
         hasNew = true;
-        const auto run = m_runs.find(completion.task);
-        if (run != m_runs.end() && run->second.attempt == completion.attempt)
-            removeRun(completion.task);
+        if (m_runs.find(completion.task, completion.attempt))
+            m_runs.remove(completion.task);
         m_hooks.ended(*this, completion);
     }
     if (hasNew)
@@ -465,9 +392,9 @@
     std::set<TaskId> active;
     for (const RunningTask& running : reply.running) {
         active.insert(running.task);
-        const auto found = m_runs.find(running.task);
-        if (found != m_runs.end() && found->second.attempt == running.attempt) {
-            Run& run = found->second;
+        Run* const found = m_runs.find(running.task);
+        if (found && found->attempt == running.attempt) {
+            Run& run = *found;
             run.savedProgress = running.savedProgress;
             run.isStartConfirmed = true;
             run.possibleLoss.reset();
@@ -477,31 +404,26 @@
             }
             continue;
         }
-        if (found != m_runs.end()) {
+        if (found) {
             // A second attempt of a task with a run: only the run that this session tracks may continue.
             sendStop(running.task, running.attempt);
             continue;
         }
         const std::optional<Resources> adopted = m_hooks.foundRun(*this, running);
         const TimePoint now = m_clock.now();
-        m_runs[running.task] = Run { running.attempt, "", adopted.value_or(m_report.capacity), Run::State::Running, now,
-            now, std::chrono::milliseconds(0), running.savedProgress, 0, true, std::nullopt, false };
-        m_used += m_runs[running.task].resources;
+        m_runs.add(running.task,
+            { running.attempt, "", adopted.value_or(m_report.capacity), Run::State::Running, now, now,
+                std::chrono::milliseconds(0), running.savedProgress, 0, true, std::nullopt, false });
         if (!adopted)
             stop(running.task);
     }
     // A run that is not listed may be one whose completion did not fit into the list.
     if (reply.mayHaveMoreCompletions)
         return;
-    std::vector<TaskId> missing;
-    for (const auto& entry : m_runs) {
-        const Run& run = entry.second;
-        if (!active.count(entry.first) && run.confirmedAt && *run.confirmedAt < sentAt)
-            missing.push_back(entry.first);
-    }
+    const std::vector<TaskId> missing = m_runs.missingFrom(active, sentAt);
     std::vector<RunLoss> losses;
     for (const TaskId& task : missing) {
-        if (const auto& loss = m_runs[task].possibleLoss)
+        if (const auto& loss = m_runs.find(task)->possibleLoss)
             losses.push_back(*loss);
     }
     for (const RunLoss& loss : losses)
@@ -512,39 +434,23 @@
 void TargetSession::interrupt(const std::vector<TaskId>& tasks)
 {
     for (const TaskId& task : tasks) {
-        const Run run = m_runs[task];
-        removeRun(task);
+        const Run run = *m_runs.find(task);
+        m_runs.remove(task);
         m_hooks.ended(*this, { 0, task, run.attempt, RunOutcome::Interrupted, run.savedProgress });
     }
     if (!tasks.empty())
         m_hooks.roomChanged();
 }
 
-void TargetSession::removeRun(const TaskId& task)
-{
-    m_runs.erase(task);
-    m_used = {};
-    for (const auto& entry : m_runs)
-        m_used += entry.second.resources;
-}
-
-void TargetSession::interruptAll()
-{
-    std::vector<TaskId> tasks;
-    for (const auto& entry : m_runs)
-        tasks.push_back(entry.first);
-    interrupt(tasks);
-}
-
 void TargetSession::reportLosses(std::uint64_t incarnationMs, bool hasRestarted)
 {
     if (incarnationMs == m_drainingIncarnationMs)
         return;
     std::vector<RunLoss> losses;
-    for (auto& entry : m_runs) {
-        Run& run = entry.second;
-        const RunLoss loss { entry.first, incarnationMs, run.isStartConfirmed, hasRestarted, m_runs.size() == 1 };
-        if (!hasRestarted || !mayBeInLaterIncarnation(entry.first, run)) {
+    for (const TaskId& task : m_runs.tasks()) {
+        Run& run = *m_runs.find(task);
+        const RunLoss loss { task, incarnationMs, run.isStartConfirmed, hasRestarted, m_runs.all().size() == 1 };
+        if (!hasRestarted || !mayBeInLaterIncarnation(task, run)) {
             losses.push_back(loss);
         } else if (!run.possibleLoss) {
             run.possibleLoss = loss;
@@ -557,16 +463,16 @@
 
 bool TargetSession::mayBeInLaterIncarnation(const TaskId& task, const Run& run) const
 {
-    return run.state == Run::State::Running && !run.isStartConfirmed && !mayStartLate(task, run.attempt);
+    return run.state == Run::State::Running && !run.isStartConfirmed
+        && !m_unansweredStarts.mayArriveLate(task, run.attempt);
 }
 
 void TargetSession::checkLease()
 {
-    const TimePoint now = m_clock.now();
-    if (now >= m_leaseEnd && now - m_lastResponseAt >= m_settings.silenceTimeout && !m_runs.empty() && !m_isClosed) {
+    if (m_clock.now() >= m_lease.end() && m_responses.isSilenceTimeoutOver() && !m_runs.all().empty() && !m_isClosed) {
         m_isReady = false;
         reportLosses(m_incarnationMs, false);
-        interruptAll();
+        interrupt(m_runs.tasks());
     }
     m_timers.after(std::chrono::milliseconds(100), [this, isAlive = m_isAlive] {
         if (*isAlive)
@@ -576,13 +482,8 @@
 
 void TargetSession::acknowledgeCompletion(std::uint64_t incarnationMs, std::uint64_t number)
 {
-    if (incarnationMs != m_incarnationMs || number <= m_acknowledged)
-        return;
-    m_acknowledgedOutOfOrder.insert(number);
-    while (!m_acknowledgedOutOfOrder.empty() && *m_acknowledgedOutOfOrder.begin() == m_acknowledged + 1) {
-        m_acknowledged = *m_acknowledgedOutOfOrder.begin();
-        m_acknowledgedOutOfOrder.erase(m_acknowledgedOutOfOrder.begin());
-    }
+    if (incarnationMs == m_incarnationMs)
+        m_completions.acknowledge(number);
 }
 
 }
--- a/modules/rattanroad_shards/targets/TargetSession.h
+++ b/modules/rattanroad_shards/targets/TargetSession.h
@@ -1,11 +1,12 @@
 #pragma once
 
-#include "rattanroad_shards/targets/TargetCalls.h"
+#include "rattanroad_shards/targets/CompletionCursor.h"
+#include "rattanroad_shards/targets/ResponseMonitor.h"
+#include "rattanroad_shards/targets/TargetLease.h"
+#include "rattanroad_shards/targets/TargetRuns.h"
+#include "rattanroad_shards/targets/UnansweredStarts.h"
 
-#include <deque>
-#include <map>
 #include <memory>
-#include <set>
 
 namespace rattanroad::shards {
 
@@ -54,32 +55,7 @@
         /** Time without new starts after a refusal or a failed connection. */
         std::chrono::milliseconds refusalPause { 400 };
     };
-    struct Run {
-        enum class State {
-            Starting,
-            Running,
-            Stopping,
-        };
-        std::uint32_t attempt { 0 };
-        std::string payload;
-        Resources resources;
-        State state { State::Starting };
-        TimePoint startedAt;
-        /** When the target confirmed the start or the stop. A run that is missing from the reply to a poll sent later
-            has ended. */
-        std::optional<TimePoint> confirmedAt;
-        std::chrono::milliseconds predicted { 0 };
-        std::string savedProgress;
-        /** Number of times that the start was sent. */
-        std::uint32_t sends { 0 };
-        /** The known incarnation of the target has the run. Not set by a confirmation that names no incarnation. */
-        bool isStartConfirmed { false };
-        /** Reported as lost if the list of a new incarnation lacks the run, whose start was confirmed by a reply that
-            named no incarnation. */
-        std::optional<RunLoss> possibleLoss;
-        /** No other run may start on the target; @c resources is its whole capacity. */
-        bool isIsolated { false };
-    };
+    using Run = TargetRun;
     struct Hooks {
         /** The target has answered a poll under the current token for the first time. */
         std::function<void(TargetSession&)> ready;
@@ -136,18 +112,18 @@
     /** Returns whether the target has reported all its runs and completions under the current token. */
     bool isReconciled() const { return m_isReady && m_hasListedAll; }
     bool isListed() const { return m_isListed; }
-    Resources free() const { return m_report.capacity.minus(m_used); }
+    Resources free() const { return m_report.capacity.minus(m_runs.used()); }
     const TargetReport& report() const { return m_report; }
     std::uint64_t incarnationMs() const { return m_incarnationMs; }
-    const std::map<TaskId, Run>& runs() const { return m_runs; }
-    bool hasIsolatedRun() const;
+    const std::map<TaskId, Run>& runs() const { return m_runs.all(); }
+    bool hasIsolatedRun() const { return m_runs.hasIsolatedRun(); }
     /** Returns whether this incarnation of the target was draining, so that its end was planned. */
     bool wasDraining(std::uint64_t incarnationMs) const { return incarnationMs == m_drainingIncarnationMs; }
     /** Returns whether the target has answered nothing since a call to it was left unanswered. */
-    bool isSilent() const { return m_lastLoss > m_lastResponseAt; }
+    bool isSilent() const { return m_responses.isSilent(); }
     TimePoint unlistedSince() const { return m_unlistedSince; }
     /** Returns the local time by which all runs on the target have ended unless the lease is renewed. */
-    TimePoint leaseEnd() const { return m_leaseEnd; }
+    TimePoint leaseEnd() const { return m_lease.end(); }
 
 private:
     void poll();
@@ -160,16 +136,8 @@
         its completion. */
     void resolveUnconfirmedStart(const TaskId& task, Run& run, TargetCallResult result);
     bool mayRepeatStart(const Run& run, TargetCallResult result) const;
-    void recordUnansweredStart(const TaskId& task, std::uint32_t attempt);
-    /** Returns whether an unanswered start of the task, up to this attempt, may still be carried out. */
-    bool mayStartLate(const TaskId& task, std::uint32_t highestAttempt) const;
     /** Returns whether the target has to stop the attempt, or to reject it when it arrives. */
     bool isStopNeeded(const TaskId& task, std::uint32_t attempt) const;
-    /** Updates the response time, or records that there was no answer. */
-    void recordResponse(const TargetReply& reply, TimePoint sentAt);
-    void recordLoss(const TargetReply& reply);
-    bool isLossy() const;
-    std::chrono::milliseconds callTimeout() const;
     void checkFencing(const TargetReply& reply, FencingToken token);
     /** Updates the known clock of the target. Returns false when the reply has no clock, names no incarnation, or is of
         an earlier one. */
@@ -184,9 +152,7 @@
     /** Sends the stops again that were left unanswered when the session stopped sending requests. */
     void resendStops();
     void processStopReply(const TaskId& task, std::uint32_t attempt, const TargetReply& reply);
-    void removeRun(const TaskId& task);
     void interrupt(const std::vector<TaskId>& tasks);
-    void interruptAll();
     /** Reports all runs as lost that this incarnation has or may have. */
     void reportLosses(std::uint64_t incarnationMs, bool hasRestarted);
     /** Returns whether the run may be in a later incarnation than the known one. The next list of runs shows it. */
@@ -197,9 +163,6 @@
     TimePoint leaseLimit() const;
     /** Returns the part of a lease of this length that ends in time; at least 0. */
     std::chrono::milliseconds limitedLease(std::chrono::milliseconds length) const;
-    /** Returns the time of the target's clock at which a lease of this length ends. */
-    std::uint64_t targetLeaseEndMs(std::chrono::milliseconds length) const;
-    void extendLease(std::chrono::milliseconds length);
     bool mayRenewLease() const;
 
     Settings m_settings;
@@ -209,8 +172,7 @@
     Timers m_timers;
     const Clock& m_clock;
     Hooks m_hooks;
-    std::map<TaskId, Run> m_runs;
-    Resources m_used;
+    TargetRuns m_runs;
     bool m_isClosed { false };
     bool m_isReady { false };
     /** A list of all completions has arrived since m_isReady was last set. */
@@ -221,31 +183,16 @@
     std::uint64_t m_incarnationMs { 0 };
     /** The latest incarnation that was listed as draining. */
     std::uint64_t m_drainingIncarnationMs { 0 };
-    /** The target's clock at m_targetClockReadAt. */
-    std::optional<std::uint64_t> m_targetClockMs;
-    TimePoint m_targetClockReadAt;
-    TimePoint m_lastResponseAt { distantPast };
-    TimePoint m_lastLoss { distantPast };
-    /** Recent response time of starts and stops; rises at once and falls slowly. */
-    Duration m_responseTime { 0 };
-    TimePoint m_leaseEnd;
+    ResponseMonitor m_responses;
+    TargetLease m_lease;
     /** The lease limit at the last poll, or that of a run that was started since. */
     TimePoint m_leaseLimit { TimePoint::max() };
     TimePoint m_startsPausedUntil { distantPast };
-    std::uint64_t m_lastCompletion { 0 };
-    std::uint64_t m_acknowledged { 0 };
+    CompletionCursor m_completions;
     /** The last poll was answered. Otherwise a new incarnation may be up, and would take a number that an earlier one
        has counted as an acknowledgement of its own completions. */
     bool m_wasPollAnswered { false };
-    /** Acknowledged completions above m_acknowledged, which wait for the lower numbers. */
-    std::set<std::uint64_t> m_acknowledgedOutOfOrder;
-    struct UnansweredStart {
-        TaskId task;
-        std::uint32_t attempt;
-        TimePoint sentAt;
-    };
-    /** Unanswered starts within the late request window, oldest first. */
-    std::deque<UnansweredStart> m_unansweredStarts;
+    UnansweredStarts m_unansweredStarts;
     std::shared_ptr<bool> m_isAlive { std::make_shared<bool>(true) };
 };
 
--- a/scripts/check-mutations.sh
+++ b/scripts/check-mutations.sh
@@ -99,18 +99,19 @@
 guard later-record jobs/ShardDispatcher.cpp 'if (record.generation() > m_holding->generation.value()) {' 'if (false) {'
 guard forsaken-job-runs jobs/ShardDispatcher.cpp \
     'job.description.best_effort() && m_clock.now() - job.lastSubmittedAt >= m_settings.running.originTimeout' 'false'
-guard room-freed-early targets/TargetSession.cpp 'found->second.confirmedAt.reset();' 'm_used = {};'
-guard late-start targets/TargetSession.cpp 'm_unansweredStarts.push_back({ task, attempt, now });' ';'
+guard room-freed-early targets/TargetSession.cpp 'run->confirmedAt.reset();' \
+    'run->resources = {}; m_runs.remove({});'
+guard late-start targets/UnansweredStarts.cpp 'm_starts.push_back({ task, attempt, now });' ';'
 guard ended-attempt targets/TargetSession.cpp 'if (result == TargetCallResult::StaleAttempt) {' 'if (false) {'
 guard start-on-the-way targets/TargetSession.cpp 'TargetCallResult::Unknown || run.sends > 1' 'TargetCallResult::Unknown'
 guard messages-before-pause node/ShardNode.cpp 'm_clock.now() - m_loopMonitor.resumedAt() < m_settings.staleMessageWindow' 'false'
 guard older-configuration node/ShardNode.cpp '(m_queues && queues->version <= m_queues->version)' 'false'
-guard answered-start targets/TargetSession.cpp 'run.state == Run::State::Starting || mayBeInLaterIncarnation(entry.first, run)' \
+guard answered-start targets/TargetSession.cpp 'run.state == Run::State::Starting || mayBeInLaterIncarnation(task, run)' \
     'run.state == Run::State::Starting'
 guard partial-list targets/TargetSession.cpp 'if (reply.mayHaveMoreCompletions)' 'if (false)'
 guard partial-first-list targets/TargetSession.h 'return m_isReady && m_hasListedAll;' 'return m_isReady;'
 guard forgotten-stop targets/TargetSession.cpp 'if (entry.second.state == Run::State::Stopping && !entry.second.confirmedAt)' 'if (false)'
-guard earlier-acknowledgement targets/TargetSession.cpp 'm_wasPollAnswered ? m_acknowledged : 0' 'm_acknowledged'
+guard earlier-acknowledgement targets/TargetSession.cpp 'm_wasPollAnswered ? m_completions.acknowledged() : 0' 'm_completions.acknowledged()'
 guard failure-counted-again jobs/TaskRunner.cpp \
     'if (std::find(task.failedRuns.begin(), task.failedRuns.end(), run) != task.failedRuns.end()) {' 'if (false) {'
 guard earlier-process entrance/RequestNumber.cpp 'XXH64(&value, sizeof value, 0) >> unusedBits' 'value * 0 * unusedBits'
