Decide order and refusal of jobs by learned capacity, deadline and priority, and return jobs that cannot be in time

Cause: JobTable::waitingWork counted jobs past their soft deadline as ahead of every later job, so that new jobs were refused for work that would yield to them. Work was divided by the sum of millicores, each submission walked all open jobs, each pass sorted them, and the priority of a queue was used by nothing. Jobs that could no longer be answered were held to the end.

Change: new folder scheduling/ with decisions that take values and the time. WorkQueue keeps the jobs with tasks to start in order, DeadlineSums the work up to a deadline; each change and question costs O(log n). CapacityModel learns the ratio of the work that starts while tasks wait for room to the usable millicores, and falls back to the sum of millicores after 2 s without samples and at a new holder. Admission refuses a best-effort job when the work of its own and higher priorities with earlier deadlines, and the higher-priority work that is expected to arrive, leaves too little time, unless a target has room for it now. Late jobs, lower priorities and later deadlines do not count. ScheduleOrder goes by deadline while everything can be done in time, else by priority, with a guaranteed tenth for each lower priority. Retry-After is the time until the work before the job has drained far enough.

A best-effort job with tasks to start whose caller's wait (ShardSubmit.caller_wait_ms) can no longer be met is given up and returned to its origin (ShardJobReturned). The origin answers 503 only if the holder says that no task has started, every request of the submission was answered, and no other host has accepted it; otherwise 504. A repetition of the same request does not start the job again.

--- a/modules/rattanroad_shards/entrance/HolderRequests.cpp
+++ b/modules/rattanroad_shards/entrance/HolderRequests.cpp
@@ -97,7 +97,7 @@
     protocol::ShardSubmit answered = submission;
     answered.clear_job();
     dispatcher.submit(submission.job(), std::chrono::milliseconds(submission.waited_ms()) + age, submission.resent(),
-        { submission.origin(), m_clock.now() - age },
+        { submission.origin(), m_clock.now() - age, std::chrono::milliseconds(submission.caller_wait_ms()) },
         [this, answered](SubmitVerdict verdict, std::chrono::milliseconds retryAfter) {
             replyToSubmission(answered, verdict, retryAfter);
         });
--- a/modules/rattanroad_shards/entrance/JobEntrance.cpp
+++ b/modules/rattanroad_shards/entrance/JobEntrance.cpp
@@ -210,6 +210,9 @@
     ++submission.attempt;
     ++submission.unresolvedAttempts;
     body->set_request(RequestNumber(id, submission.attempt).toWire());
+    submission.unansweredRequests.insert(body->request());
+    body->set_caller_wait_ms(static_cast<std::uint32_t>(
+        std::chrono::duration_cast<std::chrono::milliseconds>(submission.deadline - submission.startedAt).count()));
     m_loads.addAssignedJob(submission.shard, submission.job);
     startReplyTimeout(id);
     // A local holder may answer at once, which can end the submission.
@@ -220,6 +223,7 @@
     if (found == m_submissions.end() || found->second.attempt != attempt)
         return;
     --found->second.unresolvedAttempts;
+    found->second.unansweredRequests.erase(RequestNumber(id, attempt).toWire());
     ++found->second.attempt;
     m_loads.setUnreachable(receiver);
     if (isBound(found->second))
@@ -346,13 +350,12 @@
     case protocol::Envelope::kShardCancel:
         m_requests.query(message);
         return;
-    case protocol::Envelope::kShardSubmitReply: {
-        const protocol::ShardSubmitReply& reply = message.shard_submit_reply();
-        if (reply.verdict() <= static_cast<unsigned>(SubmitVerdict::NotReconciled))
-            handleVerdict(RequestNumber::fromWire(reply.request()), static_cast<SubmitVerdict>(reply.verdict()),
-                std::chrono::milliseconds(reply.retry_after_ms()), ShardId(reply.shard()));
+    case protocol::Envelope::kShardSubmitReply:
+        handleSubmitReply(message.from_host(), message.shard_submit_reply());
+        return;
+    case protocol::Envelope::kShardJobReturned:
+        jobReturned(message.from_host(), message.shard_job_returned());
         return;
-    }
     case protocol::Envelope::kShardJobReply:
         handleJobReply(message.shard_job_reply());
         return;
@@ -361,6 +364,46 @@
     }
 }
 
+void JobEntrance::handleSubmitReply(const std::string& holder, const protocol::ShardSubmitReply& reply)
+{
+    if (reply.verdict() > static_cast<unsigned>(SubmitVerdict::NotReconciled))
+        return;
+    const RequestNumber request = RequestNumber::fromWire(reply.request());
+    const auto verdict = static_cast<SubmitVerdict>(reply.verdict());
+    const auto submission = m_submissions.find(request.id());
+    if (submission != m_submissions.end()) {
+        submission->second.unansweredRequests.erase(reply.request());
+        if (verdict == SubmitVerdict::Accepted)
+            submission->second.acceptedBy.insert(holder);
+    }
+    handleVerdict(request, verdict, std::chrono::milliseconds(reply.retry_after_ms()), ShardId(reply.shard()));
+}
+
+void JobEntrance::jobReturned(const std::string& holder, const protocol::ShardJobReturned& returned)
+{
+    const JobId job(returned.id());
+    const auto waiting = m_bestEffortSubmissions.equal_range(job);
+    std::vector<std::uint64_t> submissions;
+    for (auto entry = waiting.first; entry != waiting.second; ++entry)
+        submissions.push_back(entry->second);
+    for (const std::uint64_t id : submissions) {
+        const auto found = m_submissions.find(id);
+        if (found == m_submissions.end())
+            continue;
+        const Submission& submission = found->second;
+        // A request without an answer may still start the job elsewhere, and so may another holder that has accepted
+        // it.
+        const bool isOnlyThere = submission.unansweredRequests.empty() && submission.acceptedBy.size() == 1
+            && submission.acceptedBy.count(holder) == 1;
+        const bool hasNotRun = !returned.may_have_run() && isOnlyThere;
+        m_hooks.log("job_returned", job,
+            "by " + holder + ", shard " + returned.shard() + (returned.may_have_run() ? ", may have run" : ", not run")
+                + (isOnlyThere ? "" : ", another request may run it"));
+        finishSubmission(id, hasNotRun ? EntranceVerdict::Refused : EntranceVerdict::Unknown,
+            std::chrono::milliseconds(returned.retry_after_ms()));
+    }
+}
+
 void JobEntrance::handleJobReply(const protocol::ShardJobReply& reply)
 {
     if (reply.state() > static_cast<unsigned>(JobState::Cancelled) || m_requests.replyReceived(reply))
--- a/modules/rattanroad_shards/entrance/JobEntrance.h
+++ b/modules/rattanroad_shards/entrance/JobEntrance.h
@@ -3,6 +3,8 @@
 #include "rattanroad_shards/entrance/HolderRequests.h"
 #include "rattanroad_shards/entrance/JobQueries.h"
 
+#include <set>
+
 namespace rattanroad::shards {
 
 /** Result of a submission, as reported to the caller. */
@@ -80,6 +82,8 @@
     JobHomes& homes() { return m_requests.homes(); }
     /** Answers the callers that wait for a job that has ended. */
     void jobEnded(const JobId& job, JobState state);
+    /** Answers the callers that wait for a best-effort job which the host at address @p holder no longer has. */
+    void jobReturned(const std::string& holder, const protocol::ShardJobReturned& returned);
 
 private:
     struct Submission {
@@ -95,6 +99,10 @@
         std::uint64_t attempt { 0 };
         /** Attempts without a definite negative reply, after any of which the job may have been accepted. */
         std::uint32_t unresolvedAttempts { 0 };
+        /** Requests that no holder has answered. */
+        std::set<std::uint64_t> unansweredRequests;
+        /** Hosts that have accepted the best-effort job as holder. */
+        std::set<std::string> acceptedBy;
     };
     void trySubmit(std::uint64_t id);
     /** Returns the shard through whose holder a best-effort job is to be submitted, or nothing when none can be reached
@@ -114,6 +122,7 @@
     /** Returns whether a job has to stay in its shard: runs of one task of a best-effort job in two shards could
         overlap. */
     static bool isBound(const Submission& submission);
+    void handleSubmitReply(const std::string& holder, const protocol::ShardSubmitReply& reply);
     void handleVerdict(
         RequestNumber request, SubmitVerdict verdict, std::chrono::milliseconds retryAfter, const ShardId& shard);
     void finishSubmission(std::uint64_t id, EntranceVerdict verdict, std::chrono::milliseconds retryAfter);
--- a/modules/rattanroad_shards/jobs/JobTable.cpp
+++ b/modules/rattanroad_shards/jobs/JobTable.cpp
@@ -1,8 +1,8 @@
 #include "rattanroad_shards/jobs/JobTable.h"
 
 #include "rattanroad_shards/jobs/JobRequirements.h"
+#include "rattanroad_shards/jobs/WaitingWork.h"
 
-#include <algorithm>
 #include <cassert>
 
 namespace rattanroad::shards {
@@ -44,43 +44,30 @@
 
 void JobTable::clear()
 {
+    m_workQueue.clear();
     m_open.clear();
     m_jobs.clear();
 }
 
-std::vector<ShardJob*> JobTable::openJobsInOrder() const
+void JobTable::open(ShardJob& job)
 {
-    std::vector<ShardJob*> jobs;
-    for (const auto& entry : m_open)
-        jobs.push_back(entry.second);
-    const TimePoint now = m_clock.now();
-    std::sort(jobs.begin(), jobs.end(), [now](const ShardJob* left, const ShardJob* right) {
-        const bool isLeftLate = left->softDeadline < now;
-        const bool isRightLate = right->softDeadline < now;
-        if (isLeftLate != isRightLate)
-            return isRightLate;
-        return std::tie(left->softDeadline, left->id) < std::tie(right->softDeadline, right->id);
-    });
-    return jobs;
+    m_open[job.id] = &job;
+    refresh(job);
 }
 
-double JobTable::waitingWork(TimePoint softDeadline) const
+void JobTable::close(const ShardJob& job)
 {
-    double work = 0;
-    for (const auto& entry : m_open) {
-        const ShardJob& job = *entry.second;
-        if (job.softDeadline > softDeadline)
-            continue;
-        for (std::size_t phase = 0; phase < job.phases.size(); ++phase) {
-            const protocol::PhaseDescription& description = job.description.phases(static_cast<int>(phase));
-            const auto waiting
-                = std::count_if(job.phases[phase].begin(), job.phases[phase].end(), [](const ShardTask& task) {
-                      return task.state == ShardTask::State::Waiting && !task.mayHaveEarlierRun;
-                  });
-            work += static_cast<double>(waiting) * description.millicores() * description.estimated_ms();
-        }
-    }
-    return work;
+    m_open.erase(job.id);
+    m_workQueue.remove(job.id);
+}
+
+void JobTable::refresh(const ShardJob& job)
+{
+    const auto waiting = m_open.count(job.id) == 0 ? std::nullopt : waitingJob(job, m_runTimeFactor);
+    if (waiting)
+        m_workQueue.set(*waiting);
+    else
+        m_workQueue.remove(job.id);
 }
 
 void JobTable::addQueueDepths(protocol::ShardLoad& load) const
--- a/modules/rattanroad_shards/jobs/JobTable.h
+++ b/modules/rattanroad_shards/jobs/JobTable.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "rattanroad_shards/jobs/ShardJob.h"
+#include "rattanroad_shards/scheduling/WorkQueue.h"
 
 #include <map>
 #include <memory>
@@ -31,14 +32,16 @@
     void remove(const JobId& job) { m_jobs.erase(job); }
     void clear();
 
-    void open(ShardJob& job) { m_open[job.id] = &job; }
-    void close(const ShardJob& job) { m_open.erase(job.id); }
+    void open(ShardJob& job);
+    void close(const ShardJob& job);
     const std::map<JobId, ShardJob*>& openJobs() const { return m_open; }
-    /** Returns the open jobs in scheduling order: earliest soft deadline first, jobs past theirs last. */
-    std::vector<ShardJob*> openJobsInOrder() const;
-    /** Returns the total work of the waiting tasks of open jobs whose soft deadline is @p softDeadline or earlier, in
-        millicores times milliseconds. */
-    double waitingWork(TimePoint softDeadline) const;
+    /** Returns the open jobs that have tasks to start. */
+    const WorkQueue& workQueue() const { return m_workQueue; }
+    WorkQueue& workQueue() { return m_workQueue; }
+    /** Updates the place of a job among those that have tasks to start, after some of its tasks have changed. */
+    void refresh(const ShardJob& job);
+    /** Sets the expected ratio of run times to their estimates. Applies to each job with its next refresh. */
+    void setRunTimeFactor(double factor) { m_runTimeFactor = factor; }
     /** Adds the number of queued jobs per queue. */
     void addQueueDepths(protocol::ShardLoad& load) const;
     /** Returns the ended jobs whose retention is over. */
@@ -49,6 +52,8 @@
     const Clock& m_clock;
     std::map<JobId, std::unique_ptr<ShardJob>> m_jobs;
     std::map<JobId, ShardJob*> m_open;
+    WorkQueue m_workQueue;
+    double m_runTimeFactor { 1 };
 };
 
 }
--- a/modules/rattanroad_shards/jobs/ShardDispatcher.cpp
+++ b/modules/rattanroad_shards/jobs/ShardDispatcher.cpp
@@ -289,19 +289,7 @@
         return;
     }
     if (ShardJob* const known = m_jobs.find(id)) {
-        ShardJob& job = *known;
-        job.originAddress = origin.address;
-        job.lastSubmittedAt = std::max(job.lastSubmittedAt, origin.sentAt);
-        job.certainlySubmittedAt = std::max(job.certainlySubmittedAt, origin.sentAt);
-        // The job was cancelled because its origin was silent; the repeated submission shows that it is still wanted.
-        if (job.description.best_effort() && job.state == JobState::Cancelled)
-            reopen(job);
-        if (job.isAccepted)
-            reply(SubmitVerdict::Accepted, {});
-        if (job.description.best_effort() && hasEnded(job.state))
-            m_hooks.jobEnded(job);
-        if (!job.isAccepted)
-            m_submitReplies[id].push_back(std::move(reply));
+        submitAgain(*known, waited, origin, std::move(reply));
         return;
     }
     auto job = m_jobs.makeJob(description, waited);
@@ -309,17 +297,20 @@
     job->originAddress = origin.address;
     job->lastSubmittedAt = origin.sentAt;
     job->certainlySubmittedAt = origin.sentAt;
-    const auto wait = m_runner.expectedWait(job->softDeadline);
+    job->wasSubmittedBefore = isResent;
+    if (description.best_effort() && origin.callerWait.count() > 0)
+        job->callerDeadline = job->receivedAt + origin.callerWait;
     const bool mayRunAlready = description.best_effort() && isResent && mayHaveEarlierRuns();
     const bool isStoreNeeded = !description.best_effort();
     const bool isStoreUnavailable = isStoreNeeded && m_writer.isStoreUnavailable();
-    const bool isTooLate = wait > latencyObjective(description) * m_settings.refusalFactor;
-    if (!mayRunAlready && (isTooLate || isStoreUnavailable || !m_runner.hasEligibleTarget(*job))) {
+    const Admission::Decision admission = m_runner.admit(*job);
+    if (!mayRunAlready && (!admission.isAccepted || isStoreUnavailable || !m_runner.hasEligibleTarget(*job))) {
         m_hooks.log("job_refused", id,
-            isStoreUnavailable ? "the store is unavailable"
-                : isTooLate    ? "expected wait " + std::to_string(wait.count()) + " ms"
-                               : "no target can run it");
-        reply(SubmitVerdict::Refused, std::max(m_settings.minimumRetryAfter, wait));
+            isStoreUnavailable          ? "the store is unavailable"
+                : !admission.isAccepted ? "expected wait " + std::to_string(admission.wait.count()) + " ms, at most "
+                    + std::to_string(admission.maximumWait.count()) + " ms"
+                                        : "no target can run it");
+        reply(SubmitVerdict::Refused, std::max(m_settings.minimumRetryAfter, admission.retryAfter));
         return;
     }
     if (description.best_effort()) {
@@ -338,6 +329,35 @@
         [this, id](RecordWriter::InsertResult result, const StoredItem& item) { insertCompleted(id, result, item); });
 }
 
+void ShardDispatcher::submitAgain(
+    ShardJob& job, std::chrono::milliseconds waited, const Origin& origin, SubmitReply reply)
+{
+    const TimePoint requestedAt = m_clock.now() - waited;
+    job.originAddress = origin.address;
+    job.lastSubmittedAt = std::max(job.lastSubmittedAt, origin.sentAt);
+    job.certainlySubmittedAt = std::max(job.certainlySubmittedAt, origin.sentAt);
+    if (origin.callerWait.count() > 0)
+        job.callerDeadline = std::max(job.callerDeadline.value_or(distantPast), requestedAt + origin.callerWait);
+    // The answer to a request from before the job was given up may be that the job does not run.
+    const bool isReturned = job.returnedAt && requestedAt <= *job.returnedAt + m_settings.requestTimeTolerance;
+    if (job.returnedAt && !isReturned) {
+        job.returnedAt.reset();
+        job.receivedAt = requestedAt;
+        job.softDeadline = requestedAt + latencyObjective(job.description);
+    }
+    // The job was cancelled because its origin was silent; the repeated submission shows that it is still wanted.
+    if (job.description.best_effort() && job.state == JobState::Cancelled && !isReturned)
+        reopen(job);
+    if (job.isAccepted)
+        reply(SubmitVerdict::Accepted, {});
+    if (isReturned)
+        returnToOrigin(job);
+    else if (job.description.best_effort() && hasEnded(job.state))
+        m_hooks.jobEnded(job);
+    if (!job.isAccepted)
+        m_submitReplies[job.id].push_back(std::move(reply));
+}
+
 void ShardDispatcher::reopen(ShardJob& job)
 {
     job.state = JobState::Queued;
@@ -359,6 +379,7 @@
     job->isAccepted = true;
     ShardJob& added = m_jobs.add(std::move(job));
     m_jobs.open(added);
+    m_runner.accepted(added);
     m_hooks.log("job_taken", added.id,
         "shard " + m_settings.shard.value() + " for " + added.originAddress + (isResent ? ", resubmitted" : ""));
     reply(SubmitVerdict::Accepted, {});
@@ -376,6 +397,7 @@
         if (ShardJob* const job = m_jobs.find(id)) {
             job->isAccepted = true;
             m_jobs.open(*job);
+            m_runner.accepted(*job);
             m_hooks.log("job_stored", id, "shard " + m_settings.shard.value() + " for " + job->originAddress);
             m_runner.scheduleSoon();
         }
@@ -419,9 +441,10 @@
     job.endedAt = m_clock.now();
     m_jobs.close(job);
     const auto duration = std::chrono::duration_cast<std::chrono::milliseconds>(*job.endedAt - job.receivedAt);
-    const char* const event = state == JobState::Done ? "job_done"
-        : state == JobState::Failed                   ? "job_failed"
-                                                      : "job_cancelled";
+    const char* const event = job.returnedAt ? "job_given_up"
+        : state == JobState::Done            ? "job_done"
+        : state == JobState::Failed          ? "job_failed"
+                                             : "job_cancelled";
     m_hooks.log(
         event, job.id, "after " + std::to_string(duration.count()) + " ms" + (reason.empty() ? "" : ": ") + reason);
     m_runner.stopRuns(job);
@@ -481,7 +504,7 @@
     protocol::ShardLoad load;
     load.set_shard(m_settings.shard.value());
     load.set_generation(m_holding ? m_holding->generation.value() : 0);
-    load.set_backlog_ms(static_cast<std::uint32_t>(m_runner.expectedWait(TimePoint::max()).count()));
+    load.set_backlog_ms(static_cast<std::uint32_t>(m_runner.expectedWait().count()));
     m_targets.addCapacityTo(load);
     m_jobs.addQueueDepths(load);
     return load;
@@ -494,6 +517,7 @@
         m_targets.removeUnlisted();
         m_runner.rescheduleOverdueRuns();
         cancelAbandonedJobs();
+        giveUpHopelessJobs();
         recordRetainedCompletions();
         recordRunsInDanger();
         removeExpiredJobs();
@@ -515,14 +539,16 @@
         return;
     const bool isReconciled = m_targets.areReconciled();
     for (const auto& entry : m_jobs.openJobs()) {
-        if (isReconciled && entry.second->description.best_effort())
-            entry.second->setMayHaveEarlierRun(false);
+        if (isReconciled && entry.second->description.best_effort() && entry.second->setMayHaveEarlierRun(false))
+            m_jobs.refresh(*entry.second);
     }
     if (!m_isRecovering || mayHaveEarlierRuns())
         return;
     m_isRecovering = false;
-    for (const auto& entry : m_jobs.openJobs())
+    for (const auto& entry : m_jobs.openJobs()) {
         entry.second->setMayHaveEarlierRun(false);
+        m_jobs.refresh(*entry.second);
+    }
     m_hooks.log("shard_recovered", JobId(),
         std::to_string(m_jobs.openJobs().size()) + " open jobs; "
             + (isReconciled ? "all listed targets have reported" : "no earlier holder can be active") + "; "
@@ -542,6 +568,27 @@
         finishJob(*job, JobState::Cancelled, "its origin stopped repeating the submission");
 }
 
+void ShardDispatcher::giveUpHopelessJobs()
+{
+    const TimePoint now = m_clock.now();
+    for (const JobId& id : m_jobs.workQueue().hopeless(now)) {
+        ShardJob& job = *m_jobs.find(id);
+        const auto left = std::chrono::duration_cast<std::chrono::milliseconds>(*job.callerDeadline - now);
+        job.returnedAt = now;
+        finishJob(job, JobState::Cancelled,
+            "its caller waits for another " + std::to_string(left.count()) + " ms; expected wait "
+                + std::to_string(m_runner.expectedWait().count()) + " ms, "
+                + (job.mayHaveRun() ? "may have run" : "has not run"));
+        returnToOrigin(job);
+    }
+}
+
+void ShardDispatcher::returnToOrigin(const ShardJob& job)
+{
+    if (m_hooks.jobReturned)
+        m_hooks.jobReturned(job, std::max(m_settings.minimumRetryAfter, m_runner.expectedWait()));
+}
+
 void ShardDispatcher::recordRetainedCompletions()
 {
     const TimePoint now = m_clock.now();
--- a/modules/rattanroad_shards/jobs/ShardDispatcher.h
+++ b/modules/rattanroad_shards/jobs/ShardDispatcher.h
@@ -40,15 +40,18 @@
         std::chrono::milliseconds handoverWait { 80 };
         /** Interval of the periodic checks. */
         std::chrono::milliseconds sweepInterval { 100 };
-        /** A job is refused when its expected wait is longer than this many times its latency objective, because its
-            result would be of no use. */
-        double refusalFactor { 2 };
+        /** Largest error of the time at which a caller sent its request, as its submission tells it here: a submission
+            without the clock of its receiver counts from its arrival. */
+        std::chrono::milliseconds requestTimeTolerance { 400 };
         /** Shortest retry delay that a refusal advises. */
         std::chrono::milliseconds minimumRetryAfter { 100 };
     };
     struct Hooks {
         /** A job has ended; its origin is to be told. */
         std::function<void(const ShardJob&)> jobEnded;
+        /** A best-effort job was given up because its caller cannot be answered in time; its origin is to be told. May
+            be empty. */
+        std::function<void(const ShardJob&, std::chrono::milliseconds retryAfter)> jobReturned;
         /** A write failed because the shard's key in the store has changed. */
         std::function<void()> keyChanged;
         /** A target or a job record shows that a later holder exists. */
@@ -63,6 +66,8 @@
         std::string address;
         /** When it sent the submission, by the clock of this host. */
         TimePoint sentAt;
+        /** How long the caller waits for its response, from its request; 0 when unknown. */
+        std::chrono::milliseconds callerWait { 0 };
     };
     using SubmitReply = std::function<void(SubmitVerdict, std::chrono::milliseconds retryAfter)>;
     using StateReply = std::function<void(bool isKnown, JobState)>;
@@ -131,6 +136,10 @@
     bool mayHaveEarlierRuns() const;
     void updateRecovery();
     void cancelAbandonedJobs();
+    void giveUpHopelessJobs();
+    void returnToOrigin(const ShardJob& job);
+    /** Applies a repeated submission to a job in memory and answers it. */
+    void submitAgain(ShardJob& job, std::chrono::milliseconds waited, const Origin& origin, SubmitReply reply);
     void recordRetainedCompletions();
     void recordRunsInDanger();
     void recordLosses(const ShardJob& job);
--- a/modules/rattanroad_shards/jobs/ShardJob.h
+++ b/modules/rattanroad_shards/jobs/ShardJob.h
@@ -4,6 +4,7 @@
 #include "rattanroad_shards/placing/CrashPolicy.h"
 #include "rattanroad_shards/types/ShardTypes.h"
 
+#include <algorithm>
 #include <optional>
 #include <vector>
 
@@ -88,6 +89,12 @@
     bool isAccepted { false };
     std::vector<std::vector<ShardTask>> phases;
     TimePoint receivedAt;
+    /** When the caller of a best-effort job stops waiting for its response, if its origin has told. */
+    std::optional<TimePoint> callerDeadline;
+    /** The job was submitted before it came here, so that an earlier holder may have started it. */
+    bool wasSubmittedBefore { false };
+    /** When the job was given up and returned to its origin. */
+    std::optional<TimePoint> returnedAt;
     /** Time by which the caller expects the job to end. The job still runs after it. */
     TimePoint softDeadline;
     std::optional<TimePoint> endedAt;
@@ -107,6 +114,16 @@
     bool isFinalStateStored { false };
     std::vector<std::function<void()>> onFinalStateStored;
 
+    /** Returns whether a task of the job may ever have been started. */
+    bool mayHaveRun() const
+    {
+        const auto mayHaveRun = [](const ShardTask& task) {
+            return task.attempt > 0 || task.mayHaveEarlierRun || task.state != ShardTask::State::Waiting;
+        };
+        return wasSubmittedBefore || std::any_of(phases.begin(), phases.end(), [&](const auto& phase) {
+            return std::any_of(phase.begin(), phase.end(), mayHaveRun);
+        });
+    }
     ShardTask* task(const TaskId& id)
     {
         if (id.phase >= phases.size() || id.index >= phases[id.phase].size())
@@ -138,12 +155,17 @@
         }
         return true;
     }
-    void setMayHaveEarlierRun(bool mayHaveEarlierRun)
+    /** Returns whether it has changed for a task. */
+    bool setMayHaveEarlierRun(bool mayHaveEarlierRun)
     {
+        bool isChanged = false;
         for (auto& phase : phases) {
-            for (ShardTask& task : phase)
+            for (ShardTask& task : phase) {
+                isChanged = isChanged || task.mayHaveEarlierRun != mayHaveEarlierRun;
                 task.mayHaveEarlierRun = mayHaveEarlierRun;
+            }
         }
+        return isChanged;
     }
 };
 
--- a/modules/rattanroad_shards/jobs/TaskRunner.cpp
+++ b/modules/rattanroad_shards/jobs/TaskRunner.cpp
@@ -1,6 +1,8 @@
 #include "rattanroad_shards/jobs/TaskRunner.h"
 
 #include "rattanroad_shards/jobs/JobRequirements.h"
+#include "rattanroad_shards/jobs/WaitingWork.h"
+#include "rattanroad_shards/scheduling/ScheduleOrder.h"
 
 #include <algorithm>
 
@@ -9,6 +11,10 @@
 namespace {
     /** Size of the range of attempt numbers of each holder generation. Later holders use higher ranges. */
     constexpr std::uint32_t attemptsPerGeneration = 1000;
+    /** Weight of a start in the average run time factor. Averages over about a hundred starts. */
+    constexpr double factorSmoothing = 0.01;
+    /** Tasks that wait while more than this share of the capacity is free wait for something else, as for a label. */
+    constexpr double shortageFreeShare = 0.5;
 
     std::string describeLoss(const TaskId& id, const ShardTask& task, const LostRun& run)
     {
@@ -30,9 +36,19 @@
     , m_timers(std::move(timers))
     , m_clock(clock)
     , m_hooks(std::move(hooks))
+    , m_capacity(settings.capacity)
+    , m_admission(settings.admission)
+    , m_shares({ settings.admission.guaranteedShare, settings.maximumCredit })
 {
 }
 
+void TaskRunner::begin(Generation generation)
+{
+    m_generation = generation;
+    m_capacity.reset();
+    m_arrivals.reset();
+}
+
 TaskRunner::TaskLookup TaskRunner::find(const TaskId& id) const
 {
     ShardJob* const job = m_jobs.find(id.job);
@@ -68,6 +84,7 @@
     task.attempt = std::max(task.attempt, completion.attempt);
     if (isCurrentRun && task.target == session.report().id) {
         task.state = ShardTask::State::Waiting;
+        m_jobs.refresh(job);
         scheduleSoon();
     }
 }
@@ -205,6 +222,8 @@
         if (TargetSession* const session = m_targets.session(lastTarget))
             session->stop(id);
     }
+    if (!wasPlaced)
+        m_jobs.refresh(job);
     if (job.areAllPhasesDone())
         m_hooks.finished(job, JobState::Done, "");
     else
@@ -249,6 +268,7 @@
     task->state = ShardTask::State::Waiting;
     if (result == TargetCallResult::Malformed)
         task->earliestStart = m_clock.now() + m_settings.malformedRetryDelay;
+    m_jobs.refresh(*job);
     m_hooks.log("start_refused", id.job,
         "task " + std::to_string(id.index) + " on " + session.report().id.value() + ", result "
             + std::to_string(static_cast<int>(result)));
@@ -268,6 +288,8 @@
 
 void TaskRunner::scheduleSoon()
 {
+    m_isPassDue = true;
+    m_noRoom.clear();
     if (m_isScheduled)
         return;
     m_isScheduled = true;
@@ -293,11 +315,47 @@
 
 void TaskRunner::schedule()
 {
+    m_isPassDue = false;
     if (!maySchedule())
         return;
+    const TimePoint now = m_clock.now();
     PlacementPass pass = m_targets.beginPass();
-    for (ShardJob* const job : m_jobs.openJobsInOrder())
-        placeJob(*job, pass);
+    WorkQueue& queue = m_jobs.workQueue();
+    queue.updateLate(now);
+    m_startedWork = 0;
+    m_isRoomShort = false;
+    const double rate = m_capacity.rate(now, pass.usableMillicores());
+    updateOverload(rate);
+    const std::vector<std::uint32_t> priorities = queue.prioritiesInTime();
+    ScheduleOrder order(queue, m_isOverloaded ? &m_shares : nullptr);
+    while (const WaitingJob* const next = order.next()) {
+        // No task behind this one is smaller than the smallest.
+        if (!pass.mayHaveRoom({ queue.smallestTask(), 0, 0 })) {
+            m_isRoomShort = true;
+            break;
+        }
+        const std::uint32_t priority = next->priority;
+        const std::uint64_t startedBefore = m_startedWork;
+        placeJob(*m_jobs.find(next->id), pass);
+        if (m_isOverloaded && m_startedWork != startedBefore)
+            m_shares.started(priority, m_startedWork - startedBefore, priorities, rate);
+    }
+    const bool isCapacityUsed = static_cast<double>(pass.freeMillicores())
+        <= static_cast<double>(pass.usableMillicores()) * shortageFreeShare;
+    m_capacity.passEnded(now, { m_startedWork, pass.usableMillicores(), m_isRoomShort && isCapacityUsed });
+}
+
+void TaskRunner::updateOverload(double rate)
+{
+    const WorkQueue& queue = m_jobs.workQueue();
+    const bool isOverloaded = ScheduleOrder::isRoomShort(queue, rate, m_clock.now());
+    if (isOverloaded && !m_isOverloaded)
+        m_hooks.log("room_short", JobId(),
+            std::to_string(queue.size()) + " waiting jobs, work of "
+                + std::to_string(static_cast<std::int64_t>(static_cast<double>(queue.workInTime()) / rate)) + " ms at "
+                + std::to_string(static_cast<std::int64_t>(rate)) + " millicores, learned ratio "
+                + std::to_string(m_capacity.ratio(m_clock.now())) + "; by priority");
+    m_isOverloaded = isOverloaded;
 }
 
 void TaskRunner::placeJob(ShardJob& job, PlacementPass& pass)
@@ -306,6 +364,7 @@
     // After a pause of this process the caller may have submitted the job to another host.
     if (job.description.best_effort() && now - job.certainlySubmittedAt >= m_settings.originTimeout)
         return;
+    const std::uint64_t startedBefore = m_startedWork;
     for (std::size_t phase = 0; phase < job.phases.size(); ++phase) {
         if (!job.isPhaseReady(phase))
             continue;
@@ -315,10 +374,14 @@
                 = task.state == ShardTask::State::Waiting && !task.mayHaveEarlierRun && task.earliestStart <= now;
             if (!isWaiting || !mayStart(job, task, now))
                 continue;
-            if (!placeTask(job, phase, index, pass))
+            if (!placeTask(job, phase, index, pass)) {
+                m_isRoomShort = true;
                 break;
+            }
         }
     }
+    if (m_startedWork != startedBefore)
+        m_jobs.refresh(job);
 }
 
 bool TaskRunner::mayStart(const ShardJob& job, const ShardTask& task, TimePoint now) const
@@ -354,6 +417,13 @@
     session.start(id, task.attempt, job.description.payload(), request.resources, choice->predicted, task.savedProgress,
         choice->isIsolated);
     pass.started(session);
+    m_startedWork += taskWork(job.description.phases(static_cast<int>(phase)));
+    if (request.estimate.count() > 0) {
+        const double factor
+            = static_cast<double>(choice->predicted.count()) / static_cast<double>(request.estimate.count());
+        m_runTimeFactor += factorSmoothing * (factor - m_runTimeFactor);
+        m_jobs.setRunTimeFactor(m_runTimeFactor);
+    }
     return true;
 }
 
@@ -364,14 +434,66 @@
     return std::max(first, task.attempt + 1);
 }
 
-std::chrono::milliseconds TaskRunner::expectedWait(TimePoint softDeadline) const
+double TaskRunner::rate() const { return m_capacity.rate(m_clock.now(), m_targets.expectedMillicores()); }
+
+Admission::Decision TaskRunner::admit(const ShardJob& job)
+{
+    const TimePoint now = m_clock.now();
+    WorkQueue& queue = m_jobs.workQueue();
+    queue.updateLate(now);
+    const std::uint32_t priority = job.description.rule().priority();
+    Admission::Request request;
+    request.objective = latencyObjective(job.description);
+    request.softDeadline = job.softDeadline;
+    request.runTime = std::chrono::milliseconds(
+        static_cast<std::int64_t>(static_cast<double>(criticalPathLength(job.description).count()) * m_runTimeFactor));
+    request.isStored = !job.description.best_effort();
+    Admission::Figures figures;
+    figures.workBefore = queue.workBefore(priority, job.softDeadline);
+    figures.workOfPriority = queue.workOfPriority(priority, job.softDeadline);
+    figures.lateStoredWork = queue.lateStoredWork();
+    figures.rate = rate();
+    figures.higherPriorityRate = m_arrivals.rateAbove(priority, now);
+    const std::vector<std::uint32_t> priorities = queue.prioritiesInTime();
+    figures.lowerPriorities = static_cast<std::size_t>(std::count_if(
+        priorities.begin(), priorities.end(), [priority](std::uint32_t other) { return other > priority; }));
+    Admission::Decision decision = m_admission.decide(request, figures, now);
+    decision.isAccepted = decision.isAccepted || hasRoomNow(job);
+    return decision;
+}
+
+void TaskRunner::accepted(const ShardJob& job)
+{
+    if (const WaitingJob* const waiting = m_jobs.workQueue().find(job.id))
+        m_arrivals.accepted(waiting->priority, waiting->work, m_clock.now());
+}
+
+bool TaskRunner::hasRoomNow(const ShardJob& job)
+{
+    if (m_isPassDue && m_generation)
+        schedule();
+    std::unique_ptr<PlacementPass> pass;
+    for (std::size_t phase = 0; phase < job.phases.size(); ++phase) {
+        if (!job.isPhaseReady(phase))
+            continue;
+        const PlacementRequest request = placementRequest(job.description, phase);
+        const auto smallest = m_noRoom.try_emplace({ request.service.value(), request.requiredLabel }, 0).first;
+        if (smallest->second != 0 && request.resources.millicores >= smallest->second)
+            return false;
+        if (!pass)
+            pass.reset(new PlacementPass(m_targets.beginPass()));
+        if (!pass->choose({ job.id, static_cast<std::uint32_t>(phase), 0 }, request, {})) {
+            smallest->second = request.resources.millicores;
+            return false;
+        }
+    }
+    return true;
+}
+
+std::chrono::milliseconds TaskRunner::expectedWait() const
 {
-    const double work = m_jobs.waitingWork(softDeadline);
-    const auto capacity = static_cast<double>(m_targets.expectedMillicores());
-    if (work == 0)
-        return std::chrono::milliseconds(0);
-    constexpr std::chrono::milliseconds unbounded { 60000 };
-    return capacity == 0 ? unbounded : std::chrono::milliseconds(static_cast<std::int64_t>(work / capacity));
+    const std::uint64_t work = m_jobs.workQueue().workInTime();
+    return m_admission.expectedWait({ work, work, 0, rate(), 0, 0 });
 }
 
 bool TaskRunner::hasEligibleTarget(const ShardJob& job) const
--- a/modules/rattanroad_shards/jobs/TaskRunner.h
+++ b/modules/rattanroad_shards/jobs/TaskRunner.h
@@ -1,6 +1,10 @@
 #pragma once
 
 #include "rattanroad_shards/jobs/JobTable.h"
+#include "rattanroad_shards/scheduling/Admission.h"
+#include "rattanroad_shards/scheduling/ArrivalRates.h"
+#include "rattanroad_shards/scheduling/CapacityModel.h"
+#include "rattanroad_shards/scheduling/GuaranteedShares.h"
 #include "rattanroad_shards/targets/ShardTargets.h"
 
 namespace rattanroad::shards {
@@ -20,6 +24,10 @@
             submission, so that the run has ended by then even if it cannot be stopped or its holder dies. */
         std::chrono::milliseconds maximumLeaseAfterSubmission { 1250 };
         CrashPolicy::Settings crashes;
+        CapacityModel::Settings capacity;
+        Admission::Settings admission;
+        /** See GuaranteedShares. */
+        std::chrono::milliseconds maximumCredit { GuaranteedShares::Settings().maximumCredit };
     };
     struct Hooks {
         /** All tasks are done, or one has used up its attempts. */
@@ -37,7 +45,7 @@
     TaskRunner& operator=(const TaskRunner&) = delete;
 
     /** Allows starts, under this generation of the shard's holder. */
-    void begin(Generation generation) { m_generation = generation; }
+    void begin(Generation generation);
     /** Stops starting tasks until begin(). */
     void end() { m_generation.reset(); }
 
@@ -66,9 +74,13 @@
     std::optional<LostRun> currentRun(const TaskId& id) const;
     void startRejected(TargetSession& session, const TaskId& id, std::uint32_t attempt, TargetCallResult result);
 
-    /** Estimates the wait of a job with this soft deadline: the work scheduled before it, divided by the capacity of
-        the usable targets. */
-    std::chrono::milliseconds expectedWait(TimePoint softDeadline) const;
+    /** Decides whether a new job is accepted, by the work that would start before it and the learned capacity. A job
+        for which a target has room now is always accepted. */
+    Admission::Decision admit(const ShardJob& job);
+    /** A new job was opened: its work counts as arrived. */
+    void accepted(const ShardJob& job);
+    /** Returns the expected wait of a new job that comes after all jobs in time. */
+    std::chrono::milliseconds expectedWait() const;
     /** Returns whether each phase has a listed target that could run it. */
     bool hasEligibleTarget(const ShardJob& job) const;
 
@@ -95,6 +107,11 @@
     /** Ends the job as failed if the task has crashed its targets too often; otherwise has the lost runs recorded. */
     void lossesChanged(ShardJob& job, ShardTask& task);
     bool mayStart(const ShardJob& job, const ShardTask& task, TimePoint now) const;
+    /** Returns whether some target has room for a task of each phase that does not depend on another, after the jobs
+        that wait have got what they can use. */
+    bool hasRoomNow(const ShardJob& job);
+    double rate() const;
+    void updateOverload(double rate);
 
     Settings m_settings;
     CrashPolicy m_crashPolicy;
@@ -105,9 +122,25 @@
     Hooks m_hooks;
     /** Absent while the shard is not held. */
     std::optional<Generation> m_generation;
+    CapacityModel m_capacity;
+    Admission m_admission;
+    GuaranteedShares m_shares;
+    ArrivalRates m_arrivals;
+    /** Not everything that waits can be done in time. */
+    bool m_isOverloaded { false };
+    /** Average of the expected ratio of run times to their estimates at the latest starts. */
+    double m_runTimeFactor { 1 };
+    /** Work that the present pass has started. */
+    std::uint64_t m_startedWork { 0 };
+    /** The present pass has found a task for which no target has room. */
+    bool m_isRoomShort { false };
     /** Tasks that have lost a run. */
     std::set<TaskId> m_suspects;
     bool m_isScheduled { false };
+    /** A pass is due since something has changed. */
+    bool m_isPassDue { false };
+    /** Millicores of the smallest task for which no target had room since the last change, by service and label. */
+    std::map<std::pair<std::string, std::string>, std::uint32_t> m_noRoom;
     /** The target list was recent enough for starts at the last check. */
     bool m_isListRecent { true };
 };
--- a/modules/rattanroad_shards/node/ShardNode.cpp
+++ b/modules/rattanroad_shards/node/ShardNode.cpp
@@ -142,6 +142,9 @@
             applyLimits(m_settings.limits, settings);
             ShardDispatcher::Hooks hooks;
             hooks.jobEnded = [this](const ShardJob& job) { reportJobEnd(job); };
+            hooks.jobReturned = [this, shard](const ShardJob& job, std::chrono::milliseconds retryAfter) {
+                returnJob(shard, job, retryAfter);
+            };
             hooks.keyChanged = [this, shard] { m_shards[shard].election->keyChanged(); };
             hooks.displaced = [this, shard] { m_shards[shard].election->displaced(); };
             hooks.isStoreLost = [this] { return isStoreLost(); };
@@ -492,6 +495,24 @@
         m_links.send(job.originAddress, message);
     }
 
+    /** Tells the origin of a job that its caller cannot be answered in time. */
+    void returnJob(const ShardId& shard, const ShardJob& job, std::chrono::milliseconds retryAfter)
+    {
+        if (job.originAddress.empty())
+            return;
+        protocol::Envelope message = envelope();
+        protocol::ShardJobReturned& returned = *message.mutable_shard_job_returned();
+        returned.set_id(job.id.value());
+        returned.set_shard(shard.value());
+        returned.set_reason(protocol::ShardJobReturned::NO_ROOM_IN_TIME);
+        returned.set_may_have_run(job.mayHaveRun());
+        returned.set_retry_after_ms(static_cast<std::uint32_t>(retryAfter.count()));
+        if (job.originAddress == m_settings.address)
+            m_entrance.received(message);
+        else
+            m_links.send(job.originAddress, message);
+    }
+
     const Settings m_settings;
     KeyValueStore m_store;
     TargetCalls m_targetCalls;
--- a/modules/rattanroad_shards/targets/PlacementPass.cpp
+++ b/modules/rattanroad_shards/targets/PlacementPass.cpp
@@ -26,8 +26,11 @@
     m_hooks.examined(sessions.size());
     m_candidates.reserve(sessions.size());
     for (TargetSession* const session : sessions) {
-        if (m_hooks.isUsable(*session))
-            m_candidates.push_back({ session, std::nullopt });
+        if (!m_hooks.isUsable(*session))
+            continue;
+        m_candidates.push_back({ session, std::nullopt });
+        m_usableMillicores += session->report().capacity.millicores;
+        m_freeMillicores += session->free().millicores;
     }
     for (Candidate& candidate : m_candidates)
         m_all.candidates.push_back(&candidate);
--- a/modules/rattanroad_shards/targets/PlacementPass.h
+++ b/modules/rattanroad_shards/targets/PlacementPass.h
@@ -36,6 +36,10 @@
 
     /** Returns false when no target has room for these resources; true does not promise that one has. */
     bool mayHaveRoom(const Resources& resources);
+    /** Returns the total capacity of the targets that could get starts when the pass began. */
+    std::uint64_t usableMillicores() const { return m_usableMillicores; }
+    /** Returns the part of it that was free when the pass began. */
+    std::uint64_t freeMillicores() const { return m_freeMillicores; }
     /** Returns the target that is expected to finish the task first, or nothing when none has room. A target of
         @p avoided is chosen only when no other usable target could run the task. A task that prefers an idle target is
         isolated on one that has no run, if there is one.
@@ -68,6 +72,8 @@
     const RunTimeModel& m_runTimes;
     Hooks m_hooks;
     std::vector<Candidate> m_candidates;
+    std::uint64_t m_usableMillicores { 0 };
+    std::uint64_t m_freeMillicores { 0 };
     Group m_all;
     std::map<std::pair<ServiceId, std::string>, Group> m_groups;
 };
--- a/tests/shards/DispatcherTests.cpp
+++ b/tests/shards/DispatcherTests.cpp
@@ -298,3 +298,35 @@
         fixture.submit(job, 60ms, false);
     REQUIRE(fixture.refusals() == 1);
 }
+
+// Guards against the refusal of new jobs because of late ones, which yield to them: a burst that was estimated too
+// short kept the shard closed until all of it had run.
+TEST_CASE("jobs that are late do not cause the refusal of new ones")
+{
+    DispatcherFixture fixture;
+    fixture.begin(1);
+    fixture.run(100ms);
+    protocol::PlacedJob description = DispatcherFixture::description("", 3000ms, true);
+    description.mutable_phases(0)->set_estimated_ms(100);
+    const auto submit = [&](const std::string& id) {
+        description.set_id(id);
+        bool isAccepted = false;
+        fixture.dispatcher().submit(description, 0ms, false, { "entrance", fixture.clock().now() },
+            [&isAccepted](
+                SubmitVerdict verdict, std::chrono::milliseconds) { isAccepted = verdict == SubmitVerdict::Accepted; });
+        return isAccepted;
+    };
+    std::vector<std::string> accepted;
+    for (int i = 0; i < 60; ++i) {
+        const std::string id = "burst-" + std::to_string(i);
+        if (submit(id))
+            accepted.push_back(id);
+    }
+    CHECK(accepted.size() < 60);
+    for (int i = 0; i < 3; ++i) {
+        fixture.run(400ms);
+        for (const std::string& id : accepted)
+            submit(id);
+    }
+    CHECK(submit("new"));
+}
--- /dev/null
+++ b/tests/shards/SchedulingTests.cpp
@@ -0,0 +1,188 @@
+#include "rattanroad_shards/scheduling/Admission.h"
+#include "rattanroad_shards/scheduling/CapacityModel.h"
+#include "rattanroad_shards/scheduling/ScheduleOrder.h"
+
+#include <catch2/catch.hpp>
+
+#include <random>
+
+using namespace rattanroad;
+using namespace rattanroad::shards;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr TimePoint start { std::chrono::hours(10) };
+
+WaitingJob waitingJob(const std::string& id, std::uint32_t priority, std::chrono::milliseconds deadline,
+    std::chrono::milliseconds runTime, std::uint64_t work = 1000)
+{
+    WaitingJob job;
+    job.id = JobId(id);
+    job.priority = priority;
+    job.softDeadline = start + deadline;
+    job.latestStart = job.softDeadline - runTime;
+    job.lateAt = job.latestStart;
+    job.work = work;
+    job.smallestTask = 1000;
+    return job;
+}
+
+std::string orderOf(const WorkQueue& queue)
+{
+    std::string ids;
+    ScheduleOrder order(queue);
+    while (const WaitingJob* const job = order.next())
+        ids += job->id.value();
+    return ids;
+}
+
+}
+
+// Guards against sums that go wrong at the borders of the tree's nodes: they decide about refusals.
+TEST_CASE("the sum of work up to a deadline equals that of a list")
+{
+    std::mt19937 random(4);
+    DeadlineSums sums;
+    std::vector<std::pair<TimePoint, std::uint64_t>> list;
+    for (int i = 0; i < 2000; ++i) {
+        const bool isRemoval = !list.empty() && random() % 3 == 0;
+        if (isRemoval) {
+            sums.remove(list.back().first, list.back().second);
+            list.pop_back();
+        } else {
+            list.emplace_back(start + std::chrono::milliseconds(random() % 100000), random() % 50);
+            sums.add(list.back().first, list.back().second);
+        }
+        const TimePoint deadline = start + std::chrono::milliseconds(random() % 100000);
+        std::uint64_t expected = 0;
+        for (const auto& entry : list)
+            expected += entry.first <= deadline ? entry.second : 0;
+        REQUIRE(sums.upTo(deadline) == expected);
+    }
+}
+
+// Guards against a late job that delays those that can still be in time.
+TEST_CASE("waiting jobs are ordered by deadline, those that cannot be in time last")
+{
+    WorkQueue queue;
+    queue.set(waitingJob("a", 0, 100ms, 80ms));
+    queue.set(waitingJob("b", 0, 300ms, 50ms));
+    queue.set(waitingJob("c", 0, 200ms, 50ms));
+    CHECK(orderOf(queue) == "acb");
+    const std::vector<JobId> late = queue.updateLate(start + 30ms);
+    REQUIRE(late.size() == 1);
+    CHECK(late.front() == JobId("a"));
+    CHECK(orderOf(queue) == "cba");
+    CHECK(queue.updateLate(start + 30ms).empty());
+}
+
+// Guards against the refusal of new jobs for work that would yield to them.
+TEST_CASE("late jobs, lower priorities and later deadlines do not count as work before a job")
+{
+    WorkQueue queue;
+    queue.set(waitingJob("late", 0, 20ms, 20ms, 1));
+    queue.set(waitingJob("urgent", 0, 100ms, 50ms, 10));
+    queue.set(waitingJob("same", 1, 200ms, 50ms, 100));
+    queue.set(waitingJob("later", 1, 900ms, 50ms, 1000));
+    queue.set(waitingJob("low", 2, 150ms, 50ms, 10000));
+    queue.updateLate(start + 10ms);
+    CHECK(queue.workBefore(1, start + 300ms) == 110);
+    CHECK(queue.workOfPriority(1, start + 300ms) == 100);
+    CHECK(queue.workBefore(0, start + 300ms) == 10);
+    queue.remove(JobId("same"));
+    CHECK(queue.workBefore(1, start + 300ms) == 10);
+    CHECK(queue.workInTime() == 11010);
+}
+
+// Guards against sums that keep the work of tasks that have started.
+TEST_CASE("a job whose tasks start counts with the rest of its work only")
+{
+    WorkQueue queue;
+    WaitingJob job = waitingJob("a", 0, 100ms, 50ms, 30);
+    queue.set(job);
+    job.work = 10;
+    queue.set(job);
+    CHECK(queue.workBefore(0, start + 100ms) == 10);
+    job.lateAt = start + 90ms;
+    queue.set(job);
+    CHECK(queue.workBefore(0, start + 100ms) == 10);
+    queue.updateLate(start + 95ms);
+    CHECK(queue.workInTime() == 0);
+    CHECK(queue.size() == 1);
+}
+
+// Guards against promises by the sum of millicores, a part of which no task fits into.
+TEST_CASE("the capacity is learned while tasks wait for room")
+{
+    CapacityModel capacity({});
+    TimePoint now = start;
+    CHECK(capacity.rate(now, 32000) == 32000);
+    // 24 of 32 cores are used, by tasks that are estimated right.
+    for (int i = 0; i < 300; ++i) {
+        capacity.passEnded(now, { 24000 * 10, 32000, true });
+        now += 10ms;
+    }
+    CHECK(capacity.rate(now, 32000) == Approx(24000).epsilon(0.05));
+    // Half of the targets are lost.
+    CHECK(capacity.rate(now, 16000) == Approx(12000).epsilon(0.05));
+    // Starts while nothing waits show the demand, not the capacity.
+    capacity.passEnded(now, { 24000 * 10, 32000, false });
+    for (int i = 0; i < 50; ++i) {
+        now += 10ms;
+        capacity.passEnded(now, { 1000, 32000, false });
+    }
+    CHECK(capacity.rate(now, 32000) == Approx(24000).epsilon(0.05));
+    now += 3s;
+    CHECK(capacity.rate(now, 32000) == 32000);
+}
+
+// Guards against a host that refuses everything after a pause, in which nothing started.
+TEST_CASE("a pause of the process is no sample of the capacity")
+{
+    CapacityModel capacity({});
+    capacity.passEnded(start, { 0, 32000, true });
+    capacity.passEnded(start + 5s, { 320, 32000, true });
+    CHECK(capacity.rate(start + 5s, 32000) == 32000);
+}
+
+// Guards against jobs that are accepted and then answered late, and against refusals with room left.
+TEST_CASE("a best-effort job is refused when the work before it leaves too little time")
+{
+    const Admission admission({});
+    const Admission::Request request { 380ms, start + 380ms, 200ms, false };
+    Admission::Figures figures;
+    figures.rate = 1000;
+    CHECK(admission.decide(request, figures, start).isAccepted);
+    figures.workBefore = figures.workOfPriority = 100 * 1000;
+    CHECK(admission.decide(request, figures, start).isAccepted);
+    figures.workBefore = figures.workOfPriority = 300 * 1000;
+    const Admission::Decision refused = admission.decide(request, figures, start);
+    CHECK_FALSE(refused.isAccepted);
+    CHECK(refused.wait == 300ms);
+    CHECK(refused.maximumWait == 120ms);
+    CHECK(refused.retryAfter == 180ms);
+}
+
+// Guards against a stored backlog without bound, as stored jobs are never given up.
+TEST_CASE("late stored work counts for stored jobs")
+{
+    const Admission admission({});
+    Admission::Figures figures;
+    figures.rate = 1000;
+    figures.lateStoredWork = 900 * 1000;
+    CHECK_FALSE(admission.decide({ 380ms, start + 380ms, 200ms, true }, figures, start).isAccepted);
+    CHECK(admission.decide({ 380ms, start + 380ms, 200ms, false }, figures, start).isAccepted);
+}
+
+// Guards against refusals for invalid figures: with nothing before it, each job may try.
+TEST_CASE("jobs with invalid estimates and deadlines are accepted while nothing waits")
+{
+    const Admission admission({});
+    Admission::Figures figures;
+    CHECK(admission.decide({ 0ms, start, 0ms, false }, figures, start).isAccepted);
+    CHECK(admission.decide({ 380ms, start - 1s, 200ms, false }, figures, start).isAccepted);
+    CHECK(admission.decide({ 24h, start + 24h, 24h, false }, figures, start).isAccepted);
+    figures.workBefore = figures.workOfPriority = 1;
+    CHECK_FALSE(admission.decide({ 380ms, start - 1s, 200ms, false }, figures, start).isAccepted);
+}
