Accept stored jobs again after the store has refused calls

Cause: RecordWriter remembers that the last transaction failed, and ShardDispatcher refuses stored jobs as long as it does, without writing. Records of new jobs that the store had refused for certain were dropped, so nothing was left to be written again, and only a written record ended the state.

Change: after the retry pause, a writer that has nothing left to write counts the store as available, so that the next record is tried.

Measured: "stored jobs are accepted again after the store has refused calls for a second" fails without the change (jobs refused 1 s after the store serves again) and passes with it.

--- a/modules/rattanroad_shards/store/RecordWriter.cpp
+++ b/modules/rattanroad_shards/store/RecordWriter.cpp
@@ -73,6 +73,9 @@
 {
     m_isInsertFlushDue = false;
     m_isUpdateFlushDue = false;
+    // No transaction is left whose result would show that the store is back, so the next record is tried.
+    if (m_pendingKeys.empty() && m_inFlight == 0)
+        m_isStoreUnavailable = false;
     while (sendBatch()) { }
 }
 
@@ -160,7 +163,7 @@
             }
         }
     }
-    if (!m_pendingKeys.empty())
+    if (!m_pendingKeys.empty() || m_isStoreUnavailable)
         flushAfter(pause);
 }
 
--- a/modules/rattanroad_shards/store/RecordWriter.h
+++ b/modules/rattanroad_shards/store/RecordWriter.h
@@ -60,7 +60,8 @@
     /** Sets the known revision of a record that was read from the store. */
     void setRevision(const std::string& key, KeyRevision revision) { m_entries[key].revision = revision; }
 
-    /** Returns whether the store rejected the last transaction or did not reply to it. */
+    /** Returns whether the store rejected the last transaction or did not reply to it. Ends after the retry pause when no
+        record is left to be written again. */
     bool isStoreUnavailable() const { return m_isStoreUnavailable; }
 
 private:
--- a/scripts/check-mutations.sh
+++ b/scripts/check-mutations.sh
@@ -114,4 +114,5 @@
 guard failure-counted-again jobs/TaskRunner.cpp \
     'if (std::find(task.failedRuns.begin(), task.failedRuns.end(), run) != task.failedRuns.end()) {' 'if (false) {'
 guard earlier-process entrance/RequestNumber.cpp 'XXH64(&value, sizeof value, 0) >> unusedBits' 'value * 0 * unusedBits'
+guard store-lost-for-ever store/RecordWriter.cpp 'if (m_pendingKeys.empty() && m_inFlight == 0)' 'if (false)'
 exit "$failed"
