Protect a restarted target against calls to its earlier incarnation

Cause: polls and starts that an earlier incarnation left unanswered may be carried out by the next one under the same id. Their lease end lies ahead on its new clock, so they extend the lease of its runs, and it refuses none of them, as it has seen no higher token. The session counted the lease from its own last call to the present incarnation and started the task elsewhere while the run went on. Change: IncarnationGuard remembers the unanswered calls.

--- a/modules/rattanroad_shards/holding/ShardElection.cpp
+++ b/modules/rattanroad_shards/holding/ShardElection.cpp
@@ -26,6 +26,7 @@
     , m_timers(std::move(timers))
     , m_clock(clock)
     , m_hooks(std::move(hooks))
+    , m_tokenRaise({ storekeys::holder(m_settings.shard) }, m_store, m_timers, m_clock, tokenRaiseHooks())
 {
 }
 
@@ -34,7 +35,9 @@
     const ShardHolder* const holder = m_fleet.holder(m_settings.shard);
     if (m_holding) {
         // The watch may lag behind this host's own write, so only a newer token counts.
-        if (holder && holder->token > m_holding->token)
+        if (holder && holder->token > m_holding->token && isOwnRaise(*holder))
+            tokenRaised(holder->token);
+        else if (holder && holder->token > m_holding->token)
             lose("another host holds the shard");
         else if (!m_leaseLostAt && shouldFailBack())
             release();
@@ -151,16 +154,11 @@
     }
     // A continued holding keeps its generation, so that the attempts of a task stay in one sequence.
     const Generation generation(isContinued ? lastGeneration : lastGeneration + 1);
-    protocol::ShardHolderRecord record;
-    record.set_host(m_settings.self.value());
-    record.set_incarnation(m_settings.incarnation.value());
-    record.set_address(m_settings.address);
-    record.set_generation(generation.value());
     KeyTransaction transaction;
     transaction.conditions.push_back(
         { storekeys::holder(m_settings.shard), holder ? KeyRevision(holder->token.value()) : KeyRevision(0) });
     transaction.conditions.push_back({ storekeys::generation(m_settings.shard), generationRevision });
-    transaction.writes.push_back({ storekeys::holder(m_settings.shard), record.SerializeAsString(), m_lease.lease() });
+    transaction.writes.push_back({ storekeys::holder(m_settings.shard), holderRecord(generation), m_lease.lease() });
     if (!isContinued)
         transaction.writes.push_back(
             { storekeys::generation(m_settings.shard), std::to_string(generation.value()), StoreLeaseId(0) });
@@ -173,6 +171,16 @@
     });
 }
 
+std::string ShardElection::holderRecord(Generation generation) const
+{
+    protocol::ShardHolderRecord record;
+    record.set_host(m_settings.self.value());
+    record.set_incarnation(m_settings.incarnation.value());
+    record.set_address(m_settings.address);
+    record.set_generation(generation.value());
+    return record.SerializeAsString();
+}
+
 void ShardElection::processWriteReply(const TransactionReply& reply, Generation generation, bool isContinued)
 {
     // The key may have been written with a token that this host does not know. Giving the lease up removes it.
@@ -197,7 +205,49 @@
     endExpiredHolding();
 }
 
+void ShardElection::requestTokenRaise()
+{
+    if (m_holding)
+        m_tokenRaise.request();
+}
+
+TokenRaise::Hooks ShardElection::tokenRaiseHooks()
+{
+    TokenRaise::Hooks hooks;
+    hooks.key = [this]() -> std::optional<TokenRaise::HolderKey> {
+        // A holding without a lease gets a higher token when the shard is acquired again.
+        if (!m_holding || m_leaseLostAt || m_isRemovalInFlight || !m_lease.isValid())
+            return std::nullopt;
+        return TokenRaise::HolderKey { m_holding->token, m_lease.lease(), holderRecord(m_holding->generation) };
+    };
+    hooks.raised = [this](FencingToken token) { tokenRaised(token); };
+    hooks.keyLost = [this] { replaceLease(); };
+    return hooks;
+}
+
+bool ShardElection::isOwnRaise(const ShardHolder& holder) const
+{
+    return m_tokenRaise.mayHaveRaised() && holder.host == m_settings.self
+        && holder.incarnation == m_settings.incarnation && holder.generation == m_holding->generation;
+}
+
+void ShardElection::tokenRaised(FencingToken token)
+{
+    if (!m_holding || token <= m_holding->token)
+        return;
+    m_holding->token = token;
+    m_hooks.tokenRaised(token);
+}
+
 void ShardElection::keyChanged()
+{
+    if (m_holding && !m_leaseLostAt && m_tokenRaise.mayHaveRaised())
+        m_tokenRaise.resolve();
+    else
+        replaceLease();
+}
+
+void ShardElection::replaceLease()
 {
     leaseLost();
     // The store has removed or replaced a key of the lease, so its other keys may be gone too.
@@ -212,14 +262,21 @@
     if (!m_holding || m_isReleasing)
         return;
     m_isReleasing = true;
-    if (!hasSuccessor() && m_hooks.hasOpenJobs()) {
+    if (m_tokenRaise.isWriting() || (!hasSuccessor() && m_hooks.hasOpenJobs())) {
         releaseLater();
         return;
     }
     KeyTransaction transaction;
     transaction.conditions.push_back({ storekeys::holder(m_settings.shard), KeyRevision(m_holding->token.value()) });
     transaction.removals.push_back(storekeys::holder(m_settings.shard));
+    m_isRemovalInFlight = true;
     m_store.transact(transaction, [this](const TransactionReply& reply) {
+        m_isRemovalInFlight = false;
+        if (reply.status == StoreStatus::ConditionFailed && m_tokenRaise.mayHaveRaised()) {
+            m_tokenRaise.resolve();
+            releaseLater();
+            return;
+        }
         // The key is gone or another's if the condition fails, for instance because the reply to a removal was lost.
         if (reply.status == StoreStatus::Done || reply.status == StoreStatus::ConditionFailed) {
             m_isReleasing = false;
--- a/modules/rattanroad_shards/holding/ShardElection.h
+++ b/modules/rattanroad_shards/holding/ShardElection.h
@@ -2,6 +2,7 @@
 
 #include "rattanroad_shards/holding/FleetView.h"
 #include "rattanroad_shards/holding/HostLease.h"
+#include "rattanroad_shards/holding/TokenRaise.h"
 
 #include <optional>
 
@@ -48,6 +49,8 @@
     };
     struct Hooks {
         std::function<void(const Holding&)> acquired;
+        /** The same holding has a higher token from now on. */
+        std::function<void(FencingToken)> tokenRaised;
         /** The shard is no longer held: no request to a target may be sent from now on. */
         std::function<void(const char* reason)> lost;
         /** Returns whether the shard has open jobs on this host. */
@@ -69,6 +72,9 @@
     void leaseLost();
     /** A write with the shard's key as its condition was refused because the key has changed. */
     void keyChanged();
+    /** Writes the shard's key again soon, which raises the fencing token. Requests within a short time are met by one
+        write. */
+    void requestTokenRaise();
     /** Another host is known to hold the shard. */
     void displaced();
     /** Releases the shard to another host. Keeps holding it until the store has removed the key, and while there are
@@ -94,6 +100,12 @@
     void releaseLater();
     /** Returns whether this host may acquire the shard: it has no holder, or its key is a stale one of this host. */
     bool isAvailable() const;
+    /** Returns whether the key of the holder was written by a raise of this holding's token. */
+    bool isOwnRaise(const ShardHolder& holder) const;
+    std::string holderRecord(Generation generation) const;
+    TokenRaise::Hooks tokenRaiseHooks();
+    void tokenRaised(FencingToken token);
+    void replaceLease();
     void attemptAfter(Duration pause);
     void attempt();
     void writeHolderKey(const ReadReply& generationKey);
@@ -116,6 +128,9 @@
     bool m_isAttemptScheduled { false };
     bool m_isCandidate { true };
     bool m_isReleasing { false };
+    /** The removal of the shard's key is under way. */
+    bool m_isRemovalInFlight { false };
+    TokenRaise m_tokenRaise;
     std::optional<TimePoint> m_betterHostSince;
 };
 
--- a/modules/rattanroad_shards/jobs/ShardDispatcher.cpp
+++ b/modules/rattanroad_shards/jobs/ShardDispatcher.cpp
@@ -47,6 +47,15 @@
     m_records.start();
 }
 
+void ShardDispatcher::raiseToken(FencingToken token)
+{
+    if (!m_holding)
+        return;
+    m_holding->token = token;
+    m_writer.begin(token, true);
+    m_targets.raiseToken(token);
+}
+
 void ShardDispatcher::end()
 {
     m_holding.reset();
@@ -226,6 +235,7 @@
         if (m_holding)
             m_hooks.displaced();
     };
+    hooks.tokenRaiseNeeded = m_hooks.tokenRaiseNeeded;
     return hooks;
 }
 
--- a/modules/rattanroad_shards/jobs/ShardDispatcher.h
+++ b/modules/rattanroad_shards/jobs/ShardDispatcher.h
@@ -53,6 +53,8 @@
         std::function<void()> keyChanged;
         /** A target or a job record shows that a later holder exists. */
         std::function<void()> displaced;
+        /** A target has restarted and may carry out calls late that its earlier incarnation was sent; may be empty. */
+        std::function<void()> tokenRaiseNeeded;
         /** Returns whether the store has been out of reach for a while; may be empty. */
         std::function<bool()> isStoreLost;
         /** Logs an event of a job, or of the shard when the job id is empty. */
@@ -76,6 +78,8 @@
     void begin(const ShardElection::Holding& holding);
     /** Stops sending requests to targets and writing records. Jobs stay in memory for takeHandover(). */
     void end();
+    /** Uses a higher token of the same holding from now on. */
+    void raiseToken(FencingToken token);
     bool isHolding() const { return m_holding.has_value() && m_isLoaded; }
     /** Returns the open best-effort jobs for the next holder and clears the table, so that a second call returns none.
         @pre this host no longer holds the shard */
--- a/modules/rattanroad_shards/node/ShardNode.cpp
+++ b/modules/rattanroad_shards/node/ShardNode.cpp
@@ -144,6 +144,7 @@
             hooks.jobEnded = [this](const ShardJob& job) { reportJobEnd(job); };
             hooks.keyChanged = [this, shard] { m_shards[shard].election->keyChanged(); };
             hooks.displaced = [this, shard] { m_shards[shard].election->displaced(); };
+            hooks.tokenRaiseNeeded = [this, shard] { m_shards[shard].election->requestTokenRaise(); };
             hooks.isStoreLost = [this] { return isStoreLost(); };
             hooks.log = [this](const char* event, const JobId& job, const std::string& detail) {
                 m_hooks.log(event, { { "job", job.value() }, { "detail", detail } });
@@ -165,6 +166,11 @@
                 if (!holding.isContinued)
                     m_timers.after(m_settings.displacementTime, [this, shard] { m_targetList.readFor(shard); });
             };
+            electionHooks.tokenRaised = [this, shard](FencingToken token) {
+                m_hooks.log(
+                    "shard_token_raised", { { "shard", shard.value() }, { "token", std::to_string(token.value()) } });
+                m_shards[shard].dispatcher->raiseToken(token);
+            };
             electionHooks.lost = [this, shard](const char* reason) {
                 m_hooks.log("shard_lost", { { "shard", shard.value() }, { "reason", reason } });
                 m_shards[shard].dispatcher->end();
--- a/modules/rattanroad_shards/targets/ShardTargets.cpp
+++ b/modules/rattanroad_shards/targets/ShardTargets.cpp
@@ -99,6 +99,15 @@
         updateSession(entry.second);
 }
 
+void ShardTargets::raiseToken(FencingToken token)
+{
+    if (!isOpen())
+        return;
+    m_token = token;
+    for (const auto& entry : m_sessions)
+        entry.second->raiseToken(token);
+}
+
 void ShardTargets::close()
 {
     m_isClosed = true;
--- a/modules/rattanroad_shards/targets/ShardTargets.h
+++ b/modules/rattanroad_shards/targets/ShardTargets.h
@@ -76,6 +76,8 @@
     bool isOpen() const { return m_token.has_value(); }
     /** Keeps the open sessions and uses a new token from now on. */
     void setToken(FencingToken token);
+    /** Uses a higher token of the same holding from now on. */
+    void raiseToken(FencingToken token);
     /** Stops sending requests; the sessions and their runs stay known. */
     void close();
     /** Removes all sessions. */
--- a/modules/rattanroad_shards/targets/TargetSession.cpp
+++ b/modules/rattanroad_shards/targets/TargetSession.cpp
@@ -10,6 +10,7 @@
     : m_settings(settings)
     , m_report(std::move(report))
     , m_token(token)
+    , m_firstToken(token)
     , m_calls(calls)
     , m_timers(std::move(timers))
     , m_clock(clock)
@@ -19,6 +20,7 @@
           clock)
     , m_lease({ settings.clockDrift, settings.pollRetryPause }, clock)
     , m_unansweredStarts(settings.lateRequestWindow, clock)
+    , m_guard(settings.lateRequestWindow, clock)
 {
     // An earlier holder may have renewed the lease just now.
     m_lease.extend(m_settings.leaseDuration);
@@ -37,11 +39,20 @@
 void TargetSession::setToken(FencingToken token)
 {
     m_token = token;
+    m_firstToken = token;
     m_isClosed = false;
     m_isReady = false;
     resendStops();
 }
 
+void TargetSession::raiseToken(FencingToken token)
+{
+    m_token = token;
+    // The other targets see the token with their next call.
+    if (m_guard.isBlocked())
+        pollNow();
+}
+
 void TargetSession::setReport(const TargetReport& report)
 {
     m_isListed = true;
@@ -73,7 +84,7 @@
     const TimePoint now = m_clock.now();
     const bool isLeaseLongEnough = m_leaseLimit - now >= m_settings.startLease / 2;
     return !m_isClosed && m_isReady && m_isListed && !m_report.isDraining && now >= m_startsPausedUntil
-        && isLeaseLongEnough && !m_responses.isSilenceTimeoutOver();
+        && isLeaseLongEnough && !m_guard.isBlocked() && !m_responses.isSilenceTimeoutOver();
 }
 
 TimePoint TargetSession::leaseLimit() const
@@ -99,6 +110,12 @@
     return m_lease.isTargetClockKnown() && isListed && !m_responses.isSilenceTimeoutOver();
 }
 
+TimePoint TargetSession::leaseEnd() const
+{
+    const auto exposedUntil = m_guard.exposedUntil();
+    return exposedUntil ? std::max(m_lease.end(), *exposedUntil + m_settings.leaseDuration) : m_lease.end();
+}
+
 void TargetSession::start(const TaskId& task, std::uint32_t attempt, const std::string& payload, Resources resources,
     std::chrono::milliseconds predicted, const std::string& savedProgress, bool isIsolated)
 {
@@ -116,13 +133,15 @@
     const auto lease = limitedLease(m_settings.startLease);
     m_leaseLimit = std::min(m_leaseLimit, leaseLimit());
     m_lease.extend(lease);
+    const std::uint64_t number = m_guard.callSent();
     const StartRequest request { m_report.id, m_report.address, task, run.attempt, run.payload,
         m_lease.targetEndMs(lease), m_token, run.savedProgress, m_responses.callTimeout() };
     m_calls.start(request,
-        [this, isAlive = m_isAlive, task, attempt = run.attempt, token = m_token, sentAt = m_clock.now()](
+        [this, isAlive = m_isAlive, task, attempt = run.attempt, token = m_token, sentAt = m_clock.now(), number](
             const TargetReply& reply) {
             if (!*isAlive)
                 return;
+            m_guard.callEnded(number, reply.result != TargetCallResult::Unknown);
             m_responses.recordResponse(reply, sentAt);
             processStartReply(task, attempt, reply);
             checkFencing(reply, token);
@@ -292,19 +311,22 @@
         request.wait = std::min(wait, std::max(lease / 2, m_settings.lossyPollWait));
         m_lease.extend(lease);
     }
-    m_calls.poll(request, [this, isAlive = m_isAlive, sentAt = now, isLoop, token = m_token](const PollReply& reply) {
-        if (!*isAlive)
-            return;
-        m_responses.recordLoss(reply);
-        m_wasPollAnswered = reply.result == TargetCallResult::Done;
-        processPollReply(reply, sentAt, isLoop, token);
-        checkFencing(reply, token);
-    });
+    const std::uint64_t number = request.leaseEndMs ? m_guard.callSent() : 0;
+    m_calls.poll(
+        request, [this, isAlive = m_isAlive, sentAt = now, isLoop, token = m_token, number](const PollReply& reply) {
+            if (!*isAlive)
+                return;
+            m_guard.callEnded(number, reply.result != TargetCallResult::Unknown);
+            m_responses.recordLoss(reply);
+            m_wasPollAnswered = reply.result == TargetCallResult::Done;
+            processPollReply(reply, sentAt, isLoop, token);
+            checkFencing(reply, token);
+        });
 }
 
 void TargetSession::processPollReply(const PollReply& reply, TimePoint sentAt, bool isLoop, FencingToken token)
 {
-    if (reply.result != TargetCallResult::Done || !maySend() || token != m_token || !updateTargetClock(reply)) {
+    if (reply.result != TargetCallResult::Done || !maySend() || token < m_firstToken || !updateTargetClock(reply)) {
         if (isLoop)
             pollAfter(m_settings.pollRetryPause);
         return;
@@ -316,6 +338,7 @@
     reconcileRuns(reply, sentAt);
     if (!wasReady)
         m_hooks.ready(*this);
+    checkLateCalls(token);
     if (!isLoop)
         return;
     const bool wasIdle = !hasNewCompletions && wasReady && m_clock.now() - sentAt < m_settings.pollRetryPause;
@@ -344,6 +367,9 @@
     m_incarnationMs = incarnationMs;
     if (earlierMs == 0)
         return;
+    m_guard.beginIncarnation(m_token);
+    // Late calls that the new incarnation has carried out so far.
+    m_lease.extend(m_settings.leaseDuration);
     reportLosses(earlierMs, true);
     m_isReady = false;
     m_completions.reset();
@@ -467,9 +493,37 @@
         && !m_unansweredStarts.mayArriveLate(task, run.attempt);
 }
 
+void TargetSession::checkLateCalls(FencingToken token)
+{
+    if (!m_guard.isBlocked() || m_isTokenCheckInFlight)
+        return;
+    const FencingToken earlier = m_guard.tokenToRefuse();
+    if (token <= earlier) {
+        // A call that was sent before the raise may be answered after it.
+        if (m_token <= earlier && m_hooks.tokenRaiseNeeded)
+            m_hooks.tokenRaiseNeeded();
+        return;
+    }
+    // Late calls may have extended the lease until the target saw the higher token.
+    m_lease.extend(m_settings.leaseDuration);
+    m_isTokenCheckInFlight = true;
+    const PollRequest request { m_report.id, m_report.address, earlier, 0, std::nullopt, std::chrono::milliseconds(0),
+        m_responses.callTimeout() };
+    m_calls.poll(request, [this, isAlive = m_isAlive, earlier](const PollReply& reply) {
+        if (!*isAlive)
+            return;
+        m_isTokenCheckInFlight = false;
+        const bool isRefused = reply.result == TargetCallResult::Fenced;
+        if ((!isRefused && reply.result != TargetCallResult::Done) || earlier != m_guard.tokenToRefuse())
+            return;
+        m_guard.tokenChecked(isRefused);
+        m_hooks.roomChanged();
+    });
+}
+
 void TargetSession::checkLease()
 {
-    if (m_clock.now() >= m_lease.end() && m_responses.isSilenceTimeoutOver() && !m_runs.all().empty() && !m_isClosed) {
+    if (m_clock.now() >= leaseEnd() && m_responses.isSilenceTimeoutOver() && !m_runs.all().empty() && !m_isClosed) {
         m_isReady = false;
         reportLosses(m_incarnationMs, false);
         interrupt(m_runs.tasks());
--- a/modules/rattanroad_shards/targets/TargetSession.h
+++ b/modules/rattanroad_shards/targets/TargetSession.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "rattanroad_shards/targets/CompletionCursor.h"
+#include "rattanroad_shards/targets/IncarnationGuard.h"
 #include "rattanroad_shards/targets/ResponseMonitor.h"
 #include "rattanroad_shards/targets/TargetLease.h"
 #include "rattanroad_shards/targets/TargetRuns.h"
@@ -72,6 +73,9 @@
         std::function<void()> roomChanged;
         /** The target has seen a higher token. */
         std::function<void()> fenced;
+        /** The target has restarted, and calls to its earlier incarnation may be carried out late. Nothing starts on it
+            until raiseToken(). May be called repeatedly. An empty hook means that the token cannot be raised. */
+        std::function<void()> tokenRaiseNeeded;
         /** Returns the latest time at which the lease of a target with a run of this task may end. An empty hook means
             no limit. */
         std::function<TimePoint(const TaskId&)> leaseLimit;
@@ -89,7 +93,10 @@
     void open();
     /** Stops sending requests until setToken(). */
     void close() { m_isClosed = true; }
+    /** Begins another holding: the target has to report its runs again. */
     void setToken(FencingToken token);
+    /** Uses a higher token of the same holding from now on. */
+    void raiseToken(FencingToken token);
     void setReport(const TargetReport& report);
     /** Tells whether the target is in the target list. */
     void setListed(bool isListed);
@@ -123,7 +130,7 @@
     bool isSilent() const { return m_responses.isSilent(); }
     TimePoint unlistedSince() const { return m_unlistedSince; }
     /** Returns the local time by which all runs on the target have ended unless the lease is renewed. */
-    TimePoint leaseEnd() const { return m_lease.end(); }
+    TimePoint leaseEnd() const;
 
 private:
     void poll();
@@ -157,6 +164,8 @@
     void reportLosses(std::uint64_t incarnationMs, bool hasRestarted);
     /** Returns whether the run may be in a later incarnation than the known one. The next list of runs shows it. */
     bool mayBeInLaterIncarnation(const TaskId& task, const Run& run) const;
+    /** Lets the target refuse late calls to its earlier incarnation. @p token is that of a call that it answered. */
+    void checkLateCalls(FencingToken token);
     void checkLease();
     bool maySend() const { return !m_isClosed && !m_isMoved; }
     /** Returns the latest time at which the lease may end because of the runs on the target. */
@@ -168,6 +177,8 @@
     Settings m_settings;
     TargetReport m_report;
     FencingToken m_token;
+    /** The first token of the present holding. Replies to calls under a lower one are of an earlier holding. */
+    FencingToken m_firstToken;
     TargetCalls& m_calls;
     Timers m_timers;
     const Clock& m_clock;
@@ -193,6 +204,8 @@
        has counted as an acknowledgement of its own completions. */
     bool m_wasPollAnswered { false };
     UnansweredStarts m_unansweredStarts;
+    IncarnationGuard m_guard;
+    bool m_isTokenCheckInFlight { false };
     std::shared_ptr<bool> m_isAlive { std::make_shared<bool>(true) };
 };
 
--- a/scripts/check-mutations.sh
+++ b/scripts/check-mutations.sh
@@ -115,4 +115,12 @@
 guard failure-counted-again jobs/TaskRunner.cpp \
     'if (std::find(task.failedRuns.begin(), task.failedRuns.end(), run) != task.failedRuns.end()) {' 'if (false) {'
 guard earlier-process entrance/RequestNumber.cpp 'XXH64(&value, sizeof value, 0) >> unusedBits' 'value * 0 * unusedBits'
+guard late-poll targets/TargetSession.cpp '!m_guard.isBlocked() && !m_responses' '!m_responses'
+guard token-unraised targets/IncarnationGuard.cpp 'm_exposedUntil = std::max(m_exposedUntil, latest + m_lateWindow);' \
+    'm_exposedUntil = std::min(m_exposedUntil, latest + m_lateWindow);'
+guard token-unchecked targets/TargetSession.cpp 'const bool isRefused = reply.result == TargetCallResult::Fenced;' \
+    'const bool isRefused = true;'
+guard own-raise holding/ShardElection.cpp 'return m_tokenRaise.mayHaveRaised() &&' 'return false &&'
+guard raise-limit holding/TokenRaise.cpp 'std::max<Duration>(m_settings.coalescingTime, untilNext)' \
+    'std::min<Duration>(m_settings.coalescingTime, untilNext * 0)'
 exit "$failed"
--- a/tests/emulator/EmulatedTargets.cpp
+++ b/tests/emulator/EmulatedTargets.cpp
@@ -91,10 +91,10 @@
     return reply;
 }
 
-bool EmulatedTargets::acceptToken(Target& target, FencingToken token)
+bool EmulatedTargets::acceptToken(Target& target, FencingToken token) const
 {
     if (token.value() < target.token)
-        return false;
+        return faults.areOldTokensAccepted;
     target.token = token.value();
     return true;
 }
--- a/tests/emulator/EmulatedTargets.h
+++ b/tests/emulator/EmulatedTargets.h
@@ -47,6 +47,8 @@
         std::uint64_t delayEvery { 0 };
         /** Number of start requests to execute without a reply. */
         int startRepliesToLose { 0 };
+        /** Targets do not refuse requests with a lower fencing token, as on deployments without fencing. */
+        bool areOldTokensAccepted { false };
         /** Largest number of completions in a reply to a poll. */
         std::size_t completionsPerReply { 500 };
     };
@@ -133,7 +135,7 @@
     void checkDraining(const TargetId& target);
     void end(const TargetId& target, const shards::TaskId& task, shards::RunOutcome outcome, const char* name);
     void answerPoll(const shards::PollRequest& request, const std::function<void(const shards::PollReply&)>& callback);
-    bool acceptToken(Target& target, shards::FencingToken token);
+    bool acceptToken(Target& target, shards::FencingToken token) const;
     std::uint64_t clockMs(const Target& target) const;
     /** Converts a time of the target's clock. */
     static TimePoint toTimePoint(const Target& target, std::uint64_t clockMs);
