Evacuate failure domains: no new work at once, and no start there after two to three seconds

Cause: nothing in the daemon knew op/evacuate/ZONE, so jobs went on to start in a failure domain that its operator had evacuated.

Change: one watch of op/ reads configuration and evacuations (node/OperatorKeys). evacuation/EvacuationTable decides until when accepted jobs may start, from the time and the age of what was read; nothing starts while a host in touch with the store has not read the operator's keys for 4 s. Entrances choose other shards, the holder declines unknown jobs and returns best-effort jobs of which nothing was started (ShardJobReturned, OTHER_SHARD); the origin submits them elsewhere. A holder that cannot read the keys is told by hosts that receive its loads. Setting platform_limits.evacuation_ms. The emulator counts each start later than the bound by a host in touch as a violation.

Stored jobs of an evacuated shard still wait there: their transfer is the next step.

--- a/apps/rattanroadd/fleet/FleetHost.cpp
+++ b/apps/rattanroadd/fleet/FleetHost.cpp
@@ -2,6 +2,7 @@
 
 #include "fleet/FleetMetrics.h"
 #include "platform/CallerHttpApi.h"
+#include "platform/EvacuationKey.h"
 #include "platform/PlatformKeys.h"
 #include "platform/QueueConfiguration.h"
 #include "platform/StoreHttpClient.h"
@@ -44,7 +45,9 @@
         node.drainAcceptTime = settings.shutdownTime - shutdownMargin - jobTimeBeforeStop;
         node.address = settings.peerAddress;
         node.failureDomains = settings.failureDomains;
+        node.operatorPrefix = adapter::operatorKeyPrefix;
         node.configurationKey = adapter::configurationKey;
+        node.evacuationPrefix = adapter::evacuationKeyPrefix;
         node.targetPrefix = adapter::targetKeyPrefix;
         return node;
     }
@@ -129,6 +132,7 @@
         hooks.loopLag = [this](Duration lag) { m_metrics.observeLoopLag(lag); };
         hooks.parseTarget = &adapter::parseTargetEntry;
         hooks.parseConfiguration = &adapter::parseQueueConfiguration;
+        hooks.parseEvacuation = &adapter::parseEvacuation;
         return hooks;
     }
 
--- a/apps/rattanroadd/settings/Settings.cpp
+++ b/apps/rattanroadd/settings/Settings.cpp
@@ -101,6 +101,8 @@
             = milliseconds(limits, "target_lease_ms", settings.platformLimits.targetLease);
         settings.platformLimits.resubmission
             = milliseconds(limits, "resubmission_ms", settings.platformLimits.resubmission);
+        if (limits.contains("evacuation_ms"))
+            settings.platformLimits.evacuation = milliseconds(limits, "evacuation_ms", {});
         const std::chrono::duration<double> shutdown(
             limits.value("shutdown_s", std::chrono::duration<double>(settings.shutdownTime).count()));
         settings.shutdownTime = std::chrono::duration_cast<std::chrono::milliseconds>(shutdown);
--- a/apps/rattanroadd/settings/SettingsSchema.cpp
+++ b/apps/rattanroadd/settings/SettingsSchema.cpp
@@ -33,6 +33,7 @@
         "target_drain_ms": { "type": "integer", "minimum": 500, "maximum": 600000 },
         "target_lease_ms": { "type": "integer", "minimum": 250, "maximum": 60000 },
         "resubmission_ms": { "type": "integer", "minimum": 500, "maximum": 600000 },
+        "evacuation_ms": { "type": "integer", "minimum": 100, "maximum": 600000 },
         "shutdown_s": { "type": "number", "minimum": 3.5, "maximum": 3600 }
       }
     },
--- a/modules/rattanroad_shards/entrance/JobEntrance.cpp
+++ b/modules/rattanroad_shards/entrance/JobEntrance.cpp
@@ -270,6 +270,8 @@
     if (found == m_submissions.end())
         return;
     Submission& submission = found->second;
+    if (submission.firstValidAttempt != 0 && request.isBefore(submission.firstValidAttempt))
+        return;
     if (verdict == SubmitVerdict::Accepted && submission.job.best_effort()) {
         submission.isShardCertain = true;
         // Holders of earlier builds name none.
@@ -353,6 +355,9 @@
                 std::chrono::milliseconds(reply.retry_after_ms()), ShardId(reply.shard()));
         return;
     }
+    case protocol::Envelope::kShardJobReturned:
+        jobReturned(message.shard_job_returned());
+        return;
     case protocol::Envelope::kShardJobReply:
         handleJobReply(message.shard_job_reply());
         return;
@@ -361,6 +366,34 @@
     }
 }
 
+void JobEntrance::jobReturned(const protocol::ShardJobReturned& returned)
+{
+    if (returned.reason() == protocol::ShardJobReturned::OTHER_SHARD && !returned.may_have_run())
+        submitElsewhere(JobId(returned.id()), ShardId(returned.shard()));
+}
+
+void JobEntrance::submitElsewhere(const JobId& job, const ShardId& shard)
+{
+    std::vector<std::uint64_t> submissions;
+    const auto waiting = m_bestEffortSubmissions.equal_range(job);
+    for (auto entry = waiting.first; entry != waiting.second; ++entry) {
+        Submission& submission = m_submissions[entry->second];
+        // The holder repeats the notice when it receives a submission that was sent before it arrived here.
+        if (submission.shard == shard && submission.returnedFrom.insert(shard).second)
+            submissions.push_back(entry->second);
+    }
+    for (const std::uint64_t id : submissions) {
+        Submission& submission = m_submissions[id];
+        const auto waited = std::chrono::duration_cast<std::chrono::milliseconds>(m_clock.now() - submission.startedAt);
+        m_hooks.log("job_sent_elsewhere", job,
+            "shard " + shard.value() + " has returned it after " + std::to_string(waited.count()) + " ms");
+        submission.isShardCertain = false;
+        submission.unresolvedAttempts = 0;
+        submission.firstValidAttempt = ++submission.attempt;
+        trySubmit(id);
+    }
+}
+
 void JobEntrance::handleJobReply(const protocol::ShardJobReply& reply)
 {
     if (reply.state() > static_cast<unsigned>(JobState::Cancelled) || m_requests.replyReceived(reply))
--- a/modules/rattanroad_shards/entrance/JobEntrance.h
+++ b/modules/rattanroad_shards/entrance/JobEntrance.h
@@ -78,6 +78,10 @@
     void loadReceived(const protocol::ShardLoad& load);
     const ShardLoads& loads() const { return m_loads; }
     JobHomes& homes() { return m_requests.homes(); }
+    /** Tells whether the failure domain of a shard is evacuated. */
+    void setEvacuated(const ShardId& shard, bool isEvacuated) { m_loads.setEvacuated(shard, isEvacuated); }
+    /** The holder of a shard no longer has a best-effort job that this host has submitted. */
+    void jobReturned(const protocol::ShardJobReturned& returned);
     /** Answers the callers that wait for a job that has ended. */
     void jobEnded(const JobId& job, JobState state);
 
@@ -95,6 +99,10 @@
         std::uint64_t attempt { 0 };
         /** Attempts without a definite negative reply, after any of which the job may have been accepted. */
         std::uint32_t unresolvedAttempts { 0 };
+        /** Shards that have returned the job. */
+        std::set<ShardId> returnedFrom;
+        /** Replies to attempts before this one are ignored, because a shard has returned the job since. */
+        std::uint64_t firstValidAttempt { 0 };
     };
     void trySubmit(std::uint64_t id);
     /** Returns the shard through whose holder a best-effort job is to be submitted, or nothing when none can be reached
@@ -118,6 +126,8 @@
         RequestNumber request, SubmitVerdict verdict, std::chrono::milliseconds retryAfter, const ShardId& shard);
     void finishSubmission(std::uint64_t id, EntranceVerdict verdict, std::chrono::milliseconds retryAfter);
     void handleJobReply(const protocol::ShardJobReply& reply);
+    /** Submits a best-effort job that a shard has returned without having started it to another shard. */
+    void submitElsewhere(const JobId& job, const ShardId& shard);
     JobQueries::Settings querySettings() const;
     JobQueries::Hooks queryHooks();
     HolderRequests::Settings requestSettings() const;
--- a/modules/rattanroad_shards/entrance/RequestNumber.h
+++ b/modules/rattanroad_shards/entrance/RequestNumber.h
@@ -28,6 +28,13 @@
     std::uint64_t id() const { return m_id; }
     bool isOfAttempt(std::uint64_t attempt) const { return m_attempt == attempt % attemptsPerRequest; }
 
+    /** Returns whether this is an earlier attempt than @p attempt. */
+    bool isBefore(std::uint64_t attempt) const
+    {
+        const std::uint64_t distance = (attempt - m_attempt) % attemptsPerRequest;
+        return distance != 0 && distance < attemptsPerRequest / 2;
+    }
+
 private:
     /** Attempts are encoded modulo this value, which is unambiguous because a reply is at most a few attempts late. */
     static constexpr std::uint64_t attemptsPerRequest = 256;
--- a/modules/rattanroad_shards/entrance/ShardLoads.cpp
+++ b/modules/rattanroad_shards/entrance/ShardLoads.cpp
@@ -84,7 +84,7 @@
     double bestCost = 0;
     for (const ShardId& shard : m_settings.shards) {
         const auto latest = m_loads.find(shard);
-        if (latest == m_loads.end() || !isUsable(latest->second))
+        if (latest == m_loads.end() || !isUsable(latest->second) || isEvacuated(shard))
             continue;
         const auto cost = costOf(shard, latest->second, job);
         if (!cost || (best && *cost >= bestCost))
@@ -95,6 +95,20 @@
     return best;
 }
 
+void ShardLoads::setEvacuated(const ShardId& shard, bool isEvacuated)
+{
+    if (isEvacuated)
+        m_evacuated.insert(shard);
+    else
+        m_evacuated.erase(shard);
+}
+
+bool ShardLoads::isEvacuated(const ShardId& shard) const
+{
+    const LatestLoad* const latest = loadOfHolder(shard);
+    return m_evacuated.count(shard) != 0 || (latest && latest->load.evacuated());
+}
+
 std::optional<double> ShardLoads::costOf(
     const ShardId& shard, const LatestLoad& latest, const protocol::PlacedJob& job) const
 {
--- a/modules/rattanroad_shards/entrance/ShardLoads.h
+++ b/modules/rattanroad_shards/entrance/ShardLoads.h
@@ -6,6 +6,7 @@
 #include <deque>
 #include <map>
 #include <optional>
+#include <set>
 
 namespace rattanroad::shards {
 
@@ -52,6 +53,10 @@
     /** The holder of a shard could not be connected to: the shard is not chosen until a load arrives that is later than
         the present one. */
     void setUnreachable(const ShardId& shard) { m_loads[shard].isUnreachable = true; }
+    /** Tells whether the failure domain of a shard is evacuated. Its shard is not chosen then. */
+    void setEvacuated(const ShardId& shard, bool isEvacuated);
+    /** Returns whether the failure domain of a shard is evacuated, by what this host or the shard's holder knows. */
+    bool isEvacuated(const ShardId& shard) const;
     /** Returns whether the holder of a shard is known to live and to serve as home. */
     bool servesAsHome(const ShardId& shard) const;
     /** Returns whether the holder of some shard is of an earlier build, without homes. */
@@ -86,6 +91,7 @@
     const FleetView& m_fleet;
     const Clock& m_clock;
     std::map<ShardId, LatestLoad> m_loads;
+    std::set<ShardId> m_evacuated;
     /** Clocks of the hosts that have sent loads, by address. */
     std::map<std::string, RemoteClock> m_clocks;
 };
--- a/modules/rattanroad_shards/jobs/ShardDispatcher.cpp
+++ b/modules/rattanroad_shards/jobs/ShardDispatcher.cpp
@@ -20,6 +20,7 @@
     , m_jobs(m_settings.jobs, clock)
     , m_runner(m_settings.running, m_jobs, m_targets, m_timers, clock, runnerHooks())
     , m_acquiredAt(clock.now())
+    , m_returned(m_settings.returned, clock)
 {
     sweep();
 }
@@ -44,6 +45,7 @@
     m_jobs.clear();
     m_submitReplies.clear();
     m_handedOverRuns.clear();
+    m_returned.clear();
     m_records.start();
 }
 
@@ -222,6 +224,7 @@
                          TargetCallResult ending) { m_runner.startRejected(session, task, attempt, ending); };
     hooks.roomChanged = [this] { m_runner.scheduleSoon(); };
     hooks.leaseLimit = [this](const TaskId& task) { return m_runner.leaseLimit(task); };
+    hooks.areStartsAllowed = [this] { return areStartsAllowed(); };
     hooks.fenced = [this] {
         if (m_holding)
             m_hooks.displaced();
@@ -238,6 +241,7 @@
         retainCompletion(job, session, number);
     };
     hooks.lossesChanged = [this](ShardJob& job) { recordLosses(job); };
+    hooks.areStartsAllowed = [this] { return areStartsAllowed(); };
     hooks.log = m_hooks.log;
     return hooks;
 }
@@ -290,6 +294,7 @@
     }
     if (ShardJob* const known = m_jobs.find(id)) {
         ShardJob& job = *known;
+        job.hasSingleOrigin = job.hasSingleOrigin && job.originAddress == origin.address;
         job.originAddress = origin.address;
         job.lastSubmittedAt = std::max(job.lastSubmittedAt, origin.sentAt);
         job.certainlySubmittedAt = std::max(job.certainlySubmittedAt, origin.sentAt);
@@ -304,8 +309,11 @@
             m_submitReplies[id].push_back(std::move(reply));
         return;
     }
+    if (isLeftToOtherShard(description, isResent, origin, reply))
+        return;
     auto job = m_jobs.makeJob(description, waited);
     job->acceptedIn = m_holding->generation;
+    job->hasSingleOrigin = !isResent;
     job->originAddress = origin.address;
     job->lastSubmittedAt = origin.sentAt;
     job->certainlySubmittedAt = origin.sentAt;
@@ -338,6 +346,57 @@
         [this, id](RecordWriter::InsertResult result, const StoredItem& item) { insertCompleted(id, result, item); });
 }
 
+bool ShardDispatcher::isLeftToOtherShard(
+    const protocol::PlacedJob& description, bool isResent, const Origin& origin, const SubmitReply& reply)
+{
+    const JobId id(description.id());
+    if (const auto returnedTo = m_returned.origin(id, isResent, origin.sentAt)) {
+        // The origin has not received the notice, or had not when it sent this submission.
+        if (*returnedTo == origin.address && m_hooks.jobReturned)
+            m_hooks.jobReturned(id, origin.address);
+        return true;
+    }
+    // A job that an earlier holder may have started has to stay here.
+    const bool mayRunAlready = description.best_effort() && isResent && mayHaveEarlierRuns();
+    if (!isEvacuated() || mayRunAlready)
+        return false;
+    m_hooks.log("job_declined", id, "shard " + m_settings.shard.value() + " is evacuated");
+    reply(SubmitVerdict::NotHolder, {});
+    return true;
+}
+
+void ShardDispatcher::evacuationChanged()
+{
+    if (!isHolding())
+        return;
+    returnWaitingJobs();
+    m_runner.scheduleSoon();
+}
+
+void ShardDispatcher::returnWaitingJobs()
+{
+    if (!isEvacuated() || !m_hooks.jobReturned)
+        return;
+    std::vector<ShardJob*> returned;
+    for (const auto& entry : m_jobs.openJobs()) {
+        ShardJob& job = *entry.second;
+        if (!job.description.best_effort() || !job.hasSingleOrigin || !job.isUntouched())
+            continue;
+        // A job that only this shard can run may still start in time.
+        if (!areStartsAllowed() || (m_hooks.canRunElsewhere && m_hooks.canRunElsewhere(job.description)))
+            returned.push_back(&job);
+    }
+    for (ShardJob* const job : returned) {
+        const JobId id = job->id;
+        const std::string origin = job->originAddress;
+        m_hooks.log("job_returned", id, "shard " + m_settings.shard.value() + " is evacuated, to " + origin);
+        m_returned.add(id, origin);
+        m_jobs.close(*job);
+        m_jobs.remove(id);
+        m_hooks.jobReturned(id, origin);
+    }
+}
+
 void ShardDispatcher::reopen(ShardJob& job)
 {
     job.state = JobState::Queued;
@@ -481,6 +540,7 @@
     protocol::ShardLoad load;
     load.set_shard(m_settings.shard.value());
     load.set_generation(m_holding ? m_holding->generation.value() : 0);
+    load.set_evacuated(isEvacuated());
     load.set_backlog_ms(static_cast<std::uint32_t>(m_runner.expectedWait(TimePoint::max()).count()));
     m_targets.addCapacityTo(load);
     m_jobs.addQueueDepths(load);
@@ -497,6 +557,7 @@
         recordRetainedCompletions();
         recordRunsInDanger();
         removeExpiredJobs();
+        returnWaitingJobs();
         m_runner.scheduleSoon();
     }
     m_timers.after(m_settings.sweepInterval, [this] { sweep(); });
--- a/modules/rattanroad_shards/jobs/ShardDispatcher.h
+++ b/modules/rattanroad_shards/jobs/ShardDispatcher.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "rattanroad_shards/evacuation/ReturnedJobs.h"
 #include "rattanroad_shards/holding/ShardElection.h"
 #include "rattanroad_shards/jobs/JobCodec.h"
 #include "rattanroad_shards/jobs/TaskRunner.h"
@@ -30,6 +31,7 @@
         ShardTargets::Settings targets;
         JobTable::Settings jobs;
         TaskRunner::Settings running;
+        ReturnedJobs::Settings returned;
         /** A job's progress is stored when a target has retained one of its completions for this long. */
         std::chrono::milliseconds progressDelay { 700 };
         /** The jobs of a shard that was lost longer ago are not handed over, because their callers have submitted them
@@ -55,6 +57,15 @@
         std::function<void()> displaced;
         /** Returns whether the store has been out of reach for a while; may be empty. */
         std::function<bool()> isStoreLost;
+        /** Returns whether the failure domain of the shard is evacuated; an empty hook means that it is not. */
+        std::function<bool()> isEvacuated;
+        /** Returns whether the evacuation, if there is one, leaves time for starts; an empty hook means that it does.
+         */
+        std::function<bool()> areStartsAllowed;
+        /** Returns whether another shard can run a job; may be empty. */
+        std::function<bool(const protocol::PlacedJob&)> canRunElsewhere;
+        /** Tells the origin of a best-effort job that it has to submit it to another shard; may be empty. */
+        std::function<void(const JobId&, const std::string& origin)> jobReturned;
         /** Logs an event of a job, or of the shard when the job id is empty. */
         std::function<void(const char* event, const JobId&, const std::string& detail)> log;
     };
@@ -106,6 +117,9 @@
         state is stored already. */
     void cancel(const JobId& job, const StateReply& reply);
 
+    /** The failure domain of the shard is evacuated, or is so no longer. */
+    void evacuationChanged();
+
     bool hasOpenJobs() const { return !m_jobs.openJobs().empty(); }
     /** Returns the load that hosts compare when they choose a shard for a job. */
     protocol::ShardLoad load() const;
@@ -126,6 +140,14 @@
     void submitBestEffort(std::unique_ptr<ShardJob> job, bool isResent, const SubmitReply& reply);
     void acknowledgeCompletions(ShardJob& job, std::uint64_t lastSequence);
 
+    bool isEvacuated() const { return m_hooks.isEvacuated && m_hooks.isEvacuated(); }
+    bool areStartsAllowed() const { return !m_hooks.areStartsAllowed || m_hooks.areStartsAllowed(); }
+    /** Returns whether an unknown submission was left to another shard because this one is evacuated, or because the
+        job was returned before the submission was sent. */
+    bool isLeftToOtherShard(
+        const protocol::PlacedJob& description, bool isResent, const Origin& origin, const SubmitReply& reply);
+    /** Returns the best-effort jobs that have not started to their origins, while the shard is evacuated. */
+    void returnWaitingJobs();
     void sweep();
     /** Returns whether a run of an earlier holder may be active that this host has not found. */
     bool mayHaveEarlierRuns() const;
@@ -163,6 +185,7 @@
     /** Runs of stored jobs that the previous holder handed over, until the records of the jobs are loaded. */
     std::map<JobId, protocol::JobHandover> m_handedOverRuns;
     TimePoint m_lostAt { distantPast };
+    ReturnedJobs m_returned;
 };
 
 }
--- a/modules/rattanroad_shards/jobs/ShardJob.h
+++ b/modules/rattanroad_shards/jobs/ShardJob.h
@@ -4,6 +4,7 @@
 #include "rattanroad_shards/placing/CrashPolicy.h"
 #include "rattanroad_shards/types/ShardTypes.h"
 
+#include <algorithm>
 #include <optional>
 #include <vector>
 
@@ -103,6 +104,9 @@
     /** The latest time at which the origin is certain to have wanted the job. Earlier than lastSubmittedAt after a
         handover, which may have been under way for long. Runs start and keep their leases by this time. */
     TimePoint certainlySubmittedAt;
+    /** This holder has received the job from one origin, which had not sent it before. Nobody else can have it or
+        expect it here. */
+    bool hasSingleOrigin { false };
     /** The record with the final state is in the store, or the job is best effort and needs none. */
     bool isFinalStateStored { false };
     std::vector<std::function<void()>> onFinalStateStored;
@@ -138,6 +142,16 @@
         }
         return true;
     }
+    /** Returns whether no run of any task was started or may have been. */
+    bool isUntouched() const
+    {
+        const auto isTaskUntouched = [](const ShardTask& task) {
+            return task.state == ShardTask::State::Waiting && task.attempt == 0 && !task.mayHaveEarlierRun
+                && task.failureCount() == 0 && task.lostRuns.empty();
+        };
+        return std::all_of(phases.begin(), phases.end(),
+            [&isTaskUntouched](const auto& phase) { return std::all_of(phase.begin(), phase.end(), isTaskUntouched); });
+    }
     void setMayHaveEarlierRun(bool mayHaveEarlierRun)
     {
         for (auto& phase : phases) {
--- a/modules/rattanroad_shards/jobs/TaskRunner.cpp
+++ b/modules/rattanroad_shards/jobs/TaskRunner.cpp
@@ -293,7 +293,8 @@
 
 void TaskRunner::schedule()
 {
-    if (!maySchedule())
+    const bool areStartsAllowed = !m_hooks.areStartsAllowed || m_hooks.areStartsAllowed();
+    if (!areStartsAllowed || !maySchedule())
         return;
     PlacementPass pass = m_targets.beginPass();
     for (ShardJob* const job : m_jobs.openJobsInOrder())
--- a/modules/rattanroad_shards/jobs/TaskRunner.h
+++ b/modules/rattanroad_shards/jobs/TaskRunner.h
@@ -28,6 +28,9 @@
         std::function<void(ShardJob&)> lossesChanged;
         /** A run of a known job has ended; the target keeps reporting the completion until it is acknowledged. */
         std::function<void(ShardJob&, TargetSession&, std::uint64_t number)> completionReported;
+        /** Returns whether the evacuation of the failure domain, if there is one, leaves time for starts. An empty hook
+            means that it does. */
+        std::function<bool()> areStartsAllowed;
         std::function<void(const char* event, const JobId&, const std::string& detail)> log;
     };
 
--- a/modules/rattanroad_shards/node/ShardNode.cpp
+++ b/modules/rattanroad_shards/node/ShardNode.cpp
@@ -2,6 +2,7 @@
 
 #include "rattanroad_shards/holding/StoreKeys.h"
 #include "rattanroad_shards/node/HostLinks.h"
+#include "rattanroad_shards/node/OperatorKeys.h"
 #include "rattanroad_shards/node/TargetListFollower.h"
 
 #include <algorithm>
@@ -37,7 +38,7 @@
         , m_fleet([this](const std::string& key) {
             m_hooks.log("fleet_key_ignored", { { "key", key } });
         })
-        , m_configuration({ m_settings.configurationKey }, m_store, m_timers, clock, configurationHooks())
+        , m_operatorKeys(operatorSettings(), m_store, m_timers, clock, operatorHooks())
         , m_targetList(targetListSettings(), m_store, m_timers, clock, targetListHooks())
         , m_fleetList({ storekeys::fleetPrefix }, m_store, m_timers, clock, fleetHooks())
         , m_entrance(entranceSettings(), m_store, m_fleet, m_timers, clock, entranceHooks())
@@ -58,7 +59,7 @@
 
     void start()
     {
-        m_configuration.start();
+        m_operatorKeys.start();
         m_fleetList.start();
         m_lease.start();
         updateLoads();
@@ -87,7 +88,11 @@
             return;
         m_links.open(message.from_host());
         if (message.has_shard_load()) {
-            loadReceived(message.shard_load(), message.from_host());
+            const protocol::ShardLoad& load = message.shard_load();
+            if (load.evacuated() && load.address() == m_settings.address && m_shards.count(ShardId(load.shard())))
+                m_operatorKeys.evacuationReported(FailureDomainId(load.shard()));
+            else
+                loadReceived(load, message.from_host());
             return;
         }
         if (message.has_shard_loads()) {
@@ -110,14 +115,14 @@
     }
 
     JobEntrance& entrance() { return m_entrance; }
-    const QueueTable* queues() const { return m_queues ? &*m_queues : nullptr; }
+    const QueueTable* queues() const { return m_operatorKeys.queues(); }
     bool isHolding() const
     {
         return std::any_of(
             m_shards.begin(), m_shards.end(), [](const auto& entry) { return entry.second.election->isHeld(); });
     }
 
-    bool isReady() const { return m_queues && !m_isDraining && m_entrance.canServe(); }
+    bool isReady() const { return queues() && !m_isDraining && m_entrance.canServe(); }
 
     ShardDispatcher* dispatcher(const ShardId& shard)
     {
@@ -145,6 +150,18 @@
             hooks.keyChanged = [this, shard] { m_shards[shard].election->keyChanged(); };
             hooks.displaced = [this, shard] { m_shards[shard].election->displaced(); };
             hooks.isStoreLost = [this] { return isStoreLost(); };
+            hooks.isEvacuated = [this, domain] { return m_operatorKeys.evacuations().isEvacuated(domain); };
+            hooks.areStartsAllowed
+                = [this, domain] { return m_operatorKeys.evacuations().mayStart(domain, isStoreLost()); };
+            hooks.canRunElsewhere
+                = [this](const protocol::PlacedJob& job) { return m_entrance.loads().choose(job).has_value(); };
+            hooks.jobReturned = [this, shard](const JobId& job, const std::string& origin) {
+                protocol::Envelope message = envelope();
+                message.mutable_shard_job_returned()->set_id(job.value());
+                message.mutable_shard_job_returned()->set_shard(shard.value());
+                message.mutable_shard_job_returned()->set_reason(protocol::ShardJobReturned::OTHER_SHARD);
+                sendOrReceive(origin, message);
+            };
             hooks.log = [this](const char* event, const JobId& job, const std::string& detail) {
                 m_hooks.log(event, { { "job", job.value() }, { "detail", detail } });
             };
@@ -224,24 +241,27 @@
         return hooks;
     }
 
-    PrefixWatcher::Hooks configurationHooks()
+    OperatorKeys::Settings operatorSettings() const
     {
-        PrefixWatcher::Hooks hooks;
-        hooks.written = [this](const StoredItem& item) {
-            if (item.key != m_settings.configurationKey)
-                return;
-            auto queues = m_hooks.parseConfiguration(item.value);
-            if (!queues || (m_queues && queues->version <= m_queues->version)) {
-                m_hooks.log("configuration_ignored", { { "revision", std::to_string(item.revision.value()) } });
-                return;
-            }
-            m_queues = std::move(queues);
-            m_hooks.log("configuration_in_force",
-                { { "version", std::to_string(m_queues->version) },
-                    { "queues", std::to_string(m_queues->entries.size()) } });
+        EvacuationTable::Settings evacuations;
+        evacuations.bound = m_settings.limits.evacuation;
+        return { m_settings.operatorPrefix, m_settings.configurationKey, m_settings.evacuationPrefix,
+            m_settings.failureDomains, evacuations };
+    }
+
+    OperatorKeys::Hooks operatorHooks()
+    {
+        OperatorKeys::Hooks hooks;
+        hooks.parseConfiguration = m_hooks.parseConfiguration;
+        hooks.parseEvacuation = m_hooks.parseEvacuation;
+        hooks.evacuationChanged = [this](const FailureDomainId& domain) {
+            const ShardId shard(domain.value());
+            // First, so that jobs that are returned go to another shard.
+            m_entrance.setEvacuated(shard, m_operatorKeys.evacuations().isEvacuated(domain));
+            m_shards.at(shard).dispatcher->evacuationChanged();
         };
-        hooks.removed = [](const std::string&) {};
         hooks.interrupted = [this] { storeInterrupted(); };
+        hooks.log = m_hooks.log;
         return hooks;
     }
 
@@ -415,6 +435,7 @@
     void updateLoads()
     {
         m_loopMonitor.timerFired();
+        m_operatorKeys.removeOutdatedReports();
         std::vector<protocol::ShardLoad> loads;
         for (const auto& entry : m_shards) {
             if (!entry.second.dispatcher->isHolding())
@@ -453,12 +474,28 @@
         if (holding && generation > holding->generation)
             known->second.election->displaced();
         const bool isFromHolder = load.address() == sender;
+        if (isFromHolder && !load.evacuated())
+            reportEvacuation(load);
         if (isFromHolder && m_entrance.loads().hasLaterHolder(shard, generation))
             m_loadFeed.correct(load);
         m_entrance.loadReceived(load);
         m_links.open(load.address());
     }
 
+    /** Tells the holder of a shard that its failure domain is evacuated, which it seems not to know. */
+    void reportEvacuation(const protocol::ShardLoad& load)
+    {
+        const auto* const evacuation = m_operatorKeys.evacuations().find(FailureDomainId(load.shard()));
+        const bool isKnown = evacuation && evacuation->source == EvacuationTable::Source::Store
+            && m_clock.now() - evacuation->knownSince >= m_settings.evacuationReportDelay;
+        if (!isKnown)
+            return;
+        protocol::Envelope message = envelope();
+        *message.mutable_shard_load() = load;
+        message.mutable_shard_load()->set_evacuated(true);
+        m_links.send(load.address(), message);
+    }
+
     void openLinks()
     {
         for (const ShardId& shard : m_entrance.loads().shards()) {
@@ -481,15 +518,20 @@
             m_hooks.jobDuration(*job.endedAt - job.receivedAt);
         if (job.originAddress.empty())
             return;
-        if (job.originAddress == m_settings.address) {
-            m_entrance.jobEnded(job.id, job.state);
-            return;
-        }
         protocol::Envelope message = envelope();
         message.mutable_shard_job_reply()->set_id(job.id.value());
         message.mutable_shard_job_reply()->set_known(true);
         message.mutable_shard_job_reply()->set_state(static_cast<std::uint32_t>(job.state));
-        m_links.send(job.originAddress, message);
+        sendOrReceive(job.originAddress, message);
+    }
+
+    /** Sends a message to another host, or handles it if it is for this one. */
+    void sendOrReceive(const std::string& address, const protocol::Envelope& message)
+    {
+        if (address == m_settings.address)
+            m_entrance.received(message);
+        else
+            m_links.send(address, message);
     }
 
     const Settings m_settings;
@@ -501,8 +543,7 @@
     HostLease m_lease;
     FleetView m_fleet;
     std::map<ShardId, Shard> m_shards;
-    std::optional<QueueTable> m_queues;
-    PrefixWatcher m_configuration;
+    OperatorKeys m_operatorKeys;
     TargetListFollower m_targetList;
     PrefixWatcher m_fleetList;
     JobEntrance m_entrance;
--- a/modules/rattanroad_shards/node/ShardNode.h
+++ b/modules/rattanroad_shards/node/ShardNode.h
@@ -30,8 +30,12 @@
         std::string address;
         /** All failure domains with targets; each is one shard. */
         std::vector<FailureDomainId> failureDomains;
+        /** Prefix of the keys that the operator writes. */
+        std::string operatorPrefix;
         /** Key of the configuration. */
         std::string configurationKey;
+        /** Prefix of the keys of evacuations, below operatorPrefix; empty if there are none. */
+        std::string evacuationPrefix;
         /** Key prefix of the target entries. */
         std::string targetPrefix;
         HostLease::Settings lease;
@@ -60,6 +64,9 @@
             submit them again if they are still wanted. */
         std::chrono::milliseconds staleMessageWindow { 100 };
         HandoverSender::Settings handover;
+        /** A holder whose loads do not name an evacuation this long after this host has read it is told of it. Loads
+            take up to two tenths of a second. */
+        std::chrono::milliseconds evacuationReportDelay { 500 };
         /** A draining host releases its shards after this time, which covers two store calls and a watch, so that hosts
             that drain together learn of one another first. */
         std::chrono::milliseconds releaseDelay { 150 };
@@ -82,6 +89,9 @@
         std::function<std::optional<TargetReport>(const std::string& id, const std::string& value)> parseTarget;
         /** Parses the configuration; returns nothing for an invalid one. */
         std::function<std::optional<QueueTable>(const std::string& value)> parseConfiguration;
+        /** Parses the key of an evacuation without its prefix, and its value; returns nothing for an invalid one. */
+        std::function<std::optional<FailureDomainId>(const std::string& name, const std::string& value)>
+            parseEvacuation;
         /** Records the time from the receipt of a job to its end, for a job of a shard that this host holds; may be
             empty. */
         std::function<void(Duration)> jobDuration;
--- a/modules/rattanroad_shards/store/PrefixWatcher.cpp
+++ b/modules/rattanroad_shards/store/PrefixWatcher.cpp
@@ -111,6 +111,8 @@
     m_watchRevision = std::max(m_watchRevision, storeRevision);
     m_isSynchronized = true;
     setCurrentAsOf(m_firstPageRequestedAt);
+    if (m_hooks.readUntil)
+        m_hooks.readUntil(m_firstPageRequestedAt);
     continueAfterPause();
 }
 
@@ -187,10 +189,10 @@
 void PrefixWatcher::watch()
 {
     m_store.watch(m_settings.prefix, m_watchRevision, m_check ? m_settings.checkedWatchWait : m_settings.watchWait,
-        untilStop([this](const WatchReply& reply) { handleWatchReply(reply); }));
+        untilStop([this, sentAt = m_clock.now()](const WatchReply& reply) { handleWatchReply(reply, sentAt); }));
 }
 
-void PrefixWatcher::handleWatchReply(const WatchReply& reply)
+void PrefixWatcher::handleWatchReply(const WatchReply& reply, TimePoint sentAt)
 {
     if (reply.status == StoreStatus::Compacted) {
         readPage("");
@@ -214,6 +216,10 @@
             applyWrite(change.item);
     }
     m_watchRevision = std::max(m_watchRevision, reply.storeRevision);
+    // An answer with changes may have been given as soon as the watch was sent, and may have waited to be read.
+    const TimePoint latest = reply.changes.empty() ? sentAt + m_settings.watchWait : sentAt;
+    if (m_hooks.readUntil && !m_check)
+        m_hooks.readUntil(std::min(latest, m_clock.now()));
     if (!m_check)
         continueAfterPause();
     else if (!isBehind())
--- a/modules/rattanroad_shards/store/PrefixWatcher.h
+++ b/modules/rattanroad_shards/store/PrefixWatcher.h
@@ -41,6 +41,9 @@
         std::function<bool()> isChecked;
         /** Called when currentAsOf() has risen; may be empty. */
         std::function<void()> updated;
+        /** Called after each complete answer: all changes up to @p time were processed, as far as the watch was told of
+            them. May be empty. */
+        std::function<void(TimePoint time)> readUntil;
     };
 
     PrefixWatcher(Settings settings, KeyValueStore& store, Timers timers, const Clock& clock, Hooks hooks);
@@ -93,7 +96,7 @@
     void check();
     void handleCheckReply(const ReadReply& reply, TimePoint sentAt);
     void watch();
-    void handleWatchReply(const WatchReply& reply);
+    void handleWatchReply(const WatchReply& reply, TimePoint sentAt);
     /** Returns whether the check in progress, if any, has found changes that are still missing. */
     bool isBehind() const { return m_check && m_watchRevision < m_check->storeRevision; }
     void finishCheck();
--- a/modules/rattanroad_shards/targets/TargetSession.cpp
+++ b/modules/rattanroad_shards/targets/TargetSession.cpp
@@ -253,7 +253,8 @@
 {
     const bool isRetryable = result == TargetCallResult::Unknown || result == TargetCallResult::NotSent;
     const bool isListRecent = !m_hooks.isListRecent || m_hooks.isListRecent();
-    return isRetryable && run.sends < m_settings.maximumStartSends && isListRecent && canStart();
+    const bool areStartsAllowed = !m_hooks.areStartsAllowed || m_hooks.areStartsAllowed();
+    return isRetryable && run.sends < m_settings.maximumStartSends && isListRecent && areStartsAllowed && canStart();
 }
 
 void TargetSession::stop(const TaskId& task)
--- a/modules/rattanroad_shards/targets/TargetSession.h
+++ b/modules/rattanroad_shards/targets/TargetSession.h
@@ -99,6 +99,9 @@
         /** Returns the latest time at which the lease of a target with a run of this task may end. An empty hook means
             no limit. */
         std::function<TimePoint(const TaskId&)> leaseLimit;
+        /** Returns whether the evacuation of the failure domain, if there is one, leaves time for starts. An empty hook
+            means that it does. */
+        std::function<bool()> areStartsAllowed;
         /** Returns whether the target list is recent enough for starts. An empty hook means that it is. */
         std::function<bool()> isListRecent;
     };
--- a/modules/rattanroad_shards/types/PlatformLimits.h
+++ b/modules/rattanroad_shards/types/PlatformLimits.h
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <chrono>
+#include <optional>
 
 namespace rattanroad::shards {
 
@@ -15,6 +16,9 @@
     std::chrono::milliseconds targetLease { 1000 };
     /** A caller submits a best-effort job again this long after its connection broke. */
     std::chrono::milliseconds resubmission { 1300 };
+    /** No task starts in an evacuated failure domain later than this after the store has acknowledged the key of the
+        evacuation. Without it, starts stop as soon as a host knows. */
+    std::optional<std::chrono::milliseconds> evacuation;
 
     /** Nothing starts while the target list is older: a start takes up to 120 ms to reach its target, at a fifth of the
         drain time and more when that is short. */
--- a/scripts/check-mutations.sh
+++ b/scripts/check-mutations.sh
@@ -104,7 +104,7 @@
 guard ended-attempt targets/TargetSession.cpp 'if (result == TargetCallResult::StaleAttempt) {' 'if (false) {'
 guard start-on-the-way targets/TargetSession.cpp 'TargetCallResult::Unknown || run.sends > 1' 'TargetCallResult::Unknown'
 guard messages-before-pause node/ShardNode.cpp 'm_clock.now() - m_loopMonitor.resumedAt() < m_settings.staleMessageWindow' 'false'
-guard older-configuration node/ShardNode.cpp '(m_queues && queues->version <= m_queues->version)' 'false'
+guard older-configuration node/OperatorKeys.cpp '(m_queues && queues->version <= m_queues->version)' 'false'
 guard answered-start targets/TargetSession.cpp 'run.state == Run::State::Starting || mayBeInLaterIncarnation(entry.first, run)' \
     'run.state == Run::State::Starting'
 guard partial-list targets/TargetSession.cpp 'if (reply.mayHaveMoreCompletions)' 'if (false)'
@@ -113,5 +113,13 @@
 guard earlier-acknowledgement targets/TargetSession.cpp 'm_wasPollAnswered ? m_acknowledged : 0' 'm_acknowledged'
 guard failure-counted-again jobs/TaskRunner.cpp \
     'if (std::find(task.failedRuns.begin(), task.failedRuns.end(), run) != task.failedRuns.end()) {' 'if (false) {'
+guard evacuated-shard-chosen entrance/ShardLoads.cpp ' || isEvacuated(shard))' ')'
+guard evacuated-shard-starts jobs/TaskRunner.cpp 'if (!areStartsAllowed || !maySchedule())' 'if (!maySchedule())'
+guard evacuation-age evacuation/EvacuationTable.cpp 'm_readUntil + share(m_settings.latestStartShare))' 'TimePoint::max())'
+guard evacuation-unread evacuation/EvacuationTable.cpp 'isStoreLost || now - m_readUntil < limit' 'true'
+guard evacuation-untold node/ShardNode.cpp 'if (isFromHolder && !load.evacuated())' 'if (false)'
+guard started-job-returned jobs/ShardDispatcher.cpp ' || !job.isUntouched())' ')'
+guard returned-job-is-back jobs/ShardDispatcher.cpp 'if (const auto returnedTo = m_returned.origin(id, isResent, origin.sentAt)) {' \
+    'if (const auto returnedTo = std::optional<std::string>(); returnedTo) {'
 guard earlier-process entrance/RequestNumber.cpp 'XXH64(&value, sizeof value, 0) >> unusedBits' 'value * 0 * unusedBits'
 exit "$failed"
--- a/tests/emulator/EmulatedFleet.cpp
+++ b/tests/emulator/EmulatedFleet.cpp
@@ -13,8 +13,13 @@
     constexpr auto linkRetryInterval = 1000ms;
     constexpr auto linkOpenDelay = 10ms;
     constexpr auto callerLatency = 3ms;
+    constexpr auto contactInterval = 20ms;
+    /** A host is in touch with the store again when this time has passed without a fault: hosts repeat failed calls
+        every 150 ms, and calls that were lost end after their timeout. */
+    constexpr auto contactTime = 600ms;
     const std::string service = "quotes";
     const std::string targetPrefix = "servers/";
+    const std::string evacuationPrefix = "op/evacuate/";
     const std::string drainingSuffix = " draining";
     const std::string domainSeparator = " in ";
 }
@@ -31,7 +36,12 @@
         for (int i = 0; i < m_settings.targetsPerDomain; ++i)
             addTarget(domain, "target-" + domain + "-" + std::to_string(i));
     }
-    m_store.put("config", "1");
+    m_store.put("op/config", "1");
+    m_targets.setContactCheck([this](const HostId& host) {
+        const auto lost = m_contactLostAt.find(host);
+        return lost == m_contactLostAt.end() || m_clock.now() - lost->second > contactTime;
+    });
+    followContact();
     m_targets.setReturnObserver([this](const TargetId& target) { listTarget(target); });
 }
 
@@ -62,6 +72,30 @@
     listTarget(target);
 }
 
+void EmulatedFleet::followContact()
+{
+    const EmulatedStore::Faults& faults = m_store.faults;
+    for (const auto& host : m_hosts) {
+        if (faults.isDown || faults.isolatedHosts.count(host.first) != 0 || faults.refusedHosts.count(host.first) != 0)
+            m_contactLostAt[host.first] = m_clock.now();
+    }
+    m_queue.after(contactInterval, [this] { followContact(); });
+}
+
+void EmulatedFleet::evacuate(const std::string& domain)
+{
+    addLogLine(domain + " is evacuated");
+    m_store.put(evacuationPrefix + domain, "{}");
+    m_targets.setEvacuated(FailureDomainId(domain));
+}
+
+void EmulatedFleet::endEvacuation(const std::string& domain)
+{
+    addLogLine(domain + " is no longer evacuated");
+    m_store.remove(evacuationPrefix + domain);
+    m_targets.endEvacuation(FailureDomainId(domain));
+}
+
 void EmulatedFleet::moveTarget(const TargetId& target, const std::string& domain)
 {
     m_store.put("servers/" + target.value(), target.value() + domainSeparator + domain);
@@ -191,7 +225,9 @@
     settings.limits = m_settings.limits;
     for (const std::string& domain : m_settings.domains)
         settings.failureDomains.emplace_back(domain);
-    settings.configurationKey = "config";
+    settings.operatorPrefix = "op/";
+    settings.configurationKey = "op/config";
+    settings.evacuationPrefix = evacuationPrefix;
     settings.targetPrefix = targetPrefix;
     Timers timers { [this, id, isAlive = host.isAlive](Duration delay, std::function<void()> action) {
         if (*isAlive)
@@ -222,6 +258,9 @@
             report.failureDomain = FailureDomainId(value.substr(separator + domainSeparator.size()));
         return report;
     };
+    hooks.parseEvacuation = [](const std::string& name, const std::string& value) -> std::optional<FailureDomainId> {
+        return name.empty() || value != "{}" ? std::nullopt : std::optional<FailureDomainId>(name);
+    };
     hooks.parseConfiguration = [](const std::string& text) -> std::optional<QueueTable> {
         QueueTable table;
         table.version = std::stoull(text);
@@ -392,7 +431,9 @@
     ++found->second.traffic.messagesReceived;
     found->second.traffic.bytesReceived += size;
     const bool isUnknownMessage = message.has_load_subscription() && m_earlierBuilds.count(from) != 0;
-    if (!isReachable(m_hosts[from], found->second) || isUnknownMessage)
+    const auto dropsUntil = m_dropsUntil.find(from);
+    const bool isDropped = dropsUntil != m_dropsUntil.end() && m_clock.now() < dropsUntil->second;
+    if (!isReachable(m_hosts[from], found->second) || isUnknownMessage || isDropped)
         return true;
     auto arrival = wrapInProcess(to, [this, to, message] { m_hosts[to].node->received(message); });
     const auto held = m_heldMessages.find(from);
--- a/tests/emulator/EmulatedFleet.h
+++ b/tests/emulator/EmulatedFleet.h
@@ -69,6 +69,9 @@
     void endCutOff(const std::string& domain);
     /** Removes a target from the target list, as the store does when the lease of its entry ends. */
     void unlistTarget(const TargetId& target) { m_store.remove("servers/" + target.value()); }
+    /** The operator evacuates a failure domain, whose targets must get no starts later than the bound after that. */
+    void evacuate(const std::string& domain);
+    void endEvacuation(const std::string& domain);
     /** Writes the entry of a target. */
     void listTarget(const TargetId& target);
     /** Writes in the entry of a target that it drains. */
@@ -82,6 +85,8 @@
     /** Holds back the messages of a host to other hosts until releaseMessages(), as an interrupted connection does. */
     void holdMessages(const HostId& host) { m_heldMessages[host]; }
     void releaseMessages(const HostId& host);
+    /** Loses the messages of a host to other hosts for @p duration. */
+    void dropMessages(const HostId& host, Duration duration) { m_dropsUntil[host] = m_clock.now() + duration; }
     /** Adds a target while the fleet is running. */
     void addTarget(const std::string& domain, const std::string& name);
     shards::ShardNode& node(const HostId& host);
@@ -161,6 +166,8 @@
     /** Disconnects isolated hosts from the store and all targets, and the hosts of each failure domain from what a cut
         separates them from; connects all others. */
     void updateConnections();
+    /** Records which hosts are not in touch with the store. */
+    void followContact();
     /** Returns false when the message was dropped because no link is open. */
     bool send(const HostId& from, const std::string& address, const protocol::Envelope& message);
     void connectionBroken(Call* call);
@@ -175,6 +182,10 @@
     std::set<std::string> m_domainsCutOff;
     /** Messages that are held back, by sender. */
     std::map<HostId, std::vector<std::function<void()>>> m_heldMessages;
+    /** The messages of these hosts are lost until then. */
+    std::map<HostId, TimePoint> m_dropsUntil;
+    /** When a host was last not in touch with the store. */
+    std::map<HostId, TimePoint> m_contactLostAt;
     std::vector<std::string> m_log;
     std::set<HostId> m_earlierBuilds;
     std::uint64_t m_lastIncarnation { 0 };
--- a/tests/emulator/EmulatedStore.cpp
+++ b/tests/emulator/EmulatedStore.cpp
@@ -61,8 +61,8 @@
                          const std::function<void(const ReadReply&)>& callback) {
         call(
             host,
-            [this, prefix, after, callback] {
-                if (prefix == faults.unreadablePrefix) {
+            [this, host, prefix, after, callback] {
+                if (isUnreadable(host, prefix)) {
                     m_queue.after(callTimeout, [callback] { callback({}); });
                     return;
                 }
@@ -97,7 +97,7 @@
                                           || faults.refusedHosts.count(host);
                                       callback(isUnreachable ? WatchReply {} : reply);
                                   } });
-                if (prefix == faults.silentPrefix || prefix == faults.unreadablePrefix) {
+                if (prefix == faults.silentPrefix || isUnreadable(host, prefix)) {
                     m_queue.after(wait + watchTimeoutMargin, [callback] { callback({}); });
                     return;
                 }
@@ -251,6 +251,12 @@
     m_pendingWatches.clear();
 }
 
+bool EmulatedStore::isUnreadable(const HostId& host, const std::string& prefix) const
+{
+    return prefix == faults.unreadablePrefix
+        && (faults.unreadableHosts.empty() || faults.unreadableHosts.count(host) != 0);
+}
+
 void EmulatedStore::notify()
 {
     const auto watches = m_pendingWatches;
--- a/tests/emulator/EmulatedStore.h
+++ b/tests/emulator/EmulatedStore.h
@@ -31,6 +31,8 @@
         std::string silentPrefix;
         /** Reads and watches of this prefix time out without an answer; empty for none. */
         std::string unreadablePrefix;
+        /** Hosts to which unreadablePrefix applies; empty for all. */
+        std::set<HostId> unreadableHosts;
         /** Largest number of changes in the answer to a watch; 0 for no limit. */
         std::size_t maximumChanges { 0 };
         /** Hosts whose calls are refused. */
@@ -82,6 +84,8 @@
     shards::TransactionReply execute(const shards::KeyTransaction& transaction);
     void writeItem(const std::string& key, const std::string& value, std::uint64_t lease);
     void removeItem(const std::string& key);
+    /** Returns whether the reads and watches of this prefix by this host are left unanswered. */
+    bool isUnreadable(const HostId& host, const std::string& prefix) const;
     void notify();
     bool answerWatch(PendingWatch& watch, bool isTimedOut);
     void expireLeases();
--- a/tests/emulator/EmulatedTargets.cpp
+++ b/tests/emulator/EmulatedTargets.cpp
@@ -12,6 +12,8 @@
     constexpr auto latency = 1ms;
     constexpr auto stopDuration = 40ms;
     constexpr auto leaseCheckInterval = 10ms;
+    /** No task starts later than this after the evacuation of a failure domain. */
+    constexpr auto evacuationBound = 5000ms;
 }
 
 std::string taskPayload(std::chrono::milliseconds duration, Resources resources, bool fails)
@@ -137,6 +139,7 @@
                 unanswered();
             } else {
                 checkDraining(request.target);
+                checkEvacuation(host, request.target);
                 const TargetCallResult ending = start(request);
                 if (isCrashed(request.target)) {
                     unanswered();
@@ -338,6 +341,17 @@
         "start on " + target.value() + " " + std::to_string(elapsed.count()) + " ms after it began to drain");
 }
 
+void EmulatedTargets::checkEvacuation(const HostId& host, const TargetId& target)
+{
+    const auto since = m_evacuatedSince.find(m_reports.at(target).failureDomain);
+    if (since == m_evacuatedSince.end() || (m_isInTouch && !m_isInTouch(host)))
+        return;
+    const auto elapsed = std::chrono::duration_cast<std::chrono::milliseconds>(m_queue.now() - since->second);
+    if (elapsed > evacuationBound)
+        m_violations.push_back("start on " + target.value() + " by " + host.value() + " "
+            + std::to_string(elapsed.count()) + " ms after its failure domain was evacuated");
+}
+
 void EmulatedTargets::end(const TargetId& id, const TaskId& task, RunOutcome outcome, const char* name)
 {
     Target& target = m_targets[id];
--- a/tests/emulator/EmulatedTargets.h
+++ b/tests/emulator/EmulatedTargets.h
@@ -80,6 +80,12 @@
     /** The store has acknowledged that the target drains. A start that is sent later than the drain notice violates an
         invariant. */
     void setDraining(const TargetId& target) { m_drainingSince[target] = m_queue.now(); }
+    /** The store has acknowledged that a failure domain is evacuated. A start that a host in touch with the store sends
+        there later than the bound violates an invariant. */
+    void setEvacuated(const FailureDomainId& domain) { m_evacuatedSince[domain] = m_queue.now(); }
+    void endEvacuation(const FailureDomainId& domain) { m_evacuatedSince.erase(domain); }
+    /** Sets a function that returns whether a host is in touch with the store. */
+    void setContactCheck(std::function<bool(const HostId&)> isInTouch) { m_isInTouch = std::move(isInTouch); }
     bool isDraining(const TargetId& target) const { return m_drainingSince.count(target) != 0; }
     /** Ends all runs of a target, which is back with the next incarnation after Faults::crashDuration. */
     void crash(const TargetId& target);
@@ -91,7 +97,8 @@
     /** Returns all runs of all tasks, including ended ones. */
     const std::map<shards::TaskId, std::vector<Run>>& runs() const { return m_runs; }
     /** Returns descriptions of the violated invariants: overlapping runs of a task, exceeded capacity, and starts on a
-        target that has drained for longer than the drain notice. */
+        target that has drained for longer than the drain notice, and starts in a failure domain that has been evacuated
+        for longer than the bound. */
     const std::vector<std::string>& violations() const { return m_violations; }
     /** Returns the number of current runs on all targets. */
     std::size_t running() const;
@@ -131,6 +138,7 @@
     /** Returns whether the next run of the task is one that fails almost at once. */
     bool willFailAtOnce(const shards::TaskId& task, const TargetId& target) const;
     void checkDraining(const TargetId& target);
+    void checkEvacuation(const HostId& host, const TargetId& target);
     void end(const TargetId& target, const shards::TaskId& task, shards::RunOutcome outcome, const char* name);
     void answerPoll(const shards::PollRequest& request, const std::function<void(const shards::PollReply&)>& callback);
     bool acceptToken(Target& target, shards::FencingToken token);
@@ -146,6 +154,8 @@
     std::set<TargetId> m_removed;
     std::set<TargetId> m_crashedTargets;
     std::map<TargetId, TimePoint> m_drainingSince;
+    std::map<FailureDomainId, TimePoint> m_evacuatedSince;
+    std::function<bool(const HostId&)> m_isInTouch;
     std::function<void(const TargetId&)> m_returnObserver;
     std::map<shards::TaskId, std::vector<Run>> m_runs;
     std::vector<std::string> m_violations;
--- a/tests/network/DaemonPartsTests.cpp
+++ b/tests/network/DaemonPartsTests.cpp
@@ -71,7 +71,8 @@
     settings = validSettings();
     settings["processor"] = { { "share", 0 } };
     CHECK_THAT(settingsError(settings), Catch::Contains("[processor][share]"));
-    for (const char* const limit : { "target_drain_ms", "target_lease_ms", "resubmission_ms", "shutdown_s" }) {
+    for (const char* const limit :
+        { "target_drain_ms", "target_lease_ms", "resubmission_ms", "evacuation_ms", "shutdown_s" }) {
         settings = validSettings();
         settings["platform_limits"][limit] = 0;
         CHECK_THAT(settingsError(settings), Catch::Contains(std::string("[platform_limits][") + limit));
--- a/tests/shards/RecoveryTests.cpp
+++ b/tests/shards/RecoveryTests.cpp
@@ -685,13 +685,13 @@
 {
     EmulatedFleet fleet;
     fleet.startAll();
-    fleet.store().put("config", "5");
+    fleet.store().put("op/config", "5");
     fleet.run(1s);
-    fleet.store().put("config", "3");
+    fleet.store().put("op/config", "3");
     fleet.run(1s);
     for (const HostId& host : fleet.hosts())
         REQUIRE(fleet.node(host).queues()->version == 5);
-    fleet.store().put("config", "6");
+    fleet.store().put("op/config", "6");
     fleet.run(1s);
     for (const HostId& host : fleet.hosts())
         REQUIRE(fleet.node(host).queues()->version == 6);
