--- a/modules/rattanroad_shards/entrance/JobEntrance.cpp
+++ b/modules/rattanroad_shards/entrance/JobEntrance.cpp
@@ -256,6 +256,11 @@
     trySubmit(id);
 }
 
+bool JobEntrance::isOutdated(const Submission& submission, RequestNumber request)
+{
+    return submission.firstValidAttempt != 0 && request.isBefore(submission.firstValidAttempt);
+}
+
 std::optional<ShardId> JobEntrance::shardFor(const Submission& submission) const
 {
     return isBound(submission) ? std::optional<ShardId>(submission.shard) : m_loads.choose(submission.job);
@@ -274,6 +279,8 @@
     if (found == m_submissions.end())
         return;
     Submission& submission = found->second;
+    if (isOutdated(submission, request))
+        return;
     if (verdict == SubmitVerdict::Accepted && submission.job.best_effort()) {
         submission.isShardCertain = true;
         // Holders of earlier builds name none.
@@ -371,7 +378,8 @@
     const RequestNumber request = RequestNumber::fromWire(reply.request());
     const auto verdict = static_cast<SubmitVerdict>(reply.verdict());
     const auto submission = m_submissions.find(request.id());
-    if (submission != m_submissions.end()) {
+    const bool isValid = submission != m_submissions.end() && !isOutdated(submission->second, request);
+    if (isValid) {
         submission->second.unansweredRequests.erase(reply.request());
         if (verdict == SubmitVerdict::Accepted)
             submission->second.acceptedBy.insert(holder);
@@ -382,6 +390,11 @@
 void JobEntrance::jobReturned(const std::string& holder, const protocol::ShardJobReturned& returned)
 {
     const JobId job(returned.id());
+    if (returned.reason() == protocol::ShardJobReturned::OTHER_SHARD) {
+        if (!returned.may_have_run())
+            submitElsewhere(job, ShardId(returned.shard()));
+        return;
+    }
     const auto waiting = m_bestEffortSubmissions.equal_range(job);
     std::vector<std::uint64_t> submissions;
     for (auto entry = waiting.first; entry != waiting.second; ++entry)
@@ -404,6 +417,30 @@
     }
 }
 
+void JobEntrance::submitElsewhere(const JobId& job, const ShardId& shard)
+{
+    std::vector<std::uint64_t> submissions;
+    const auto waiting = m_bestEffortSubmissions.equal_range(job);
+    for (auto entry = waiting.first; entry != waiting.second; ++entry) {
+        Submission& submission = m_submissions[entry->second];
+        // The holder repeats the notice when it receives a submission that was sent before it arrived here.
+        if (submission.shard == shard && submission.returnedFrom.insert(shard).second)
+            submissions.push_back(entry->second);
+    }
+    for (const std::uint64_t id : submissions) {
+        Submission& submission = m_submissions[id];
+        const auto waited = std::chrono::duration_cast<std::chrono::milliseconds>(m_clock.now() - submission.startedAt);
+        m_hooks.log("job_sent_elsewhere", job,
+            "shard " + shard.value() + " has returned it after " + std::to_string(waited.count()) + " ms");
+        submission.isShardCertain = false;
+        submission.unresolvedAttempts = 0;
+        submission.unansweredRequests.clear();
+        submission.acceptedBy.clear();
+        submission.firstValidAttempt = ++submission.attempt;
+        trySubmit(id);
+    }
+}
+
 void JobEntrance::handleJobReply(const protocol::ShardJobReply& reply)
 {
     if (reply.state() > static_cast<unsigned>(JobState::Cancelled) || m_requests.replyReceived(reply))
--- a/modules/rattanroad_shards/entrance/JobEntrance.h
+++ b/modules/rattanroad_shards/entrance/JobEntrance.h
@@ -80,9 +80,12 @@
     void loadReceived(const protocol::ShardLoad& load);
     const ShardLoads& loads() const { return m_loads; }
     JobHomes& homes() { return m_requests.homes(); }
+    /** Tells whether the failure domain of a shard is evacuated. */
+    void setEvacuated(const ShardId& shard, bool isEvacuated) { m_loads.setEvacuated(shard, isEvacuated); }
     /** Answers the callers that wait for a job that has ended. */
     void jobEnded(const JobId& job, JobState state);
-    /** Answers the callers that wait for a best-effort job which the host at address @p holder no longer has. */
+    /** The host at address @p holder no longer has a best-effort job: answers the callers that wait for it, or submits
+       it to another shard. */
     void jobReturned(const std::string& holder, const protocol::ShardJobReturned& returned);
 
 private:
@@ -103,6 +106,10 @@
         std::set<std::uint64_t> unansweredRequests;
         /** Hosts that have accepted the best-effort job as holder. */
         std::set<std::string> acceptedBy;
+        /** Shards that have returned the job. */
+        std::set<ShardId> returnedFrom;
+        /** Replies to attempts before this one are ignored, because a shard has returned the job since. */
+        std::uint64_t firstValidAttempt { 0 };
     };
     void trySubmit(std::uint64_t id);
     /** Returns the shard through whose holder a best-effort job is to be submitted, or nothing when none can be reached
@@ -122,11 +129,15 @@
     /** Returns whether a job has to stay in its shard: runs of one task of a best-effort job in two shards could
         overlap. */
     static bool isBound(const Submission& submission);
+    /** Returns whether a shard has returned the job since this request was sent. */
+    static bool isOutdated(const Submission& submission, RequestNumber request);
     void handleSubmitReply(const std::string& holder, const protocol::ShardSubmitReply& reply);
     void handleVerdict(
         RequestNumber request, SubmitVerdict verdict, std::chrono::milliseconds retryAfter, const ShardId& shard);
     void finishSubmission(std::uint64_t id, EntranceVerdict verdict, std::chrono::milliseconds retryAfter);
     void handleJobReply(const protocol::ShardJobReply& reply);
+    /** Submits a best-effort job that a shard has returned without having started it to another shard. */
+    void submitElsewhere(const JobId& job, const ShardId& shard);
     JobQueries::Settings querySettings() const;
     JobQueries::Hooks queryHooks();
     HolderRequests::Settings requestSettings() const;
--- a/modules/rattanroad_shards/jobs/TaskRunner.cpp
+++ b/modules/rattanroad_shards/jobs/TaskRunner.cpp
@@ -316,7 +316,8 @@
 void TaskRunner::schedule()
 {
     m_isPassDue = false;
-    if (!maySchedule())
+    const bool areStartsAllowed = !m_hooks.areStartsAllowed || m_hooks.areStartsAllowed();
+    if (!areStartsAllowed || !maySchedule())
         return;
     const TimePoint now = m_clock.now();
     PlacementPass pass = m_targets.beginPass();
