Bound what a process holds for its callers

Cause: the body limit of the configuration was not known where a body is read (h2o was given twice the 8 MB default), and nothing bounded header fields, pipelined requests, answers that are not taken, or the sum over all connections.

Change: ConnectionAccount decides, from what each connection holds and since when it has made no progress, which ones are closed; HttpConnections keeps it up to date for all servers of a process by wrapping h2o's read callback. Kernel buffers of accepted connections are 16 KB each. Bodies over the limit of the configuration are refused before they are read, with 1 KB for the readiness and metrics addresses; a body of 8 to 16 MB got status 200 before, since the answer had the default status. Header fields are bounded in size and time, bodies, answers and idle connections in time; 16 requests of a connection are served per turn of the loop; the text of the metrics is rendered at most five times a second. The JSON reader counts nesting and elements before it builds anything. Messages between hosts have 4 MB at most. Each cause is counted, with one line a second.

--- a/apps/rattanroadd/fleet/FleetHost.cpp
+++ b/apps/rattanroadd/fleet/FleetHost.cpp
@@ -1,6 +1,7 @@
 #include "fleet/FleetHost.h"
 
 #include "fleet/FleetMetrics.h"
+#include "fleet/HttpLimitLog.h"
 #include "platform/CallerHttpApi.h"
 #include "platform/PlatformKeys.h"
 #include "platform/QueueConfiguration.h"
@@ -25,6 +26,13 @@
     /** Allows four lines per job at one host's share of the current load, with headroom for bursts. */
     constexpr std::size_t maximumJobLogLinesPerSecond = 400;
 
+    /** Requests to the readiness and metrics addresses have no body. */
+    const ByteCount operationsBodySize { 1024 };
+    /** Text that is served again to requests in this time: rendering it takes as long as many jobs. */
+    constexpr std::chrono::milliseconds metricsLifetime { 200 };
+    /** The largest message between hosts carries a job, whose body has 256 KB at most, or the loads of a shard. */
+    const ByteCount maximumPeerMessageSize { 4U << 20U };
+
     HttpClient::Settings clientSettings()
     {
         HttpClient::Settings settings;
@@ -61,21 +69,28 @@
         , m_targetHttp(loop, clientSettings())
         , m_storeClient(m_storeHttp, storeSettings())
         , m_targetClient(m_targetHttp, [this](Duration duration) { m_metrics.observeTargetRequest(duration); })
-        , m_peerLink(loop, {}, [this](const protocol::Envelope& envelope) { m_node.received(envelope); })
+        , m_peerLink(loop, peerSettings(), [this](const protocol::Envelope& envelope) { m_node.received(envelope); })
         , m_node(nodeSettings(settings, incarnation), m_storeClient.keyValueStore(), m_targetClient.targetCalls(),
               timers(), clock, nodeHooks())
         , m_callerApi(m_node.entrance(), [this] { return m_node.queues(); })
-        , m_callerServer(loop, {},
+        , m_limitLog(
+              clock, [this](const char* event, const StateLog::Fields& fields) { m_log.write(event, fields); },
+              [this](const char* event) { m_metrics.count(event); })
+        , m_connections(std::make_shared<HttpConnections>(loop, settings.httpLimits,
+              [this](CloseCause cause, std::size_t heldBytes) {
+                  m_limitLog.add(cause, heldBytes, m_connections->account());
+              }))
+        , m_callerServer(loop, serverSettings(ByteCount(shards::QueueTable().maximumBodyBytes)),
               [this](HttpRequest&& request, const HttpResponder& responder) {
                   m_callerApi.handle(std::move(request), responder);
               })
-        , m_readinessServer(loop, {},
+        , m_readinessServer(loop, serverSettings(operationsBodySize),
               [this](HttpRequest&&, const HttpResponder& responder) {
                   HttpResponse response;
                   response.status = m_node.isReady() ? 200 : 503;
                   responder.send(response);
               })
-        , m_metricsServer(loop, {},
+        , m_metricsServer(loop, serverSettings(operationsBodySize),
               [this](HttpRequest&& request, const HttpResponder& responder) { serveMetrics(request, responder); })
     {
     }
@@ -93,7 +108,11 @@
             if (!bound)
                 return bound.lastReason();
         }
-        logEvent("started", { { "millicores", std::to_string(m_settings.processor.value()) } });
+        const HttpLimits& limits = m_settings.httpLimits;
+        logEvent("started",
+            { { "millicores", std::to_string(m_settings.processor.value()) },
+                { "caller_connections", std::to_string(limits.maximumConnections) },
+                { "caller_bytes", std::to_string(limits.maximumHeldBytes.value()) } });
         m_node.start();
         return std::nullopt;
     }
@@ -128,10 +147,35 @@
         hooks.jobDuration = [this](Duration duration) { m_metrics.observeJob(duration); };
         hooks.loopLag = [this](Duration lag) { m_metrics.observeLoopLag(lag); };
         hooks.parseTarget = &adapter::parseTargetEntry;
-        hooks.parseConfiguration = &adapter::parseQueueConfiguration;
+        hooks.parseConfiguration = [this](const std::string& document) {
+            m_loop.defer([this] { applyBodyLimit(); });
+            return adapter::parseQueueConfiguration(document);
+        };
         return hooks;
     }
 
+    static PeerLink::Settings peerSettings()
+    {
+        PeerLink::Settings settings;
+        settings.maximumMessageSize = maximumPeerMessageSize;
+        return settings;
+    }
+
+    HttpServer::Settings serverSettings(ByteCount maximumBodySize)
+    {
+        HttpServer::Settings settings;
+        settings.maximumBodySize = maximumBodySize;
+        settings.connections = m_connections;
+        return settings;
+    }
+
+    /** Has the body limit of the configuration in force apply before bodies are read. */
+    void applyBodyLimit()
+    {
+        if (const shards::QueueTable* const queues = m_node.queues())
+            m_callerServer.setMaximumBodySize(ByteCount(queues->maximumBodyBytes));
+    }
+
     adapter::StoreHttpClient::Settings storeSettings()
     {
         adapter::StoreHttpClient::Settings settings;
@@ -147,12 +191,23 @@
         response.contentType = "text/plain; version=0.0.4";
         if (request.method == "GET" && request.path == "/metrics") {
             response.status = 200;
-            response.body = m_metrics.text(
-                { m_callerServer.openRequests(), m_node.isHolding(), m_node.isReady(), m_peerLink.statistics() });
+            response.body = metricsText();
         }
         responder.send(response);
     }
 
+    const std::string& metricsText()
+    {
+        const TimePoint now = m_clock.now();
+        if (m_metricsText.empty() || now - m_metricsRenderedAt >= metricsLifetime) {
+            m_metricsRenderedAt = now;
+            m_metricsText = m_metrics.text({ m_callerServer.openRequests(), m_node.isHolding(), m_node.isReady(),
+                m_peerLink.statistics(), m_connections->account().connections(), m_connections->account().heldBytes(),
+                m_callerServer.parserRefusals() });
+        }
+        return m_metricsText;
+    }
+
     void logEvent(const char* event, const StateLog::Fields& fields)
     {
         m_metrics.count(event);
@@ -206,9 +261,13 @@
     PeerLink m_peerLink;
     shards::ShardNode m_node;
     adapter::CallerHttpApi m_callerApi;
+    HttpLimitLog m_limitLog;
+    std::shared_ptr<HttpConnections> m_connections;
     HttpServer m_callerServer;
     HttpServer m_readinessServer;
     HttpServer m_metricsServer;
+    std::string m_metricsText;
+    TimePoint m_metricsRenderedAt;
     bool m_isDraining { false };
     TimePoint m_drainStartedAt;
     /** Start of the second in which m_jobLogLines are counted. */
--- a/apps/rattanroadd/fleet/FleetMetrics.cpp
+++ b/apps/rattanroadd/fleet/FleetMetrics.cpp
@@ -20,6 +20,12 @@
         { { "event", event } });
 }
 
+void FleetMetrics::setHttpRefusals(const char* status, std::uint64_t count)
+{
+    m_metrics.setCounter("rattanroad_http_refused_total", "Requests of callers that were refused before they were read",
+        static_cast<double>(count), { { "status", status } });
+}
+
 std::string FleetMetrics::text(const Snapshot& snapshot)
 {
     for (const auto& event : m_events) {
@@ -30,6 +36,12 @@
         static_cast<double>(snapshot.openRequests));
     m_metrics.setGauge("rattanroad_holds_shard", "1 while this host holds a shard", snapshot.isHoldingShard ? 1 : 0);
     m_metrics.setGauge("rattanroad_ready", "1 while callers should be sent here", snapshot.isReady ? 1 : 0);
+    m_metrics.setGauge(
+        "rattanroad_http_connections", "Open connections of callers", static_cast<double>(snapshot.callerConnections));
+    m_metrics.setGauge("rattanroad_http_held_bytes", "Bytes of requests and answers that are held for callers",
+        static_cast<double>(snapshot.callerBytes));
+    setHttpRefusals("400", snapshot.parserRefusals.malformed);
+    setHttpRefusals("413", snapshot.parserRefusals.tooLarge);
     setPeerMessages("sent", snapshot.peers.messagesSent);
     setPeerMessages("received", snapshot.peers.messagesReceived);
     setPeerMessages("dropped", snapshot.peers.messagesDropped);
--- a/apps/rattanroadd/fleet/FleetMetrics.h
+++ b/apps/rattanroadd/fleet/FleetMetrics.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "rattanroad_network/http/HttpServer.h"
 #include "rattanroad_network/peers/PeerLink.h"
 #include "rattanroad_network/telemetry/Metrics.h"
 #include "rattanroad_shards/types/ShardTypes.h"
@@ -17,6 +18,9 @@
         bool isHoldingShard { false };
         bool isReady { false };
         PeerLink::Statistics peers;
+        std::size_t callerConnections { 0 };
+        std::size_t callerBytes { 0 };
+        HttpServer::ParserRefusals parserRefusals;
     };
 
     FleetMetrics();
@@ -38,6 +42,7 @@
     {
         histogram(std::chrono::duration<double>(duration).count());
     }
+    void setHttpRefusals(const char* status, std::uint64_t count);
     void setPeerMessages(const char* event, std::uint64_t count);
 
     Metrics m_metrics;
--- a/apps/rattanroadd/settings/Settings.cpp
+++ b/apps/rattanroadd/settings/Settings.cpp
@@ -83,6 +83,21 @@
         return shards::HostMillicores(static_cast<std::uint32_t>(std::lround(millicores)));
     }
 
+    HttpLimits httpLimits(const json& section)
+    {
+        const auto memory = static_cast<std::uint64_t>(section.value("memory_mb", 0.0));
+        const auto descriptors = static_cast<std::size_t>(section.value("descriptors", 0.0));
+        HttpLimits limits = HttpLimits::of(MebibyteCount(memory), descriptors);
+        limits.maximumConnections = section.value("caller_connections", limits.maximumConnections);
+        limits.maximumHeldBytes = ByteCount(section.value("caller_bytes", limits.maximumHeldBytes.value()));
+        limits.maximumHeadBytes = ByteCount(section.value("header_bytes", limits.maximumHeadBytes.value()));
+        limits.headTimeout = milliseconds(section, "header_timeout_ms", limits.headTimeout);
+        limits.bodyTimeout = milliseconds(section, "body_timeout_ms", limits.bodyTimeout);
+        limits.idleTimeout = milliseconds(section, "idle_timeout_ms", limits.idleTimeout);
+        limits.answerTimeout = milliseconds(section, "answer_timeout_ms", limits.answerTimeout);
+        return limits;
+    }
+
     /** @pre @p document is valid against the schema. */
     Settings readSettings(const json& document)
     {
@@ -101,6 +116,7 @@
             = milliseconds(limits, "target_lease_ms", settings.platformLimits.targetLease);
         settings.platformLimits.resubmission
             = milliseconds(limits, "resubmission_ms", settings.platformLimits.resubmission);
+        settings.httpLimits = httpLimits(section("process_limits"));
         const std::chrono::duration<double> shutdown(
             limits.value("shutdown_s", std::chrono::duration<double>(settings.shutdownTime).count()));
         settings.shutdownTime = std::chrono::duration_cast<std::chrono::milliseconds>(shutdown);
--- a/apps/rattanroadd/settings/Settings.h
+++ b/apps/rattanroadd/settings/Settings.h
@@ -2,6 +2,7 @@
 
 #include "rattanroad_core/failure/Result.h"
 #include "rattanroad_dispatch/rattanroad_dispatch.h"
+#include "rattanroad_network/http/ConnectionAccount.h"
 #include "rattanroad_shards/types/PlatformLimits.h"
 #include "rattanroad_shards/types/ShardTypes.h"
 
@@ -22,6 +23,8 @@
     shards::HostMillicores processor;
     /** Limits of the platform; only with StoreKind::Platform. */
     shards::PlatformLimits platformLimits;
+    /** Limits of what is held for callers; only with StoreKind::Platform. */
+    HttpLimits httpLimits;
     /** Time that the platform gives a process to stop; only with StoreKind::Platform. */
     std::chrono::milliseconds shutdownTime { 6000 };
     /** Address of the HTTP interface, "<IPv4 address>:<port>". */
--- a/apps/rattanroadd/settings/SettingsSchema.cpp
+++ b/apps/rattanroadd/settings/SettingsSchema.cpp
@@ -36,6 +36,20 @@
         "shutdown_s": { "type": "number", "minimum": 3.5, "maximum": 3600 }
       }
     },
+    "process_limits": {
+      "type": "object", "additionalProperties": false,
+      "properties": {
+        "memory_mb": { "type": "number", "minimum": 32, "maximum": 1048576 },
+        "descriptors": { "type": "number", "minimum": 64, "maximum": 1048576 },
+        "caller_connections": { "type": "integer", "minimum": 16, "maximum": 1000000 },
+        "caller_bytes": { "type": "integer", "minimum": 1048576, "maximum": 17179869184 },
+        "header_bytes": { "type": "integer", "minimum": 1024, "maximum": 262144 },
+        "header_timeout_ms": { "type": "integer", "minimum": 100, "maximum": 600000 },
+        "body_timeout_ms": { "type": "integer", "minimum": 100, "maximum": 600000 },
+        "idle_timeout_ms": { "type": "integer", "minimum": 100, "maximum": 3600000 },
+        "answer_timeout_ms": { "type": "integer", "minimum": 100, "maximum": 600000 }
+      }
+    },
     "listen": {
       "type": "object", "additionalProperties": false, "required": ["callers", "peers"],
       "properties": {
--- a/modules/rattanroad_core/json/BoundedJson.cpp
+++ b/modules/rattanroad_core/json/BoundedJson.cpp
@@ -4,17 +4,46 @@
 
 using nlohmann::json;
 
-json parseBoundedJson(std::string_view text)
+bool isWithinJsonBounds(std::string_view text, std::size_t maximumElements)
 {
-    bool isTooDeep = false;
-    const auto checkDepth = [&isTooDeep](int depth, json::parse_event_t, const json&) {
-        isTooDeep = isTooDeep || depth > maximumJsonDepth;
-        return !isTooDeep;
-    };
-    json value = json::parse(text, checkDepth, false);
-    if (isTooDeep)
+    int depth = 0;
+    std::size_t elements = 0;
+    for (std::size_t i = 0; i < text.size(); ++i) {
+        switch (text[i]) {
+        case '"':
+            for (++i; i < text.size() && text[i] != '"'; ++i) {
+                if (text[i] == '\\')
+                    ++i;
+            }
+            break;
+        case '[':
+        case '{':
+            ++elements;
+            if (++depth > maximumJsonDepth)
+                return false;
+            break;
+        case ']':
+        case '}':
+            --depth;
+            break;
+        case ',':
+        case ':':
+            ++elements;
+            break;
+        default:
+            break;
+        }
+        if (elements > maximumElements)
+            return false;
+    }
+    return true;
+}
+
+json parseBoundedJson(std::string_view text, std::size_t maximumElements)
+{
+    if (!isWithinJsonBounds(text, maximumElements))
         return json::value_t::discarded;
-    return value;
+    return json::parse(text, nullptr, false);
 }
 
 }
--- a/modules/rattanroad_network/http/HttpServer.cpp
+++ b/modules/rattanroad_network/http/HttpServer.cpp
@@ -1,12 +1,12 @@
 #include "rattanroad_network/http/HttpServer.h"
 
+#include "rattanroad_network/http/HttpConnections.h"
+#include "rattanroad_network/http/HttpResponderState.h"
 #include "rattanroad_network/http/SocketAddress.h"
 #include "rattanroad_network/loop/EventLoop.h"
-#include "rattanroad_network/loop/H2o.h"
 
 #include <algorithm>
 #include <array>
-#include <cassert>
 #include <map>
 #include <poll.h>
 #include <sys/epoll.h>
@@ -16,147 +16,32 @@
 namespace rattanroad {
 
 namespace {
-    bool isClosedByPeer(int descriptor)
-    {
-        pollfd polled { descriptor, POLLRDHUP, 0 };
-        return poll(&polled, 1, 0) > 0;
-    }
-}
+    /** h2o answers a body that is larger than the own limit by more than this itself, before it reads the body. */
+    constexpr std::uint64_t bodyMargin = 1024;
+    /** Pause before the further requests of a connection that has sent many at once. */
+    constexpr std::chrono::milliseconds requestPause { 1 };
 
-/** One request between its arrival and the end of its answer. */
-class HttpResponder::State {
-public:
-    /** First member of the memory that h2o hands back to the generator callbacks. */
-    struct Generator {
-        h2o_generator_t super;
-        State* state;
-    };
-
-    State(h2o_req_t* request, std::shared_ptr<const bool> isDraining)
-        : m_request(request)
-        , m_isDraining(std::move(isDraining))
-        , m_descriptor(h2o_socket_get_fd(request->conn->callbacks->get_socket(request->conn)))
-    {
-    }
-
-    void send(const HttpResponse& response)
-    {
-        assert(!m_isAnswered && "a request is answered once");
-        m_isAnswered = true;
-        if (!m_request)
-            return;
-        fillHead(response.status, response.contentType, response.headers);
-        m_request->res.content_length = response.body.size();
-        h2o_send_inline(m_request, response.body.data(), response.body.size());
-    }
-
-    void startStream(int status, const std::string& contentType)
-    {
-        assert(!m_isAnswered && "a request is answered once");
-        m_isAnswered = true;
-        if (!m_request)
-            return;
-        fillHead(status, contentType, {});
-        m_generator = { { &State::proceed, nullptr }, this };
-        h2o_start_response(m_request, &m_generator.super);
-        m_isStreaming = true;
-    }
-
-    void sendChunk(const std::string& chunk, bool isLast)
-    {
-        if (!m_request || m_isLast)
-            return;
-        m_waiting += chunk;
-        m_isLast = isLast;
-        if (!m_isInFlight)
-            sendWaiting();
-    }
-
-    void abort()
-    {
-        assert(!m_isAnswered && "a request is answered once");
-        m_isAnswered = true;
-        if (!m_request)
-            return;
-        // h2o closes the connection when the write fails.
-        shutdown(m_descriptor, SHUT_RDWR);
-        m_request->http1_is_persistent = 0;
-        h2o_send_inline(m_request, "", 0);
-    }
-
-    /** h2o freed the request, or the caller is gone. */
-    void disconnected()
-    {
-        if (!m_request)
-            return;
-        m_isGone = true;
-        std::function<void()> callback;
-        callback.swap(m_disconnectCallback);
-        if (callback && (!m_isAnswered || (m_isStreaming && !m_isLast)))
-            callback();
-    }
-
-    void released()
-    {
-        disconnected();
-        m_request = nullptr;
-    }
-
-    bool isOpen() const { return m_request && !m_isGone; }
-    int descriptor() const { return m_descriptor; }
-    void setDisconnectCallback(std::function<void()> callback) { m_disconnectCallback = std::move(callback); }
-
-private:
-    void fillHead(int status, const std::string& contentType, const std::vector<HttpHeader>& headers)
+    HttpLimits limitsOf(const HttpServer::Settings& settings)
     {
-        if (*m_isDraining)
-            m_request->http1_is_persistent = 0;
-        m_request->res.status = status;
-        m_request->res.reason = status < 400 ? "OK" : "Error";
-        const auto copied = h2o_strdup(&m_request->pool, contentType.data(), contentType.size());
-        h2o_add_header(
-            &m_request->pool, &m_request->res.headers, H2O_TOKEN_CONTENT_TYPE, nullptr, copied.base, copied.len);
-        for (const HttpHeader& header : headers) {
-            const auto name = h2o_strdup(&m_request->pool, header.name.data(), header.name.size());
-            const auto value = h2o_strdup(&m_request->pool, header.value.data(), header.value.size());
-            h2o_add_header_by_str(
-                &m_request->pool, &m_request->res.headers, name.base, name.len, 1, nullptr, value.base, value.len);
-        }
+        HttpLimits limits;
+        limits.idleTimeout = settings.idleTimeout;
+        return limits;
     }
 
-    void sendWaiting()
+    HttpResponse refusal(int status, const char* detail)
     {
-        if (m_waiting.empty() && !m_isLast)
-            return;
-        // The bytes in flight must stay in place until h2o calls proceed().
-        m_inFlight.swap(m_waiting);
-        m_waiting.clear();
-        m_isInFlight = true;
-        h2o_iovec_t vector = h2o_iovec_init(m_inFlight.data(), m_inFlight.size());
-        const auto state = m_isLast ? H2O_SEND_STATE_FINAL : H2O_SEND_STATE_IN_PROGRESS;
-        h2o_send(m_request, &vector, vector.len ? 1 : 0, state);
+        HttpResponse response;
+        response.status = status;
+        response.body = std::string(R"({"error":")") + detail + R"("})";
+        return response;
     }
 
-    static void proceed(h2o_generator_t* generator, h2o_req_t*)
+    bool isClosedByPeer(int descriptor)
     {
-        State* const state = reinterpret_cast<Generator*>(generator)->state;
-        state->m_isInFlight = false;
-        state->sendWaiting();
+        pollfd polled { descriptor, POLLRDHUP, 0 };
+        return poll(&polled, 1, 0) > 0;
     }
-
-    h2o_req_t* m_request;
-    std::shared_ptr<const bool> m_isDraining;
-    int m_descriptor;
-    Generator m_generator {};
-    std::function<void()> m_disconnectCallback;
-    std::string m_inFlight;
-    std::string m_waiting;
-    bool m_isAnswered { false };
-    bool m_isStreaming { false };
-    bool m_isInFlight { false };
-    bool m_isLast { false };
-    bool m_isGone { false };
-};
+}
 
 HttpResponder::HttpResponder(std::shared_ptr<State> state)
     : m_state(std::move(state))
@@ -187,12 +72,16 @@
         : m_loop(loop)
         , m_settings(std::move(settings))
         , m_handler(std::move(handler))
+        , m_connections(m_settings.connections ? m_settings.connections
+                                               : std::make_shared<HttpConnections>(loop, limitsOf(m_settings), nullptr))
         , m_disconnects(epoll_create1(EPOLL_CLOEXEC))
     {
         h2o_config_init(&m_config);
-        // Larger than the own limit, so that the answer to a slightly larger body has the own format.
-        m_config.max_request_entity_size = m_settings.maximumBodySize.value() * 2 + 1024;
-        m_config.http1.req_timeout = static_cast<std::uint64_t>(m_settings.idleTimeout.count());
+        setMaximumBodySize(m_settings.maximumBodySize);
+        // HttpConnections ends requests that are too slow with limits of their own.
+        const HttpLimits& limits = m_connections->account().limits();
+        m_config.http1.req_timeout
+            = static_cast<std::uint64_t>((limits.idleTimeout + limits.headTimeout + limits.bodyTimeout).count());
         // One request at a time per connection, so that a descriptor names its request.
         m_config.http1.upgrade_to_http2 = 0;
         m_host = h2o_config_register_host(&m_config, h2o_iovec_init(H2O_STRLIT("default")), 65535);
@@ -210,6 +99,7 @@
     {
         while (!m_listeners.empty())
             closeListener(m_listeners.begin()->first);
+        m_loop.cancelTimer(m_waitingTimer);
         m_loop.unwatchDescriptor(m_disconnects);
         close(m_disconnects);
         m_requests.clear();
@@ -221,6 +111,7 @@
         if (!address)
             return Failure { FailureCode::Internal, RunState::NotRun, "malformed address " + text };
         const int descriptor = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+        HttpConnections::setBufferSizes(descriptor);
         const int enabled = 1;
         setsockopt(descriptor, SOL_SOCKET, SO_REUSEADDR, &enabled, sizeof enabled);
         sockaddr_in bound = *address;
@@ -246,6 +137,20 @@
     }
 
     void drain() { *m_isDraining = true; }
+
+    ParserRefusals parserRefusals() const
+    {
+        return { m_context.emitted_error_status[H2O_STATUS_ERROR_400],
+            m_context.emitted_error_status[H2O_STATUS_ERROR_413] };
+    }
+
+    void setMaximumBodySize(ByteCount size)
+    {
+        m_settings.maximumBodySize = size;
+        // Larger than the own limit, so that the answer to a slightly larger body has the own format.
+        m_config.max_request_entity_size = size.value() + bodyMargin;
+    }
+
     std::size_t openRequests() const { return m_requests.size(); }
 
 private:
@@ -286,8 +191,12 @@
 
     void accepted(h2o_socket_t* socket, int port)
     {
+        if (!m_connections->mayOpen()) {
+            h2o_socket_close(socket);
+            return;
+        }
         const int descriptor = h2o_socket_get_fd(socket);
-        m_portByDescriptor[descriptor] = port;
+        m_connections->opened(socket, port);
         // The kernel removes the descriptor from the set when it is closed.
         epoll_event event {};
         event.events = EPOLLRDHUP | EPOLLET;
@@ -304,20 +213,47 @@
 
     void handle(h2o_req_t* native)
     {
-        auto state = std::make_shared<HttpResponder::State>(native, m_isDraining);
+        auto& connection = HttpConnections::of(native->conn->callbacks->get_socket(native->conn));
+        auto state = std::make_shared<HttpResponder::State>(native, m_isDraining,
+            [this, &connection](std::size_t bytes) { m_connections->answerStarted(connection, bytes); });
         struct Holder {
             std::shared_ptr<HttpResponder::State> state;
             Impl* server;
+            HttpConnections::Connection* connection;
         };
         // h2o disposes of the holder with the request, when the answer is complete or the connection breaks.
         auto* const memory = h2o_mem_alloc_shared(&native->pool, sizeof(Holder), [](void* pointer) {
             auto* const holder = static_cast<Holder*>(pointer);
             holder->server->m_requests.erase(holder->state->descriptor());
+            holder->server->m_connections->requestEnded(*holder->connection);
             holder->state->released();
             holder->~Holder();
         });
-        new (memory) Holder { state, this };
+        new (memory) Holder { state, this, &connection };
         m_requests[state->descriptor()] = state;
+        if (m_connections->requestReceived(connection)) {
+            serve(state);
+            return;
+        }
+        m_waiting.push_back(state);
+        if (m_waiting.size() == 1)
+            m_waitingTimer = m_loop.addTimer(requestPause, [this] { serveWaiting(); });
+    }
+
+    /** Serves the requests that had to wait for a later turn of the loop. */
+    void serveWaiting()
+    {
+        std::vector<std::shared_ptr<HttpResponder::State>> waiting;
+        waiting.swap(m_waiting);
+        for (const auto& state : waiting) {
+            if (state->request())
+                serve(state);
+        }
+    }
+
+    void serve(const std::shared_ptr<HttpResponder::State>& state)
+    {
+        h2o_req_t* const native = state->request();
         HttpResponder responder(state);
         // The event of a disconnect that came before the request has been read already.
         if (isClosedByPeer(state->descriptor())) {
@@ -325,10 +261,32 @@
             return;
         }
         if (native->entity.len > m_settings.maximumBodySize.value()) {
+            m_connections->refused(CloseCause::LargeBody, native->entity.len);
             responder.send(m_settings.tooLargeResponse);
             return;
         }
-        m_handler(convert(native, m_portByDescriptor[state->descriptor()]), responder);
+        if (headBytes(native) > m_connections->account().limits().maximumHeadBytes.value()) {
+            m_connections->refused(CloseCause::LongHead, headBytes(native));
+            state->sendAndClose(refusal(431, "the header fields are too large"));
+            return;
+        }
+        if (m_connections->account().isFull()) {
+            m_connections->refused(CloseCause::RequestRefused, native->entity.len);
+            HttpResponse refused = refusal(503, "the host has too many requests; this one was not accepted");
+            refused.headers.push_back({ "retry-after", "1" });
+            state->sendAndClose(refused);
+            return;
+        }
+        const auto& connection = HttpConnections::of(native->conn->callbacks->get_socket(native->conn));
+        m_handler(convert(native, HttpConnections::port(connection)), responder);
+    }
+
+    static std::size_t headBytes(const h2o_req_t* native)
+    {
+        std::size_t bytes = native->input.path.len + native->input.authority.len;
+        for (std::size_t i = 0; i < native->headers.size; ++i)
+            bytes += native->headers.entries[i].name->len + native->headers.entries[i].value.len;
+        return bytes;
     }
 
     static HttpRequest convert(h2o_req_t* native, int port)
@@ -369,13 +327,16 @@
     EventLoop& m_loop;
     Settings m_settings;
     Handler m_handler;
+    std::shared_ptr<HttpConnections> m_connections;
     int m_disconnects;
     h2o_globalconf_t m_config {};
     h2o_context_t m_context {};
     h2o_accept_ctx_t m_accept {};
     h2o_hostconf_t* m_host { nullptr };
     std::map<int, std::unique_ptr<Listener>> m_listeners;
-    std::unordered_map<int, int> m_portByDescriptor;
+    /** Requests that wait for a later turn of the loop. */
+    std::vector<std::shared_ptr<HttpResponder::State>> m_waiting;
+    TimerId m_waitingTimer;
     std::unordered_map<int, std::shared_ptr<HttpResponder::State>> m_requests;
     std::shared_ptr<bool> m_isDraining { std::make_shared<bool>(false) };
 };
@@ -393,6 +354,10 @@
 
 void HttpServer::drain() { m_impl->drain(); }
 
+HttpServer::ParserRefusals HttpServer::parserRefusals() const { return m_impl->parserRefusals(); }
+
+void HttpServer::setMaximumBodySize(ByteCount size) { m_impl->setMaximumBodySize(size); }
+
 std::size_t HttpServer::openRequests() const { return m_impl->openRequests(); }
 
 }
--- a/modules/rattanroad_network/http/HttpServer.h
+++ b/modules/rattanroad_network/http/HttpServer.h
@@ -10,6 +10,7 @@
 namespace rattanroad {
 
 class EventLoop;
+class HttpConnections;
 
 /** The answer to one request of an HttpServer. Copies refer to the same answer. An answer may be given at any later
     time, also after the caller has disconnected; it is then dropped.
@@ -47,10 +48,17 @@
     struct Settings {
         /** A larger body is answered with 413 before the handler is called. */
         ByteCount maximumBodySize { 8U << 20U };
-        /** Idle connections of callers are closed after this time. */
+        /** Idle connections of callers are closed after this time; ignored with @ref connections. */
         std::chrono::milliseconds idleTimeout { std::chrono::seconds(60) };
         /** Body of the 413 answer. */
-        HttpResponse tooLargeResponse;
+        HttpResponse tooLargeResponse { 413, "application/json", {}, R"({"error":"the request is too large"})" };
+        /** Connections of all servers of the process; the server has limits of its own when it is null. */
+        std::shared_ptr<HttpConnections> connections;
+    };
+    /** Requests that were answered before their body was read. */
+    struct ParserRefusals {
+        std::uint64_t malformed { 0 };
+        std::uint64_t tooLarge { 0 };
     };
     using Handler = std::function<void(HttpRequest&&, const HttpResponder&)>;
 
@@ -67,6 +75,9 @@
     void closeListener(int port);
     /** Closes each connection after the answer in progress or the next one, so that callers turn to other hosts. */
     void drain();
+    ParserRefusals parserRefusals() const;
+    /** Changes the limit for bodies that are read from now on. */
+    void setMaximumBodySize(ByteCount size);
     /** Returns the number of requests whose answer is not complete. */
     std::size_t openRequests() const;
 
--- a/scripts/check-mutations.sh
+++ b/scripts/check-mutations.sh
@@ -114,4 +114,17 @@
 guard failure-counted-again jobs/TaskRunner.cpp \
     'if (std::find(task.failedRuns.begin(), task.failedRuns.end(), run) != task.failedRuns.end()) {' 'if (false) {'
 guard earlier-process entrance/RequestNumber.cpp 'XXH64(&value, sizeof value, 0) >> unusedBits' 'value * 0 * unusedBits'
+
+http=modules/rattanroad_network/http
+# limit <name> <file> <old text> <new text>: removes a limit of the HTTP servers that tests/network must notice.
+limit() { mutate "http-$1" "$2" "$3" "$4" test_network build/tests/test_network; }
+limit account-unbounded $http/ConnectionAccount.cpp \
+    'm_heldBytes - std::min<std::size_t>(m_heldBytes, m_limits.maximumHeldBytes.value());' '0;'
+limit connections-unbounded $http/ConnectionAccount.cpp \
+    'm_connections.size() - std::min(m_connections.size(), m_limits.maximumConnections);' '0;'
+limit served-request-closed $http/ConnectionAccount.cpp 'if (connection.stage == ConnectionStage::Serving)' 'if (false)'
+limit slow-body $http/ConnectionAccount.cpp 'if (inStage > m_limits.bodyTimeout)' 'if (false)'
+limit progress-ignored $http/ConnectionAccount.cpp 'cost * (idleMs + 1)' 'cost'
+limit json-elements modules/rattanroad_core/json/BoundedJson.cpp 'if (elements > maximumElements)' 'if (false)'
+limit json-depth modules/rattanroad_core/json/BoundedJson.cpp 'if (++depth > maximumJsonDepth)' 'if (++depth < 0)'
 exit "$failed"
