Test the limits of the HTTP server over sockets

Change: tests of a server with tight limits: unfinished bodies, refusal with 503 while the account is full, header fields and bodies that are too long or too slow, later requests of a connection, idle connections that make room, and 500 pipelined requests.

--- a/tests/network/HttpTests.cpp
+++ b/tests/network/HttpTests.cpp
@@ -1,5 +1,6 @@
 #include "rattanroad_core/rattanroad_core.h"
 #include "rattanroad_network/http/HttpClient.h"
+#include "rattanroad_network/http/HttpConnections.h"
 #include "rattanroad_network/http/HttpServer.h"
 #include "rattanroad_network/loop/EventLoop.h"
 #include "standins/TargetStandin.h"
@@ -194,6 +195,211 @@
     CHECK(result->ending == HttpEnding::Answered);
 }
 
+namespace {
+
+/** A server with tight limits, and callers that write bytes to it. */
+struct LimitFixture {
+    explicit LimitFixture(ByteCount maximumHeldBytes = ByteCount(100000))
+        : heldBytes(maximumHeldBytes)
+    {
+    }
+
+    ByteCount heldBytes;
+    SteadyClock clock;
+    EventLoop loop { clock };
+    std::map<CloseCause, int> causes;
+    std::shared_ptr<HttpConnections> connections { std::make_shared<HttpConnections>(
+        loop, limits(heldBytes), [this](CloseCause cause, std::size_t) { ++causes[cause]; }) };
+    std::vector<HttpResponder> pending;
+    int handled { 0 };
+    bool answersAtOnce { true };
+    HttpServer server { loop, settings(), [this](HttpRequest&&, const HttpResponder& responder) {
+                           ++handled;
+                           if (answersAtOnce)
+                               responder.send({});
+                           else
+                               pending.push_back(responder);
+                       } };
+    int port { *server.listen("127.0.0.1:0") };
+
+    static HttpLimits limits(ByteCount heldBytes)
+    {
+        HttpLimits limits;
+        limits.maximumConnections = 4;
+        limits.maximumHeldBytes = heldBytes;
+        limits.maximumHeadBytes = ByteCount(2000);
+        limits.headTimeout = 300ms;
+        limits.bodyTimeout = 600ms;
+        limits.idleTimeout = 5s;
+        return limits;
+    }
+
+    HttpServer::Settings settings() const
+    {
+        HttpServer::Settings settings;
+        settings.maximumBodySize = ByteCount(60000);
+        settings.connections = connections;
+        return settings;
+    }
+
+    int caller(const std::string& text)
+    {
+        const int descriptor = connectTo(port);
+        REQUIRE(write(descriptor, text.data(), text.size()) == static_cast<ssize_t>(text.size()));
+        return descriptor;
+    }
+
+    void run(Duration duration)
+    {
+        loop.runUntil([] { return false; }, duration);
+    }
+
+    /** Returns what was received so far; "closed" at the end when the connection is closed. */
+    static std::string received(int descriptor)
+    {
+        std::string text;
+        char buffer[65536];
+        for (;;) {
+            const ssize_t count = recv(descriptor, buffer, sizeof buffer, MSG_DONTWAIT);
+            if (count < 0 && errno == EAGAIN)
+                return text;
+            if (count <= 0)
+                return text + "closed";
+            text.append(buffer, static_cast<std::size_t>(count));
+        }
+    }
+};
+
+/** One small request fills the account. */
+struct SmallAccountFixture : LimitFixture {
+    SmallAccountFixture()
+        : LimitFixture(ByteCount(3000))
+    {
+    }
+};
+
+std::string post(std::size_t size, std::size_t sent)
+{
+    return "POST / HTTP/1.1\r\nhost: x\r\ncontent-length: " + std::to_string(size) + "\r\n\r\n"
+        + std::string(sent, 'x');
+}
+
+}
+
+// Guards against bodies that stop just short of their end and together take the memory of the process.
+TEST_CASE_METHOD(LimitFixture, "unfinished bodies beyond the account are closed, and others are served", "[http]")
+{
+    const int first = caller(post(60000, 59999));
+    run(50ms);
+    const int second = caller(post(60000, 59999));
+    run(50ms);
+    CHECK(received(first) == "closed");
+    CHECK(received(second).empty());
+    CHECK(causes[CloseCause::AccountFull] == 1);
+    CHECK(connections->account().heldBytes() <= 100000);
+    const int other = caller(post(10, 10));
+    run(50ms);
+    CHECK(handled == 1);
+    CHECK_THAT(received(other), Catch::StartsWith("HTTP/1.1 200"));
+    REQUIRE(write(second, "x", 1) == 1);
+    run(50ms);
+    CHECK(handled == 2);
+}
+
+// Guards against complete requests that wait for their jobs and together take the memory of the process.
+TEST_CASE_METHOD(
+    SmallAccountFixture, "a request is refused with 503 and not served while the account is full", "[http]")
+{
+    answersAtOnce = false;
+    const int first = caller(post(3000, 3000));
+    run(50ms);
+    const int second = caller(post(10, 10));
+    run(50ms);
+    CHECK(handled == 1);
+    const std::string refusal = received(second);
+    CHECK_THAT(refusal, Catch::StartsWith("HTTP/1.1 503"));
+    CHECK_THAT(refusal, Catch::Contains("retry-after: 1"));
+    CHECK_THAT(refusal, Catch::EndsWith("closed"));
+    CHECK(causes == std::map<CloseCause, int> { { CloseCause::RequestRefused, 1 } });
+    REQUIRE(pending.size() == 1);
+    pending[0].send({});
+    run(50ms);
+    CHECK_THAT(received(first), Catch::StartsWith("HTTP/1.1 200"));
+    CHECK(connections->account().heldBytes() == 0);
+}
+
+// Guards against callers that send header fields for ever, quickly or slowly, and against bodies that never end.
+TEST_CASE_METHOD(
+    LimitFixture, "header fields that are too long or too slow and slow bodies close the connection", "[http]")
+{
+    const int longHead = caller("GET / HTTP/1.1\r\na: " + std::string(3000, 'x'));
+    const int slowHead = caller("GET / HTTP/1.1\r\n");
+    const int slowBody = caller(post(10, 9));
+    run(100ms);
+    CHECK(received(longHead) == "closed");
+    CHECK(received(slowHead).empty());
+    run(500ms);
+    CHECK(received(slowHead) == "closed");
+    CHECK(received(slowBody).empty());
+    run(500ms);
+    CHECK(received(slowBody) == "closed");
+    CHECK(causes
+        == std::map<CloseCause, int> {
+            { CloseCause::LongHead, 1 }, { CloseCause::SlowHead, 1 }, { CloseCause::SlowBody, 1 } });
+    const int completeHead = caller("GET / HTTP/1.1\r\na: " + std::string(3000, 'x') + "\r\n\r\n");
+    run(50ms);
+    CHECK(handled == 0);
+    CHECK_THAT(received(completeHead), Catch::StartsWith("HTTP/1.1 431") || Catch::Equals("closed"));
+}
+
+// Guards against limits that hold only for the first request of a connection.
+TEST_CASE_METHOD(LimitFixture, "the limits hold for later requests of a connection", "[http]")
+{
+    const int descriptor = caller(post(10, 10));
+    run(50ms);
+    CHECK_THAT(received(descriptor), Catch::StartsWith("HTTP/1.1 200"));
+    const std::string next = post(10, 10) + post(10, 9);
+    REQUIRE(write(descriptor, next.data(), next.size()) == static_cast<ssize_t>(next.size()));
+    run(50ms);
+    CHECK(handled == 2);
+    CHECK_THAT(received(descriptor), Catch::StartsWith("HTTP/1.1 200"));
+    run(1200ms);
+    CHECK(received(descriptor) == "closed");
+    CHECK(causes[CloseCause::SlowBody] == 1);
+}
+
+// Guards against more open connections than descriptors, and against a new caller that finds no room.
+TEST_CASE_METHOD(LimitFixture, "a new connection takes the place of one that has been idle", "[http]")
+{
+    std::vector<int> idle;
+    for (int i = 0; i < 6; ++i)
+        idle.push_back(caller(""));
+    run(50ms);
+    CHECK(connections->account().connections() == 4);
+    CHECK(causes[CloseCause::TooManyConnections] == 2);
+    const int other = caller(post(10, 10));
+    run(50ms);
+    CHECK_THAT(received(other), Catch::StartsWith("HTTP/1.1 200"));
+}
+
+// Guards against lost, repeated or reordered answers when a connection sends more requests than one turn serves.
+TEST_CASE_METHOD(LimitFixture, "hundreds of pipelined requests are all answered", "[http]")
+{
+    std::string requests;
+    for (int i = 0; i < 500; ++i)
+        requests += "GET / HTTP/1.1\r\nhost: x\r\n\r\n";
+    const int descriptor = caller(requests);
+    std::string answers;
+    loop.runUntil(
+        [&] {
+            answers += received(descriptor);
+            return handled == 500;
+        },
+        5s);
+    CHECK(handled == 500);
+    CHECK(causes.empty());
+}
+
 // Guards against a stand-in that accepts more tasks than it has slots, which would hide overload in all other tests.
 TEST_CASE_METHOD(HttpFixture, "the target stand-in rejects tasks beyond its slots", "[standin]")
 {
