--- a/scripts/check-mutations.sh
+++ b/scripts/check-mutations.sh
@@ -132,4 +132,17 @@
 guard own-raise holding/ShardElection.cpp 'return m_tokenRaise.mayHaveRaised() &&' 'return false &&'
 guard raise-limit holding/TokenRaise.cpp 'std::max<Duration>(m_settings.coalescingTime, untilNext)' \
     'std::min<Duration>(m_settings.coalescingTime, untilNext * 0)'
+
+http=modules/rattanroad_network/http
+# limit <name> <file> <old text> <new text>: removes a limit of the HTTP servers that tests/network must notice.
+limit() { mutate "http-$1" "$2" "$3" "$4" test_network build/tests/test_network; }
+limit account-unbounded $http/ConnectionAccount.cpp \
+    'm_heldBytes - std::min<std::size_t>(m_heldBytes, m_limits.maximumHeldBytes.value());' '0;'
+limit connections-unbounded $http/ConnectionAccount.cpp \
+    'm_connections.size() - std::min(m_connections.size(), m_limits.maximumConnections);' '0;'
+limit served-request-closed $http/ConnectionAccount.cpp 'if (connection.stage == ConnectionStage::Serving)' 'if (false)'
+limit slow-body $http/ConnectionAccount.cpp 'if (inStage > m_limits.bodyTimeout)' 'if (false)'
+limit progress-ignored $http/ConnectionAccount.cpp 'cost * (idleMs + 1)' 'cost'
+limit json-elements modules/rattanroad_core/json/BoundedJson.cpp 'if (elements > maximumElements)' 'if (false)'
+limit json-depth modules/rattanroad_core/json/BoundedJson.cpp 'if (++depth > maximumJsonDepth)' 'if (++depth < 0)'
 exit "$failed"
