Start nothing on a target whose entry names another incarnation

Cause: a target that is back under its id with other labels or another capacity got tasks by the entry of its earlier incarnation until the new entry arrived. Change: TargetSession::canStart() requires that the entry and the replies to polls name the same incarnation. The emulated fleet becomes as strict as the platform: entries hold what the target was when it wrote them (a holder that read an old one got the data of the new incarnation), and a target writes its entry after each restart, once it reaches the store.

--- a/modules/rattanroad_shards/targets/TargetSession.cpp
+++ b/modules/rattanroad_shards/targets/TargetSession.cpp
@@ -83,8 +83,11 @@
 {
     const TimePoint now = m_clock.now();
     const bool isLeaseLongEnough = m_leaseLimit - now >= m_settings.startLease / 2;
-    return !m_isClosed && m_isReady && m_isListed && !m_report.isDraining && now >= m_startsPausedUntil
-        && isLeaseLongEnough && !m_guard.isBlocked() && !m_responses.isSilenceTimeoutOver();
+    // The entry of an earlier incarnation may name other labels and another capacity than the target has now.
+    const bool isEntryCurrent = m_report.bornMs == 0 || m_report.bornMs == m_incarnationMs;
+    return !m_isClosed && m_isReady && m_isListed && isEntryCurrent && !m_report.isDraining
+        && now >= m_startsPausedUntil && isLeaseLongEnough && !m_guard.isBlocked()
+        && !m_responses.isSilenceTimeoutOver();
 }
 
 TimePoint TargetSession::leaseLimit() const
--- a/scripts/check-mutations.sh
+++ b/scripts/check-mutations.sh
@@ -123,4 +123,5 @@
 guard own-raise holding/ShardElection.cpp 'return m_tokenRaise.mayHaveRaised() &&' 'return false &&'
 guard raise-limit holding/TokenRaise.cpp 'std::max<Duration>(m_settings.coalescingTime, untilNext)' \
     'std::min<Duration>(m_settings.coalescingTime, untilNext * 0)'
+guard outdated-entry targets/TargetSession.cpp 'm_report.bornMs == 0 || m_report.bornMs == m_incarnationMs;' 'true;'
 exit "$failed"
--- a/tests/emulator/EmulatedFleet.h
+++ b/tests/emulator/EmulatedFleet.h
@@ -164,6 +164,9 @@
     /** Returns false when the message was dropped because no link is open. */
     bool send(const HostId& from, const std::string& address, const protocol::Envelope& message);
     void connectionBroken(Call* call);
+    /** Writes the entry of a target once the target can reach the store. */
+    void listReturnedTarget(const TargetId& target);
+    void putEntry(const TargetId& target, const std::string& suffix);
 
     Settings m_settings;
     VirtualClock m_clock;
@@ -173,6 +176,8 @@
     std::map<HostId, Host> m_hosts;
     std::deque<Call> m_calls;
     std::set<std::string> m_domainsCutOff;
+    /** The targets as their entries describe them. */
+    std::map<TargetId, shards::TargetReport> m_entries;
     /** Messages that are held back, by sender. */
     std::map<HostId, std::vector<std::function<void()>>> m_heldMessages;
     std::vector<std::string> m_log;
--- a/tests/shards/IncarnationTests.cpp
+++ b/tests/shards/IncarnationTests.cpp
@@ -152,6 +152,27 @@
     requireNoViolations(fleet);
 }
 
+// A target that was back with less room got tasks by the entry of its earlier incarnation.
+TEST_CASE("nothing starts on a target that is back as another kind until its entry is current")
+{
+    RestartingFleet restarting(2);
+    EmulatedFleet& fleet = restarting.fleet();
+    const TargetId spared = fleet.targets().reports().begin()->first;
+    const TargetId changed = fleet.targets().reports().rbegin()->first;
+    fleet.targets().faults.entryDelay = 2s;
+    fleet.targets().setNextCapacity(changed, { 20000, 65536, 0 });
+    restarting.restartTargets(spared);
+    fleet.run(900ms);
+    // The earlier incarnation had room for two runs, the spared target has room for two.
+    for (const char* const job : { "a", "b", "c", "d" })
+        restarting.submit(job, 3s, true);
+    fleet.run(900ms);
+    CHECK(fleet.targets().running() == 2);
+    fleet.run(800ms);
+    CHECK(fleet.targets().running() == 3);
+    requireNoViolations(fleet);
+}
+
 // The store executes the write without a reply, at once or 3 s later. The holder took its own write for that of another
 // host, or gave its lease up.
 TEST_CASE("a holder keeps its shard when the reply to a raise of the token is lost")
