--- a/scripts/check-mutations.sh
+++ b/scripts/check-mutations.sh
@@ -115,7 +115,7 @@
 guard failure-counted-again jobs/TaskRunner.cpp \
     'if (std::find(task.failedRuns.begin(), task.failedRuns.end(), run) != task.failedRuns.end()) {' 'if (false) {'
 guard earlier-process entrance/RequestNumber.cpp 'XXH64(&value, sizeof value, 0) >> unusedBits' 'value * 0 * unusedBits'
-guard late-poll targets/TargetSession.cpp '!m_guard.isBlocked() && !m_responses' '!m_responses'
+guard late-poll targets/TargetSession.cpp 'isLeaseLongEnough && !m_guard.isBlocked()' 'isLeaseLongEnough'
 guard token-unraised targets/IncarnationGuard.cpp 'm_exposedUntil = std::max(m_exposedUntil, latest + m_lateWindow);' \
     'm_exposedUntil = std::min(m_exposedUntil, latest + m_lateWindow);'
 guard token-unchecked targets/TargetSession.cpp 'const bool isRefused = reply.result == TargetCallResult::Fenced;' \
--- a/tests/shards/SessionTests.cpp
+++ b/tests/shards/SessionTests.cpp
@@ -228,3 +228,17 @@
     CHECK(fixture.completions().back().outcome == RunOutcome::Done);
     CHECK(fixture.losses().empty());
 }
+
+// Calls to the earlier incarnation that were left unanswered may extend the lease of a run on the next one.
+TEST_CASE("nothing starts on a restarted target before it has refused the earlier token")
+{
+    SessionFixture fixture;
+    fixture.targets().restart(TargetId("target"));
+    fixture.run(700ms);
+    REQUIRE(fixture.session().incarnationMs() == 2);
+    fixture.session().setReport(fixture.targets().reports().at(TargetId("target")));
+    CHECK_FALSE(fixture.session().canStart());
+    fixture.session().raiseToken(FencingToken(2));
+    fixture.run(50ms);
+    CHECK(fixture.session().canStart());
+}
