--- a/scripts/check-mutations.sh
+++ b/scripts/check-mutations.sh
@@ -124,7 +124,7 @@
     'if (const auto returnedTo = std::optional<std::string>(); returnedTo) {'
 guard earlier-process entrance/RequestNumber.cpp 'XXH64(&value, sizeof value, 0) >> unusedBits' 'value * 0 * unusedBits'
 guard store-lost-for-ever store/RecordWriter.cpp 'if (m_pendingKeys.empty() && m_inFlight == 0)' 'if (false)'
-guard late-poll targets/TargetSession.cpp '!m_guard.isBlocked() && !m_responses' '!m_responses'
+guard late-poll targets/TargetSession.cpp 'isLeaseLongEnough && !m_guard.isBlocked()' 'isLeaseLongEnough'
 guard token-unraised targets/IncarnationGuard.cpp 'm_exposedUntil = std::max(m_exposedUntil, latest + m_lateWindow);' \
     'm_exposedUntil = std::min(m_exposedUntil, latest + m_lateWindow);'
 guard token-unchecked targets/TargetSession.cpp 'const bool isRefused = reply.result == TargetCallResult::Fenced;' \
@@ -132,6 +132,7 @@
 guard own-raise holding/ShardElection.cpp 'return m_tokenRaise.mayHaveRaised() &&' 'return false &&'
 guard raise-limit holding/TokenRaise.cpp 'std::max<Duration>(m_settings.coalescingTime, untilNext)' \
     'std::min<Duration>(m_settings.coalescingTime, untilNext * 0)'
+guard outdated-entry targets/TargetSession.cpp 'm_report.bornMs == 0 || m_report.bornMs == m_incarnationMs;' 'true;'
 
 http=modules/rattanroad_network/http
 # limit <name> <file> <old text> <new text>: removes a limit of the HTTP servers that tests/network must notice.
