--- a/apps/rattanroadd/fleet/FleetHost.cpp
+++ b/apps/rattanroadd/fleet/FleetHost.cpp
@@ -30,8 +30,9 @@
     const ByteCount operationsBodySize { 1024 };
     /** Text that is served again to requests in this time: rendering it takes as long as many jobs. */
     constexpr std::chrono::milliseconds metricsLifetime { 200 };
-    /** The largest message between hosts carries a job, whose body has 256 KB at most, or the loads of a shard. */
-    const ByteCount maximumPeerMessageSize { 4U << 20U };
+    /** The largest message between hosts is a handover with all jobs of a shard: about 500 jobs with up to 4 KB of
+        payload each at the largest load, with headroom for bursts. */
+    const ByteCount maximumPeerMessageSize { 8U << 20U };
 
     HttpClient::Settings clientSettings()
     {
