Account for bodies that are sent after 100 Continue

Cause: while h2o sends 100 Continue it does not read, and afterwards it sets its own read callback in place of the wrapper, so that the account did not see the body of such a request (found by reading).

Change: connections in the middle of a request whose callback is not wrapped are looked at again after 1 ms. A crowd of 300 such bodies one byte short is added. The account chooses connections with a heap instead of sorting all of them, and callers get at least 4 MB on hosts whose settings name little memory, instead of a start that is refused.

--- a/apps/rattanroadd/settings/SettingsSchema.cpp
+++ b/apps/rattanroadd/settings/SettingsSchema.cpp
@@ -39,8 +39,8 @@
     "process_limits": {
       "type": "object", "additionalProperties": false,
       "properties": {
-        "memory_mb": { "type": "number", "minimum": 32, "maximum": 1048576 },
-        "descriptors": { "type": "number", "minimum": 64, "maximum": 1048576 },
+        "memory_mb": { "type": "number", "minimum": 1, "maximum": 1048576 },
+        "descriptors": { "type": "number", "minimum": 1, "maximum": 1048576 },
         "caller_connections": { "type": "integer", "minimum": 16, "maximum": 1000000 },
         "caller_bytes": { "type": "integer", "minimum": 1048576, "maximum": 17179869184 },
         "header_bytes": { "type": "integer", "minimum": 1024, "maximum": 262144 },
--- a/modules/rattanroad_network/http/ConnectionAccount.cpp
+++ b/modules/rattanroad_network/http/ConnectionAccount.cpp
@@ -11,6 +11,8 @@
     /** Descriptors that the platform reserves for files; a fifth where there are few. */
     constexpr std::size_t descriptorsForFiles = 200;
     constexpr std::size_t minimumConnections = 16;
+    /** Room for a few bodies of the largest size. */
+    constexpr std::uint64_t minimumHeldBytes = 4U << 20U;
     /** What an idle connection costs in the process and in the kernel. Counts a connection that holds nothing as
         holding something, so that idle ones are comparable with others. */
     constexpr std::size_t costOfConnection = 8192;
@@ -26,7 +28,7 @@
 {
     HttpLimits limits;
     if (memory.value() != 0)
-        limits.maximumHeldBytes = ByteCount((memory.value() << 20U) / heldShareOfMemory);
+        limits.maximumHeldBytes = ByteCount(std::max(minimumHeldBytes, (memory.value() << 20U) / heldShareOfMemory));
     if (descriptors != 0) {
         // The other half is for targets, the store and other hosts: a query of a caller may open a connection to each.
         const std::size_t files = std::min(descriptorsForFiles, descriptors / 5);
@@ -76,11 +78,12 @@
         const double cost = static_cast<double>(connection.heldBytes + costOfConnection);
         candidates.push_back({ CallerConnectionId(id), connection.heldBytes, cost * (idleMs + 1) });
     }
-    std::sort(candidates.begin(), candidates.end(),
-        [](const Candidate& left, const Candidate& right) { return left.score > right.score; });
-    for (const Candidate& candidate : candidates) {
-        if (excessConnections == 0 && excessBytes == 0)
-            break;
+    const auto isBefore = [](const Candidate& left, const Candidate& right) { return left.score < right.score; };
+    std::make_heap(candidates.begin(), candidates.end(), isBefore);
+    while (!candidates.empty() && (excessConnections > 0 || excessBytes > 0)) {
+        std::pop_heap(candidates.begin(), candidates.end(), isBefore);
+        const Candidate candidate = candidates.back();
+        candidates.pop_back();
         // Closing a connection that holds nothing does not free bytes.
         if (excessConnections == 0 && candidate.heldBytes == 0)
             continue;
--- a/modules/rattanroad_network/http/HttpConnections.cpp
+++ b/modules/rattanroad_network/http/HttpConnections.cpp
@@ -19,6 +19,7 @@
     /** Connections beyond the limit that may be open until the account has chosen which ones to close. */
     constexpr std::size_t openingReserve = 64;
     constexpr std::chrono::milliseconds sweepInterval { 250 };
+    constexpr std::chrono::milliseconds pauseCheckInterval { 1 };
 
     std::size_t queuedBytes(int descriptor, unsigned long request)
     {
@@ -79,6 +80,7 @@
     {
         *m_isAlive = false;
         m_loop.cancelTimer(m_sweepTimer);
+        m_loop.cancelTimer(m_pauseTimer);
         for (const auto& entry : m_connections) {
             h2o_socket_t* const socket = entry.second->socket;
             socket->on_close.cb = nullptr;
@@ -194,10 +196,25 @@
             wrapRead(connection);
             examine(connection);
         }
+        if (!m_paused.empty() && m_pauseTimer == TimerId())
+            m_pauseTimer = m_loop.addTimer(pauseCheckInterval, [this] { checkPaused(); });
         m_examined.clear();
         close(m_account.excess(m_loop.clock().now()));
     }
 
+    /** h2o does not read while it sends "100 Continue", and sets its own callback afterwards. */
+    void checkPaused()
+    {
+        m_pauseTimer = TimerId();
+        std::vector<CallerConnectionId> paused;
+        paused.swap(m_paused);
+        for (const CallerConnectionId id : paused) {
+            const auto found = m_connections.find(id.value());
+            if (found != m_connections.end())
+                list(*found->second);
+        }
+    }
+
     /** h2o sets its own callback each time that it waits for a request. */
     void wrapRead(Connection& connection)
     {
@@ -228,6 +245,9 @@
             }
             stage = connection.isHeadComplete ? ConnectionStage::ReadingBody : ConnectionStage::ReadingHead;
         }
+        const bool isReading = stage == ConnectionStage::ReadingHead || stage == ConnectionStage::ReadingBody;
+        if (isReading && connection.socket->_cb.read != &Impl::read)
+            m_paused.push_back(connection.id);
         const std::size_t held = (input->bytes ? input->capacity : 0) + connection.answerBytes + connection.kernelBytes;
         m_account.update(connection.id, stage, held, connection.hasProgressed, m_loop.clock().now());
         connection.hasProgressed = false;
@@ -284,6 +304,9 @@
     std::uint64_t m_turn { 1 };
     std::vector<CallerConnectionId> m_changed;
     std::vector<CallerConnectionId> m_examined;
+    /** Connections in the middle of a request whose read callback is not wrapped. */
+    std::vector<CallerConnectionId> m_paused;
+    TimerId m_pauseTimer;
     TimerId m_sweepTimer;
     /** Shared with deferred callbacks that may outlive the connections. */
     std::shared_ptr<bool> m_isAlive { std::make_shared<bool>(true) };
--- a/modules/rattanroad_network/http/HttpConnections.h
+++ b/modules/rattanroad_network/http/HttpConnections.h
@@ -15,8 +15,8 @@
    closes the connections that it names.
 
     h2o reads into a buffer of each socket and calls back its own parser. The callback is wrapped here, so that what a
-    connection holds is known at the end of each turn of the loop. A turn reads from at most 256 sockets, and from each
-   at most a little more than its receive buffer, which bounds what can arrive beyond the limits.
+    connection holds is known at the end of each turn of the loop. A turn reads from each socket about what its receive
+    buffer holds, which bounds what can arrive beyond the limits.
 
     Must outlive the last run of the loop, as the servers.
 */
--- a/tests/crowds/crowds.py
+++ b/tests/crowds/crowds.py
@@ -221,6 +221,10 @@
     return lambda: [text[:-3]]
 
 
+def after_continue(path, size):
+    return lambda: [head(path, "Expect: 100-continue", f"Content-Length: {size}"), b"x" * (size - 1)]
+
+
 def many_fields():
     fields = b",".join(b'"%x":[]' % number for number in range(29000))
     text = (b"{" + fields)[:BODY - 2] + b"}"
@@ -240,6 +244,7 @@
     "bodies-short-of-end-metrics": lambda host: run_crowd(host, METRICS, 60, short_of_end("/metrics", 4 << 20)),
     "bodies-in-pieces": lambda host: run_crowd(host, CALLERS, 300, in_pieces(ROUTE, BODY, 2000), 0.004),
     "bodies-chunked": lambda host: run_crowd(host, CALLERS, 300, chunked(ROUTE, BODY, 1000)),
+    "bodies-after-continue": lambda host: run_crowd(host, CALLERS, 300, after_continue(ROUTE, BODY), 0.2),
     "bodies-over-limit-length": lambda host: run_crowd(host, CALLERS, 30, short_of_end(ROUTE, 12 << 20)),
     "bodies-over-limit-chunked": lambda host: run_crowd(host, CALLERS, 30, chunked(ROUTE, 12 << 20, 60000)),
     "bodies-over-limit-readiness": lambda host: run_crowd(host, READINESS, 30, chunked("/", 12 << 20, 60000)),
--- a/tests/network/HttpTests.cpp
+++ b/tests/network/HttpTests.cpp
@@ -368,6 +368,22 @@
     CHECK(causes[CloseCause::SlowBody] == 1);
 }
 
+// Guards against bodies that the account does not see because h2o paused reading to send "100 Continue".
+TEST_CASE_METHOD(LimitFixture, "the limits hold for a body that is sent after 100 Continue", "[http]")
+{
+    const int descriptor
+        = caller("POST / HTTP/1.1\r\nhost: x\r\nexpect: 100-continue\r\ncontent-length: 50000\r\n\r\n");
+    run(50ms);
+    CHECK_THAT(received(descriptor), Catch::StartsWith("HTTP/1.1 100"));
+    const std::string body(49999, 'x');
+    REQUIRE(write(descriptor, body.data(), body.size()) == static_cast<ssize_t>(body.size()));
+    run(50ms);
+    CHECK(connections->account().heldBytes() >= body.size());
+    run(1200ms);
+    CHECK(received(descriptor) == "closed");
+    CHECK(causes[CloseCause::SlowBody] == 1);
+}
+
 // Guards against more open connections than descriptors, and against a new caller that finds no room.
 TEST_CASE_METHOD(LimitFixture, "a new connection takes the place of one that has been idle", "[http]")
 {
