Show the end of a stored job once its record holds it

Cause: ShardDispatcher::finishJob() showed a job as ended, and told its origin, before its record was written, because targets retain completions. A target that leaves or restarts does not. A holder that the store rejected and that lost its shard left a record without the end, and a handover contained open jobs only, so the next holder ran the job again.

Change: CompletionRetention, split from ShardDispatcher with the retained completions, shows the end of a stored job to queries, its origin and the caller of a cancellation when the record holds it. ShardHandovers builds handovers: ends that could not be stored are handed over (JobHandover.final_state), also to a successor that is known only from its load. Handovers with nothing but states of stored jobs are sent. Jobs are kept for their retention from when the end was shown.

The fixture of DispatcherTests used tokens that were not the revision of the shard's key, so none of its records could be written; two of its tests rely on an end. It writes the key now, as an election does.

--- a/modules/rattanroad_shards/jobs/JobCodec.cpp
+++ b/modules/rattanroad_shards/jobs/JobCodec.cpp
@@ -121,6 +121,8 @@
     handed.set_waited_ms(millisecondsSince(job.receivedAt));
     handed.set_silent_ms(millisecondsSince(job.lastSubmittedAt));
     handed.set_entrance(job.originAddress);
+    if (job.isEndUnstored())
+        handed.set_final_state(static_cast<std::uint32_t>(job.state));
     for (std::size_t phase = 0; phase < job.phases.size(); ++phase) {
         for (std::size_t index = 0; index < job.phases[phase].size(); ++index) {
             const ShardTask& task = job.phases[phase][index];
--- a/modules/rattanroad_shards/jobs/JobTable.cpp
+++ b/modules/rattanroad_shards/jobs/JobTable.cpp
@@ -97,16 +97,26 @@
     }
 }
 
+std::vector<ShardJob*> JobTable::jobsWithUnstoredEnds() const
+{
+    std::vector<ShardJob*> jobs;
+    for (const auto& entry : m_jobs) {
+        if (entry.second->isEndUnstored())
+            jobs.push_back(entry.second.get());
+    }
+    return jobs;
+}
+
 std::vector<JobId> JobTable::expired() const
 {
     const TimePoint now = m_clock.now();
     std::vector<JobId> jobs;
     for (const auto& entry : m_jobs) {
         const ShardJob& job = *entry.second;
-        if (!job.endedAt)
+        if (!job.endShownAt)
             continue;
         const auto retention = job.description.best_effort() ? m_settings.bestEffortRetention : m_settings.retention;
-        if (now - *job.endedAt >= retention)
+        if (now - *job.endShownAt >= retention)
             jobs.push_back(entry.first);
     }
     return jobs;
--- a/modules/rattanroad_shards/jobs/JobTable.h
+++ b/modules/rattanroad_shards/jobs/JobTable.h
@@ -11,7 +11,7 @@
 class JobTable {
 public:
     struct Settings {
-        /** Time for which ended jobs stay in the table. */
+        /** Time for which jobs stay in the table after their end was shown. */
         std::chrono::seconds retention { 130 };
         /** The same for best-effort jobs, which callers resubmit within a few seconds or not at all. */
         std::chrono::seconds bestEffortRetention { 6 };
@@ -41,6 +41,8 @@
     double waitingWork(TimePoint softDeadline) const;
     /** Adds the number of queued jobs per queue. */
     void addQueueDepths(protocol::ShardLoad& load) const;
+    /** Returns the stored jobs that have ended and whose records do not hold the end yet. */
+    std::vector<ShardJob*> jobsWithUnstoredEnds() const;
     /** Returns the ended jobs whose retention is over. */
     std::vector<JobId> expired() const;
 
--- a/modules/rattanroad_shards/jobs/ShardDispatcher.cpp
+++ b/modules/rattanroad_shards/jobs/ShardDispatcher.cpp
@@ -19,6 +19,9 @@
     , m_targets(m_settings.targets, targets, m_timers, clock, sessionHooks(), m_hooks.isStoreLost)
     , m_jobs(m_settings.jobs, clock)
     , m_runner(m_settings.running, m_jobs, m_targets, m_timers, clock, runnerHooks())
+    , m_completions(m_settings.completions, m_jobs, m_targets, m_writer, clock,
+          { [this](const ShardJob& job) { return encode(job); }, m_hooks.jobEnded, m_hooks.log })
+    , m_handovers(m_settings.shard, m_jobs, clock, currentRuns(), m_hooks.log)
     , m_acquiredAt(clock.now())
 {
     sweep();
@@ -41,14 +44,16 @@
     m_runner.end();
     m_acquiredAt = m_clock.now();
     m_targets.clear();
+    m_handovers.beginLoading();
     m_jobs.clear();
     m_submitReplies.clear();
-    m_handedOverRuns.clear();
     m_records.start();
 }
 
 void ShardDispatcher::end()
 {
+    if (m_holding)
+        m_lostGeneration = m_holding->generation;
     m_holding.reset();
     m_lostAt = m_clock.now();
     m_writer.end();
@@ -80,24 +85,30 @@
     job->isAccepted = true;
     applyProgress(record, *job, m_clock.now());
     job->setMayHaveEarlierRun(true);
-    job->isFinalStateStored = hasEnded(job->state);
-    if (job->isFinalStateStored)
+    if (hasEnded(job->state)) {
         job->endedAt = m_clock.now();
+        job->endShownAt = job->endedAt;
+    }
     m_writer.setRevision(item.key, item.revision);
     ShardJob& added = m_jobs.add(std::move(job));
-    if (added.isFinalStateStored)
+    if (added.isEndShown())
         return;
     m_jobs.open(added);
     m_runner.trackLosses(added, true);
-    applyHandedOverRuns(added);
+    applyHandedOverState(added);
 }
 
-void ShardDispatcher::applyHandedOverRuns(ShardJob& job)
+void ShardDispatcher::applyHandedOverState(ShardJob& job)
 {
-    const auto handed = m_handedOverRuns.find(job.id);
-    if (handed == m_handedOverRuns.end())
+    const protocol::JobHandover* const handed = m_handovers.find(job.id);
+    if (!handed || !job.isAccepted || hasEnded(job.state))
+        return;
+    const auto state = static_cast<JobState>(handed->final_state());
+    if (hasEnded(state) && state <= JobState::Cancelled) {
+        finishJob(job, state, "handed over by an earlier holder");
         return;
-    addLostRuns(handed->second, job, m_clock.now());
+    }
+    addLostRuns(*handed, job, m_clock.now());
     m_runner.trackLosses(job, false);
 }
 
@@ -124,19 +135,7 @@
 
 protocol::ShardHandover ShardDispatcher::takeHandover()
 {
-    protocol::ShardHandover handover;
-    handover.set_shard(m_settings.shard.value());
-    const bool isInTime = m_clock.now() - m_lostAt < m_settings.maximumHandoverAge;
-    for (const auto& entry : m_jobs.openJobs()) {
-        const ShardJob& job = *entry.second;
-        if (!isInTime)
-            continue;
-        const protocol::JobHandover handed = encodeHandover(job, m_clock.now(), currentRuns());
-        if (job.description.best_effort())
-            *handover.add_jobs() = handed;
-        else if (job.state == JobState::Running)
-            *handover.add_stored_jobs() = handed;
-    }
+    protocol::ShardHandover handover = m_handovers.take(m_clock.now() - m_lostAt < m_settings.maximumHandoverAge);
     m_jobs.clear();
     m_isLoaded = false;
     return handover;
@@ -163,12 +162,16 @@
         m_runner.trackLosses(added, false);
     }
     for (const protocol::JobHandover& handed : handover.stored_jobs()) {
-        const JobId id(handed.job().id());
-        m_handedOverRuns[id] = handed;
-        if (ShardJob* const known = m_jobs.find(id); known && !hasEnded(known->state))
-            applyHandedOverRuns(*known);
+        m_handovers.keep(handed);
+        if (ShardJob* const known = m_jobs.find(JobId(handed.job().id())))
+            applyHandedOverState(*known);
     }
-    m_hooks.log("handover_received", JobId(), std::to_string(handover.jobs_size()) + " jobs");
+    m_hooks.log("handover_received", JobId(),
+        std::to_string(handover.jobs_size()) + " jobs, states of " + std::to_string(handover.stored_jobs_size())
+            + " stored jobs");
+    // Open jobs may follow in another message. Sessions that are opened before would stop their runs.
+    if (handover.jobs().empty())
+        return;
     m_targets.listOutdated();
     if (m_isLoaded)
         openSessions();
@@ -235,7 +238,7 @@
     hooks.finished
         = [this](ShardJob& job, JobState state, const std::string& reason) { finishJob(job, state, reason); };
     hooks.completionReported = [this](ShardJob& job, TargetSession& session, std::uint64_t number) {
-        retainCompletion(job, session, number);
+        m_completions.retain(job, session, number);
     };
     hooks.lossesChanged = [this](ShardJob& job) { recordLosses(job); };
     hooks.log = m_hooks.log;
@@ -342,7 +345,7 @@
 {
     job.state = JobState::Queued;
     job.endedAt.reset();
-    job.isFinalStateStored = false;
+    job.endShownAt.reset();
     for (auto& phase : job.phases) {
         for (ShardTask& task : phase) {
             if (task.state == ShardTask::State::Placed)
@@ -394,7 +397,7 @@
     const ShardJob* const job = m_jobs.find(id);
     if (!job || !job->isAccepted)
         return std::nullopt;
-    return job->state;
+    return job->shownState();
 }
 
 void ShardDispatcher::cancel(const JobId& id, const StateReply& reply)
@@ -407,10 +410,10 @@
     ShardJob& job = *found;
     if (!hasEnded(job.state))
         finishJob(job, JobState::Cancelled, "cancelled by its caller");
-    if (job.isFinalStateStored)
+    if (job.isEndShown())
         reply(true, job.state);
     else
-        job.onFinalStateStored.push_back([reply, state = job.state] { reply(true, state); });
+        job.onEndShown.push_back([reply, state = job.state] { reply(true, state); });
 }
 
 void ShardDispatcher::finishJob(ShardJob& job, JobState state, const std::string& reason)
@@ -425,55 +428,7 @@
     m_hooks.log(
         event, job.id, "after " + std::to_string(duration.count()) + " ms" + (reason.empty() ? "" : ": ") + reason);
     m_runner.stopRuns(job);
-    // Can be reported before the record is stored: targets retain the completions until then, so a later holder arrives
-    // at the same state.
-    if (state != JobState::Cancelled)
-        m_hooks.jobEnded(job);
-    if (job.description.best_effort()) {
-        job.isFinalStateStored = true;
-        acknowledgeCompletions(job, m_lastCompletionSequence);
-        return;
-    }
-    m_writer.update(storekeys::job(job.id), encode(job), [this, id = job.id] { finalStateStored(id); });
-}
-
-void ShardDispatcher::finalStateStored(const JobId& id)
-{
-    ShardJob* const found = m_jobs.find(id);
-    if (!found)
-        return;
-    ShardJob& job = *found;
-    job.isFinalStateStored = true;
-    acknowledgeCompletions(job, m_lastCompletionSequence);
-    if (job.state == JobState::Cancelled)
-        m_hooks.jobEnded(job);
-    std::vector<std::function<void()>> replies;
-    replies.swap(job.onFinalStateStored);
-    for (const auto& reply : replies)
-        reply();
-}
-
-void ShardDispatcher::retainCompletion(ShardJob& job, TargetSession& session, std::uint64_t number)
-{
-    job.retainedCompletions.push_back(
-        { session.report().id, session.incarnationMs(), number, m_clock.now(), ++m_lastCompletionSequence });
-    // A new holder does not recover best-effort jobs from completions.
-    if (job.isFinalStateStored || job.description.best_effort())
-        acknowledgeCompletions(job, m_lastCompletionSequence);
-}
-
-void ShardDispatcher::acknowledgeCompletions(ShardJob& job, std::uint64_t lastSequence)
-{
-    std::vector<RetainedCompletion> later;
-    for (const RetainedCompletion& completion : job.retainedCompletions) {
-        if (completion.sequence > lastSequence) {
-            later.push_back(completion);
-            continue;
-        }
-        if (TargetSession* const session = m_targets.session(completion.target))
-            session->acknowledgeCompletion(completion.incarnationMs, completion.number);
-    }
-    job.retainedCompletions.swap(later);
+    m_completions.storeEnd(job);
 }
 
 protocol::ShardLoad ShardDispatcher::load() const
@@ -494,9 +449,9 @@
         m_targets.removeUnlisted();
         m_runner.rescheduleOverdueRuns();
         cancelAbandonedJobs();
-        recordRetainedCompletions();
+        m_completions.storeOverdueProgress();
         recordRunsInDanger();
-        removeExpiredJobs();
+        m_completions.removeExpiredJobs();
         m_runner.scheduleSoon();
     }
     m_timers.after(m_settings.sweepInterval, [this] { sweep(); });
@@ -542,32 +497,4 @@
         finishJob(*job, JobState::Cancelled, "its origin stopped repeating the submission");
 }
 
-void ShardDispatcher::recordRetainedCompletions()
-{
-    const TimePoint now = m_clock.now();
-    for (const auto& entry : m_jobs.openJobs()) {
-        ShardJob& job = *entry.second;
-        if (job.retainedCompletions.empty() || now - job.retainedCompletions.front().seenAt < m_settings.progressDelay)
-            continue;
-        m_writer.update(
-            storekeys::job(job.id), encode(job), [this, id = job.id, lastSequence = m_lastCompletionSequence] {
-                ShardJob* const found = m_jobs.find(id);
-                if (found && !hasEnded(found->state))
-                    acknowledgeCompletions(*found, lastSequence);
-            });
-        // Avoids another write before this one has had time to complete.
-        for (RetainedCompletion& completion : job.retainedCompletions)
-            completion.seenAt = now;
-    }
-}
-
-void ShardDispatcher::removeExpiredJobs()
-{
-    for (const JobId& id : m_jobs.expired()) {
-        if (!m_jobs.find(id)->description.best_effort())
-            m_writer.remove(storekeys::job(id));
-        m_jobs.remove(id);
-    }
-}
-
 }
--- a/modules/rattanroad_shards/jobs/ShardDispatcher.h
+++ b/modules/rattanroad_shards/jobs/ShardDispatcher.h
@@ -1,7 +1,8 @@
 #pragma once
 
 #include "rattanroad_shards/holding/ShardElection.h"
-#include "rattanroad_shards/jobs/JobCodec.h"
+#include "rattanroad_shards/jobs/CompletionRetention.h"
+#include "rattanroad_shards/jobs/ShardHandovers.h"
 #include "rattanroad_shards/jobs/TaskRunner.h"
 #include "rattanroad_shards/store/PageReader.h"
 #include "rattanroad_shards/store/RecordWriter.h"
@@ -30,8 +31,7 @@
         ShardTargets::Settings targets;
         JobTable::Settings jobs;
         TaskRunner::Settings running;
-        /** A job's progress is stored when a target has retained one of its completions for this long. */
-        std::chrono::milliseconds progressDelay { 700 };
+        CompletionRetention::Settings completions;
         /** The jobs of a shard that was lost longer ago are not handed over, because their callers have submitted them
             to other hosts. */
         std::chrono::milliseconds maximumHandoverAge { 600 };
@@ -47,7 +47,7 @@
         std::chrono::milliseconds minimumRetryAfter { 100 };
     };
     struct Hooks {
-        /** A job has ended; its origin is to be told. */
+        /** A job has ended, and its record holds the end; its origin is to be told. */
         std::function<void(const ShardJob&)> jobEnded;
         /** A write failed because the shard's key in the store has changed. */
         std::function<void()> keyChanged;
@@ -77,10 +77,15 @@
     /** Stops sending requests to targets and writing records. Jobs stay in memory for takeHandover(). */
     void end();
     bool isHolding() const { return m_holding.has_value() && m_isLoaded; }
-    /** Returns the open best-effort jobs for the next holder and clears the table, so that a second call returns none.
-        @pre this host no longer holds the shard */
+    /** Returns the open best-effort jobs, the runs of stored jobs and the ends that could not be stored for the next
+        holder and clears the table, so that a second call returns none. @pre this host no longer holds the shard */
     protocol::ShardHandover takeHandover();
-    /** Adds the best-effort jobs of the previous holder. */
+    /** Returns the ends of stored jobs that could not be stored, and removes these jobs from the table. Unlike the
+       other jobs they are handed over at any time: what has ended stays so. @pre this host no longer holds the shard */
+    protocol::ShardHandover takeUnstoredEnds() { return m_handovers.takeUnstoredEnds(); }
+    /** Returns the generation of the latest holding that has ended. */
+    Generation lostGeneration() const { return m_lostGeneration; }
+    /** Adds the best-effort jobs of the previous holder, and the ends of stored jobs that it could not store. */
     void handoverReceived(const protocol::ShardHandover& handover);
 
     void targetListed(const TargetReport& report);
@@ -100,13 +105,15 @@
         ignored if it was sent so long ago that its caller may have submitted it to another host. */
     void submit(const protocol::PlacedJob& job, std::chrono::milliseconds waited, bool isResent, const Origin& origin,
         SubmitReply reply);
-    /** Returns the state of an accepted job, or nothing when there is none with this id in memory. */
+    /** Returns the state of an accepted job that callers are shown, or nothing when there is none with this id in
+        memory. */
     std::optional<JobState> state(const JobId& job) const;
-    /** Cancels a job. Calls @p reply when its final state is stored, or at once when the job is unknown or its final
-        state is stored already. */
+    /** Cancels a job. Calls @p reply when its end is shown, or at once when the job is unknown or its end is shown
+        already. */
     void cancel(const JobId& job, const StateReply& reply);
 
-    bool hasOpenJobs() const { return !m_jobs.openJobs().empty(); }
+    /** Returns whether a job has not ended, or its end is not stored yet. */
+    bool hasOpenJobs() const { return !m_jobs.openJobs().empty() || !m_jobs.jobsWithUnstoredEnds().empty(); }
     /** Returns the load that hosts compare when they choose a shard for a job. */
     protocol::ShardLoad load() const;
 
@@ -121,24 +128,19 @@
     void reopen(ShardJob& job);
     void insertCompleted(const JobId& id, RecordWriter::InsertResult result, const StoredItem& existing);
     void finishJob(ShardJob& job, JobState state, const std::string& reason);
-    void retainCompletion(ShardJob& job, TargetSession& session, std::uint64_t number);
-    void finalStateStored(const JobId& id);
     void submitBestEffort(std::unique_ptr<ShardJob> job, bool isResent, const SubmitReply& reply);
-    void acknowledgeCompletions(ShardJob& job, std::uint64_t lastSequence);
 
     void sweep();
     /** Returns whether a run of an earlier holder may be active that this host has not found. */
     bool mayHaveEarlierRuns() const;
     void updateRecovery();
     void cancelAbandonedJobs();
-    void recordRetainedCompletions();
     void recordRunsInDanger();
     void recordLosses(const ShardJob& job);
-    /** Adds the runs that the previous holder has handed over for a stored job. */
-    void applyHandedOverRuns(ShardJob& job);
+    /** Adds the runs or the end that an earlier holder has handed over for a stored job. */
+    void applyHandedOverState(ShardJob& job);
     std::string encode(const ShardJob& job) const;
     CurrentRun currentRuns() const;
-    void removeExpiredJobs();
 
     Settings m_settings;
     Timers m_timers;
@@ -149,6 +151,8 @@
     ShardTargets m_targets;
     JobTable m_jobs;
     TaskRunner m_runner;
+    CompletionRetention m_completions;
+    ShardHandovers m_handovers;
     std::optional<ShardElection::Holding> m_holding;
     /** Rises with each load of the records, so that timers of earlier ones are ignored. */
     std::uint64_t m_loadEpoch { 0 };
@@ -159,10 +163,9 @@
     /** When the holding began, until the target list is current as of then. */
     std::optional<TimePoint> m_targetListAwaitedSince;
     std::map<JobId, std::vector<SubmitReply>> m_submitReplies;
-    std::uint64_t m_lastCompletionSequence { 0 };
-    /** Runs of stored jobs that the previous holder handed over, until the records of the jobs are loaded. */
-    std::map<JobId, protocol::JobHandover> m_handedOverRuns;
     TimePoint m_lostAt { distantPast };
+    /** Generation of the latest holding that has ended. */
+    Generation m_lostGeneration;
 };
 
 }
--- a/modules/rattanroad_shards/jobs/ShardJob.h
+++ b/modules/rattanroad_shards/jobs/ShardJob.h
@@ -103,9 +103,16 @@
     /** The latest time at which the origin is certain to have wanted the job. Earlier than lastSubmittedAt after a
         handover, which may have been under way for long. Runs start and keep their leases by this time. */
     TimePoint certainlySubmittedAt;
-    /** The record with the final state is in the store, or the job is best effort and needs none. */
-    bool isFinalStateStored { false };
-    std::vector<std::function<void()>> onFinalStateStored;
+    /** When the end of the job could first be shown: its record holds the final state, or the job is best effort. */
+    std::optional<TimePoint> endShownAt;
+    std::vector<std::function<void()>> onEndShown;
+
+    bool isEndShown() const { return endShownAt.has_value(); }
+    /** Returns the state that callers are shown. What they have seen is never less durable than what a later holder
+        reads. */
+    JobState shownState() const { return hasEnded(state) && !isEndShown() ? JobState::Running : state; }
+    /** Returns whether the job has ended and its record does not hold the end yet. */
+    bool isEndUnstored() const { return isAccepted && !description.best_effort() && hasEnded(state) && !isEndShown(); }
 
     ShardTask* task(const TaskId& id)
     {
--- a/modules/rattanroad_shards/node/ShardNode.cpp
+++ b/modules/rattanroad_shards/node/ShardNode.cpp
@@ -383,7 +383,7 @@
         m_timers.after(m_settings.electionInterval, [this] { reviewElections(); });
     }
 
-    /** Sends the best-effort jobs of a shard that this host no longer holds to the new holder. */
+    /** Sends the jobs of a shard that this host no longer holds to the new holder. */
     void handOver(const ShardId& shard)
     {
         const ShardHolder* const holder = m_fleet.holder(shard);
@@ -391,7 +391,7 @@
             return;
         protocol::Envelope message = envelope();
         *message.mutable_shard_handover() = m_shards[shard].dispatcher->takeHandover();
-        if (message.shard_handover().jobs_size() > 0)
+        if (message.shard_handover().jobs_size() > 0 || message.shard_handover().stored_jobs_size() > 0)
             m_handovers.send(holder->address, message);
     }
 
@@ -457,6 +457,20 @@
             m_loadFeed.correct(load);
         m_entrance.loadReceived(load);
         m_links.open(load.address());
+        handOverEnds(shard, generation, load.address());
+    }
+
+    /** Sends the ends of stored jobs that this host could not store as a holder to a later holder. A host that cannot
+        reach the store learns of it from its load. */
+    void handOverEnds(const ShardId& shard, Generation generation, const std::string& address)
+    {
+        ShardDispatcher& dispatcher = *m_shards[shard].dispatcher;
+        if (m_shards[shard].election->isHeld() || generation <= dispatcher.lostGeneration())
+            return;
+        protocol::Envelope message = envelope();
+        *message.mutable_shard_handover() = dispatcher.takeUnstoredEnds();
+        if (message.shard_handover().stored_jobs_size() > 0)
+            m_handovers.send(address, message);
     }
 
     void openLinks()
--- a/modules/rattanroad_shards/store/RecordWriter.h
+++ b/modules/rattanroad_shards/store/RecordWriter.h
@@ -20,7 +20,8 @@
         std::string shardKey;
         /** Batching delay before a new record is stored: about the duration of one store call. */
         std::chrono::milliseconds insertDelay { 5 };
-        /** Batching delay before other changes are stored. It is longer because no caller waits for them. */
+        /** Batching delay before other changes are stored. It is longer because a caller learns of the end of a stored
+           job by asking again and again. */
         std::chrono::milliseconds updateDelay { 60 };
         std::chrono::milliseconds retryPause { 60 };
         /** Maximum number of conditions and writes in one transaction of the store, less the condition on the shard's
@@ -60,8 +61,8 @@
     /** Sets the known revision of a record that was read from the store. */
     void setRevision(const std::string& key, KeyRevision revision) { m_entries[key].revision = revision; }
 
-    /** Returns whether the store rejected the last transaction or did not reply to it. Ends after the retry pause when no
-        record is left to be written again. */
+    /** Returns whether the store rejected the last transaction or did not reply to it. Ends after the retry pause when
+       no record is left to be written again. */
     bool isStoreUnavailable() const { return m_isStoreUnavailable; }
 
 private:
--- a/scripts/check-mutations.sh
+++ b/scripts/check-mutations.sh
@@ -95,7 +95,7 @@
     'isCertain ? EntranceVerdict::Refused : EntranceVerdict::Unknown' 'EntranceVerdict::Refused'
 guard acceptance-without-shard store/RecordWriter.cpp \
     'transaction.conditions.push_back({ m_settings.shardKey, KeyRevision(m_token->value()) });' ''
-guard end-forgotten-early jobs/ShardDispatcher.cpp 'if (job.isFinalStateStored || job.description.best_effort())' 'if (true)'
+guard end-forgotten-early jobs/CompletionRetention.cpp 'if (job.isEndShown() || job.description.best_effort())' 'if (true)'
 guard later-record jobs/ShardDispatcher.cpp 'if (record.generation() > m_holding->generation.value()) {' 'if (false) {'
 guard forsaken-job-runs jobs/ShardDispatcher.cpp \
     'job.description.best_effort() && m_clock.now() - job.lastSubmittedAt >= m_settings.running.originTimeout' 'false'
@@ -115,4 +115,7 @@
     'if (std::find(task.failedRuns.begin(), task.failedRuns.end(), run) != task.failedRuns.end()) {' 'if (false) {'
 guard earlier-process entrance/RequestNumber.cpp 'XXH64(&value, sizeof value, 0) >> unusedBits' 'value * 0 * unusedBits'
 guard store-lost-for-ever store/RecordWriter.cpp 'if (m_pendingKeys.empty() && m_inFlight == 0)' 'if (false)'
+guard end-shown-unstored jobs/ShardJob.h 'return hasEnded(state) && !isEndShown() ? JobState::Running : state;' 'return state;'
+guard end-not-handed-over jobs/JobCodec.cpp 'if (job.isEndUnstored())' 'if (false)'
+guard end-kept-from-successor node/ShardNode.cpp 'handOverEnds(shard, generation, load.address());' ''
 exit "$failed"
--- a/tests/shards/DispatcherTests.cpp
+++ b/tests/shards/DispatcherTests.cpp
@@ -89,9 +89,15 @@
 
     void targetListRead() { m_dispatcher.targetListRead(); }
 
+    /** Acquires the shard as ShardElection does: the revision of its key is the token, without which no record can be
+        written. */
     void begin(std::uint64_t generation)
     {
-        m_dispatcher.begin({ FencingToken(generation), Generation(generation), false });
+        m_store.put(storekeys::holder(shard), "host");
+        m_storeCalls.read(storekeys::holder(shard),
+            [this](const ReadReply& reply) { m_token = FencingToken(reply.items.front().revision.value()); });
+        m_queue.runUntil(m_clock.now() + 10ms);
+        m_dispatcher.begin({ m_token, Generation(generation), false });
         m_dispatcher.targetListRead();
         m_dispatcher.targetListUpdated(m_clock.now());
     }
@@ -149,6 +155,7 @@
     KeyValueStore m_storeCalls;
     TargetCalls m_targetCalls;
     ShardDispatcher m_dispatcher;
+    FencingToken m_token;
     bool m_wasDisplaced { false };
     int m_refusals { 0 };
 };
@@ -258,8 +265,6 @@
 TEST_CASE("a job whose record was stored before its shard was handed over is accepted")
 {
     DispatcherFixture fixture;
-    // The revision of this write is the token of the holder.
-    fixture.store().put(storekeys::holder(ShardId("north")), "host");
     fixture.begin(2);
     fixture.run(1s);
     std::optional<SubmitVerdict> verdict;
