Answer every caller that waits before a stopping host ends

Cause: FleetHost waited for open requests until 0.5 s before the platform kills the process, and ended with those that were left. Their connections broke without an answer.

The process ends when the answers are written, at the latest 0.2 s before it would be killed. Jobs have the same time to end as before.

Measured: "a host that ends has answered the callers that still wait" (over sockets) fails without the call and passes with it.

--- a/apps/rattanroadd/fleet/FleetHost.cpp
+++ b/apps/rattanroadd/fleet/FleetHost.cpp
@@ -12,8 +12,11 @@
 namespace rattanroad::daemon {
 
 namespace {
-    /** Part of the time to stop that is left for the end of the process. */
+    /** Part of the time to stop that is left for the answers to callers that still wait, and for the end of the
+       process. Jobs can end until then. */
     constexpr std::chrono::milliseconds shutdownMargin { 500 };
+    /** Part of it that is left for the end of the process once the answers are written. */
+    constexpr std::chrono::milliseconds exitMargin { 200 };
     /** A job that is accepted later than this before the process stops could not end. */
     constexpr std::chrono::milliseconds jobTimeBeforeStop { 2600 };
     /** The platform checks every 1 s whether the host takes connections and needs up to two checks to see a drain. */
@@ -185,12 +188,20 @@
     void pollDrain()
     {
         const Duration elapsed = m_clock.now() - m_drainStartedAt;
-        const bool isIdle = m_callerServer.openRequests() == 0 && !m_node.isHolding() && elapsed >= minimumDrainTime;
-        if (isIdle || elapsed >= m_settings.shutdownTime - shutdownMargin) {
-            logEvent("stopped", { { "open_requests", std::to_string(m_callerServer.openRequests()) } });
+        const std::size_t openRequests = m_callerServer.openRequests();
+        const bool isIdle = openRequests == 0 && !m_node.isHolding() && elapsed >= minimumDrainTime;
+        const bool isJobTimeOver = elapsed >= m_settings.shutdownTime - shutdownMargin;
+        const bool areAnswersWritten = isJobTimeOver && openRequests == 0;
+        if (isIdle || areAnswersWritten || elapsed >= m_settings.shutdownTime - exitMargin) {
+            logEvent("stopped", { { "open_requests", std::to_string(openRequests) } });
             m_loop.stop();
             return;
         }
+        if (isJobTimeOver && !m_areWaitingAnswered) {
+            m_areWaitingAnswered = true;
+            logEvent("waiting_answered", { { "open_requests", std::to_string(openRequests) } });
+            m_node.entrance().answerWaiting();
+        }
         m_loop.addTimer(drainPollInterval, [this] { pollDrain(); });
     }
 
@@ -211,6 +222,7 @@
     HttpServer m_metricsServer;
     bool m_isDraining { false };
     TimePoint m_drainStartedAt;
+    bool m_areWaitingAnswered { false };
     /** Start of the second in which m_jobLogLines are counted. */
     TimePoint m_jobLogSecond;
     std::size_t m_jobLogLines { 0 };
--- a/modules/rattanroad_shards/entrance/JobEntrance.cpp
+++ b/modules/rattanroad_shards/entrance/JobEntrance.cpp
@@ -98,10 +98,16 @@
     const auto found = m_submissions.find(id);
     if (found == m_submissions.end())
         return;
-    const Submission& submission = found->second;
+    abandon(id,
+        m_clock.now() >= found->second.deadline ? "the wait of its caller has timed out"
+                                                : "its caller has disconnected");
+}
+
+void JobEntrance::abandon(std::uint64_t id, const char* reason)
+{
+    const Submission& submission = m_submissions[id];
     const JobId job(submission.job.id());
-    m_hooks.log("job_abandoned", job,
-        m_clock.now() >= submission.deadline ? "the wait of its caller has timed out" : "its caller has disconnected");
+    m_hooks.log("job_abandoned", job, reason);
     if (submission.job.best_effort() && submission.unresolvedAttempts > 0) {
         const bool isThroughHome = !submission.isShardCertain && !submission.home.value().empty();
         const ShardId receiver = isThroughHome ? submission.home : submission.shard;
@@ -117,6 +123,27 @@
     finishSubmission(id, EntranceVerdict::Unknown, {});
 }
 
+void JobEntrance::answerWaiting()
+{
+    stopAccepting();
+    constexpr const char* reason = "this host is shutting down";
+    std::vector<std::uint64_t> waiting;
+    for (const auto& entry : m_submissions)
+        waiting.push_back(entry.first);
+    for (const std::uint64_t id : waiting) {
+        const auto found = m_submissions.find(id);
+        if (found == m_submissions.end())
+            continue;
+        if (found->second.unresolvedAttempts > 0) {
+            abandon(id, reason);
+            continue;
+        }
+        m_hooks.log("job_refused", JobId(found->second.job.id()), reason);
+        finishSubmission(id, EntranceVerdict::Refused, m_settings.unavailableRetry);
+    }
+    m_queries.answerWaiting();
+}
+
 void JobEntrance::trySubmit(std::uint64_t id)
 {
     const auto found = m_submissions.find(id);
--- a/modules/rattanroad_shards/entrance/JobEntrance.h
+++ b/modules/rattanroad_shards/entrance/JobEntrance.h
@@ -63,6 +63,9 @@
     std::uint64_t submit(const protocol::PlacedJob& job, std::chrono::milliseconds wait, SubmitReply reply);
     /** Makes submit() refuse all further jobs. */
     void stopAccepting() { m_isAccepting = false; }
+    /** Answers all callers that wait, before this host ends: with EntranceVerdict::Refused only if no holder may have
+       the job. Other best-effort jobs are cancelled. */
+    void answerWaiting();
     /** Ends a submission whose caller has disconnected; cancels the job if it is best-effort. */
     void abandon(std::uint64_t submission);
     void query(const JobId& job, std::chrono::milliseconds wait, StateReply reply);
@@ -96,6 +99,8 @@
         /** Attempts without a definite negative reply, after any of which the job may have been accepted. */
         std::uint32_t unresolvedAttempts { 0 };
     };
+    /** Ends a submission with EntranceVerdict::Unknown and cancels the job at its holder if it is best-effort. */
+    void abandon(std::uint64_t id, const char* reason);
     void trySubmit(std::uint64_t id);
     /** Returns the shard through whose holder a best-effort job is to be submitted, or nothing when none can be reached
         or the job can be sent to its shard directly. */
--- a/modules/rattanroad_shards/entrance/JobQueries.cpp
+++ b/modules/rattanroad_shards/entrance/JobQueries.cpp
@@ -34,6 +34,10 @@
 
 void JobQueries::begin(const JobId& job, std::chrono::milliseconds wait, bool isCancel, StateReply reply)
 {
+    if (!m_isAccepting) {
+        reply(QueryResult::Unavailable, JobState::Queued);
+        return;
+    }
     const std::uint64_t id = ++m_lastId;
     m_pending[id] = { job, m_clock.now() + wait, std::move(reply), isCancel, false, 0, std::nullopt };
     startAttempt(id);
@@ -46,10 +50,7 @@
         return;
     const PendingQuery& pending = found->second;
     if (m_clock.now() >= pending.deadline) {
-        // The stored record proves that the job exists; its state may have advanced since.
-        const bool hasState = pending.storedState && !pending.isCancel;
-        finish(id, hasState ? QueryResult::Known : QueryResult::Unavailable,
-            pending.storedState.value_or(JobState::Queued));
+        expire(id);
         return;
     }
     const JobStateCache::Entry* const cached = m_states.find(pending.job);
@@ -59,6 +60,22 @@
         readRecord(id);
 }
 
+void JobQueries::expire(std::uint64_t id)
+{
+    // The stored record proves that the job exists; its state may have advanced since.
+    const PendingQuery& pending = m_pending[id];
+    const bool hasState = pending.storedState && !pending.isCancel;
+    finish(
+        id, hasState ? QueryResult::Known : QueryResult::Unavailable, pending.storedState.value_or(JobState::Queued));
+}
+
+void JobQueries::answerWaiting()
+{
+    m_isAccepting = false;
+    while (!m_pending.empty())
+        expire(m_pending.begin()->first);
+}
+
 void JobQueries::sendToHolder(std::uint64_t id, const ShardId& shard)
 {
     PendingQuery& pending = m_pending[id];
--- a/modules/rattanroad_shards/entrance/JobQueries.h
+++ b/modules/rattanroad_shards/entrance/JobQueries.h
@@ -44,6 +44,8 @@
 
     void query(const JobId& job, std::chrono::milliseconds wait, StateReply reply);
     void cancel(const JobId& job, std::chrono::milliseconds wait, StateReply reply);
+    /** Answers all callers that wait, and later ones at once unless the state is cached. */
+    void answerWaiting();
     /** Handles the reply of a holder; ignores replies to earlier attempts. */
     void handleReply(RequestNumber request, bool isKnown, JobState state);
     /** Caches a state that was learned by other means than a query. */
@@ -65,6 +67,8 @@
 
     void begin(const JobId& job, std::chrono::milliseconds wait, bool isCancel, StateReply reply);
     void startAttempt(std::uint64_t id);
+    /** Answers a caller with what is known when its wait ends. */
+    void expire(std::uint64_t id);
     void sendToHolder(std::uint64_t id, const ShardId& shard);
     void callLocalHolder(std::uint64_t id, ShardDispatcher& holder);
     void readRecord(std::uint64_t id);
@@ -81,6 +85,7 @@
     JobStateCache m_states;
     std::map<std::uint64_t, PendingQuery> m_pending;
     std::uint64_t m_lastId { 0 };
+    bool m_isAccepting { true };
 };
 
 }
--- a/scripts/check-mutations.sh
+++ b/scripts/check-mutations.sh
@@ -118,4 +118,6 @@
 guard end-shown-unstored jobs/ShardJob.h 'return hasEnded(state) && !isEndShown() ? JobState::Running : state;' 'return state;'
 guard end-not-handed-over jobs/JobCodec.cpp 'if (job.isEndUnstored())' 'if (false)'
 guard end-kept-from-successor node/ShardNode.cpp 'handOverEnds(shard, generation, load.address());' ''
+guard waiting-unanswered entrance/JobEntrance.cpp 'if (found->second.unresolvedAttempts > 0) {' 'if (false) {'
+guard question-unanswered entrance/JobEntrance.cpp 'm_queries.answerWaiting();' ''
 exit "$failed"
--- a/tests/platform/FleetHostTests.cpp
+++ b/tests/platform/FleetHostTests.cpp
@@ -16,7 +16,7 @@
 /** An entry host with three targets and the platform stand-in, accessed over HTTP. */
 class HostFixture {
 public:
-    HostFixture()
+    explicit HostFixture(std::chrono::milliseconds shutdownTime = 6s)
     {
         for (const char* const id : { "t-1", "t-2", "t-3" })
             m_platform.addTarget(id, "remera");
@@ -35,6 +35,7 @@
         settings.storeKind = daemon::Settings::StoreKind::Platform;
         settings.storeAddress = m_platform.address();
         settings.logFile = "/dev/null";
+        settings.shutdownTime = shutdownTime;
         m_host = std::make_unique<daemon::FleetHost>(settings, m_clock, Incarnation(7), m_loop);
         const auto failure = m_host->start();
         REQUIRE_FALSE(failure);
@@ -49,7 +50,8 @@
         request.method = method;
         request.path = path;
         request.timeout = 5s;
-        request.headers = { { "host", "quotes.example" }, { "content-type", "application/json" } };
+        request.headers = { { "host", "quotes.example" }, { "content-type", "application/json" },
+            { "x-deadline-ms", std::to_string(m_callerWait.count()) } };
         request.body = body;
         auto result = std::make_shared<std::optional<HttpResult>>();
         m_http.send(
@@ -63,6 +65,11 @@
         return result->value_or(HttpResult());
     }
 
+    /** Sets how long callers wait for the response. */
+    void setCallerWait(std::chrono::milliseconds wait) { m_callerWait = wait; }
+    /** Runs until @p isDone returns true or the limit is reached. Returns whether @p isDone returned true. */
+    bool runUntil(const std::function<bool()>& isDone, Duration limit) { return m_loop.runUntil(isDone, limit); }
+
     HttpResult get(const std::string& port, const std::string& path) { return await(send(port, "GET", path, "")); }
 
     std::shared_ptr<std::optional<HttpResult>> submit(
@@ -83,6 +90,7 @@
     daemon::FleetHost& host() { return *m_host; }
 
 private:
+    std::chrono::milliseconds m_callerWait { 1500 };
     SteadyClock m_clock;
     EventLoop m_loop { m_clock };
     emulator::PlatformStandin m_platform { m_loop };
@@ -138,6 +146,29 @@
     REQUIRE(json::parse(answered.body).at("state") == "done");
 }
 
+// Guards against a host that ends while callers wait for room on the targets, with a broken connection as the answer.
+TEST_CASE("a host that ends has answered the callers that still wait")
+{
+    constexpr auto shutdownTime = 3500ms;
+    HostFixture fixture(shutdownTime);
+    fixture.setCallerWait(20s);
+    std::vector<std::shared_ptr<std::optional<HttpResult>>> waiting;
+    for (int i = 0; i < 10; ++i)
+        waiting.push_back(fixture.submit("000000000000001" + std::to_string(i), 4500ms, true));
+    fixture.run(300ms);
+    for (const auto& result : waiting)
+        REQUIRE_FALSE(result->has_value());
+    fixture.host().beginDrain();
+    const auto areAllAnswered = [&waiting] {
+        return std::all_of(waiting.begin(), waiting.end(), [](const auto& result) { return result->has_value(); });
+    };
+    REQUIRE(fixture.runUntil(areAllAnswered, shutdownTime));
+    for (const auto& result : waiting) {
+        CHECK((*result)->ending == HttpEnding::Answered);
+        CHECK((*result)->status == 504);
+    }
+}
+
 // Guards against a host that accepts a job late in its shutdown and then abandons it.
 TEST_CASE("a draining host refuses jobs that could not end before it stops")
 {
