--- a/apps/rattanroadd/settings/Settings.cpp
+++ b/apps/rattanroadd/settings/Settings.cpp
@@ -55,10 +55,6 @@
         const bool isPlatform = settings.storeKind == Settings::StoreKind::Platform;
         if (isPlatform && (settings.readinessAddress.empty() || settings.failureDomains.empty()))
             errors += "$[store][kind]: platform needs $[listen][readiness] and $[failure_domains]\n";
-        const shards::PlatformLimits& limits = settings.platformLimits;
-        if (limits.resubmission < limits.targetLease)
-            errors += "$[platform_limits][resubmission_ms]: " + std::to_string(limits.resubmission.count())
-                + " is less than target_lease_ms, " + std::to_string(limits.targetLease.count()) + "\n";
         check("$[store][address]", settings.storeAddress);
         check("$[traces][address]", settings.traceAddress);
         for (std::size_t i = 0; i < settings.seedAddresses.size(); ++i)
@@ -66,6 +62,7 @@
         return errors;
     }
 
+    /** Fractions of a millisecond are cut off: all limits of the platform are upper bounds. */
     std::chrono::milliseconds milliseconds(const json& object, const char* name, std::chrono::milliseconds defaultValue)
     {
         return std::chrono::milliseconds(object.value(name, defaultValue.count()));
@@ -101,6 +98,11 @@
             = milliseconds(limits, "target_lease_ms", settings.platformLimits.targetLease);
         settings.platformLimits.resubmission
             = milliseconds(limits, "resubmission_ms", settings.platformLimits.resubmission);
+        // Longer leases than this are never requested, so that runs end before callers submit their jobs again.
+        settings.platformLimits.targetLease
+            = std::min(settings.platformLimits.targetLease, settings.platformLimits.resubmission);
+        settings.platformLimits.jobStatus = std::chrono::ceil<std::chrono::seconds>(std::chrono::duration<double>(
+            limits.value("job_status_s", std::chrono::duration<double>(settings.platformLimits.jobStatus).count())));
         const std::chrono::duration<double> shutdown(
             limits.value("shutdown_s", std::chrono::duration<double>(settings.shutdownTime).count()));
         settings.shutdownTime = std::chrono::duration_cast<std::chrono::milliseconds>(shutdown);
--- a/apps/rattanroadd/settings/SettingsSchema.cpp
+++ b/apps/rattanroadd/settings/SettingsSchema.cpp
@@ -30,10 +30,11 @@
     "platform_limits": {
       "type": "object", "additionalProperties": false,
       "properties": {
-        "target_drain_ms": { "type": "integer", "minimum": 500, "maximum": 600000 },
-        "target_lease_ms": { "type": "integer", "minimum": 250, "maximum": 60000 },
-        "resubmission_ms": { "type": "integer", "minimum": 500, "maximum": 600000 },
-        "shutdown_s": { "type": "number", "minimum": 3.5, "maximum": 3600 }
+        "target_drain_ms": { "type": "number", "minimum": 500, "maximum": 600000 },
+        "target_lease_ms": { "type": "number", "minimum": 250, "maximum": 60000 },
+        "resubmission_ms": { "type": "number", "minimum": 500, "maximum": 600000 },
+        "shutdown_s": { "type": "number", "minimum": 3.5, "maximum": 3600 },
+        "job_status_s": { "type": "number", "minimum": 1, "maximum": 86400 }
       }
     },
     "listen": {
--- a/modules/rattanroad_shards/node/ShardNode.cpp
+++ b/modules/rattanroad_shards/node/ShardNode.cpp
@@ -19,6 +19,7 @@
         targets.session.pollWait = limits.targetLease * 2 / 5;
         targets.session.startLease = limits.targetLease / 2;
         targets.session.leaseDuration = limits.targetLease;
+        settings.jobs.retention = limits.jobRetention();
         settings.running.originTimeout = limits.originTimeout();
         settings.running.maximumLeaseAfterSubmission = limits.maximumLeaseAfterSubmission();
     }
--- a/modules/rattanroad_shards/types/PlatformLimits.h
+++ b/modules/rattanroad_shards/types/PlatformLimits.h
@@ -15,10 +15,15 @@
     std::chrono::milliseconds targetLease { 1000 };
     /** A caller submits a best-effort job again this long after its connection broke. */
     std::chrono::milliseconds resubmission { 1300 };
+    /** The state of a stored job is returned for at least this long after its end. */
+    std::chrono::seconds jobStatus { 120 };
 
     /** Nothing starts while the target list is older: a start takes up to 120 ms to reach its target, at a fifth of the
         drain time and more when that is short. */
     std::chrono::milliseconds maximumListAge() const { return targetDrain - std::min(targetDrain / 5, startTime); }
+    /** Time for which a holder keeps jobs and their records after their end was shown. Callers can learn of the end
+        later than the holder, by the time of a store call and of their own pauses between two questions. */
+    std::chrono::seconds jobRetention() const { return jobStatus + std::chrono::seconds(10); }
     /** Pause between two checks of the target list while it is needed for starts. */
     std::chrono::milliseconds targetListPause() const { return targetDrain / 5; }
     /** No task starts when the origin of its job has been silent for longer. */
--- a/scripts/check-mutations.sh
+++ b/scripts/check-mutations.sh
@@ -120,4 +120,5 @@
 guard end-kept-from-successor node/ShardNode.cpp 'handOverEnds(shard, generation, load.address());' ''
 guard waiting-unanswered entrance/JobEntrance.cpp 'if (found->second.unresolvedAttempts > 0) {' 'if (false) {'
 guard question-unanswered entrance/JobEntrance.cpp 'm_queries.answerWaiting();' ''
+guard fixed-retention node/ShardNode.cpp 'settings.jobs.retention = limits.jobRetention();' ''
 exit "$failed"
--- a/tests/shards/PlatformLimitTests.cpp
+++ b/tests/shards/PlatformLimitTests.cpp
@@ -95,3 +95,18 @@
     }
     requireNoViolations(fleet);
 }
+
+// Guards against a state that is forgotten before the deployment's bound, and against records that are kept for longer
+// than it needs.
+TEST_CASE("the state of a stored job is returned for as long as the deployment says")
+{
+    EmulatedFleet::Settings settings;
+    settings.limits.jobStatus = GENERATE(std::chrono::seconds(20), std::chrono::seconds(200));
+    EmulatedFleet fleet(settings);
+    fleet.startAll();
+    fleet.submit(fleet.hosts().front(), "a", 1, 50ms, false);
+    fleet.run(1s + settings.limits.jobStatus);
+    CHECK(stateOf(fleet, fleet.hosts().back(), "a") == JobState::Done);
+    fleet.run(15s);
+    CHECK(fleet.store().keys("rattanroad/job/").empty());
+}
