Serve the jobs of a shard beside records that cannot be served

Cause: a stored record that can be parsed was used as it is. A phase that depends on a later one, or a number of tasks in the billions, ends each holder that reads it; a record with an unknown state was left out without a line.

Change: such records are left out like those that cannot be parsed, with one line that names the key.

Measured: "a holder serves its jobs beside records that it cannot read" fails without the check (std::bad_alloc at a limit of 8 GB of address space) and passes with it.

--- a/modules/rattanroad_shards/jobs/JobRequirements.cpp
+++ b/modules/rattanroad_shards/jobs/JobRequirements.cpp
@@ -39,4 +39,24 @@
         description.maximum_per_target() };
 }
 
+bool isServable(const protocol::JobRecord& record)
+{
+    // Far above the number of tasks that a job may have.
+    constexpr std::uint64_t maximumTasks = 100000;
+    if (record.state() > static_cast<unsigned>(JobState::Cancelled))
+        return false;
+    if (hasEnded(static_cast<JobState>(record.state())))
+        return true;
+    std::uint64_t tasks = 0;
+    for (int phase = 0; phase < record.job().phases_size(); ++phase) {
+        const auto& after = record.job().phases(phase).after();
+        const bool isOrdered = std::all_of(after.begin(), after.end(),
+            [phase](std::uint32_t earlier) { return earlier < static_cast<std::uint32_t>(phase); });
+        if (!isOrdered)
+            return false;
+        tasks += record.job().phases(phase).count();
+    }
+    return tasks > 0 && tasks <= maximumTasks;
+}
+
 }
--- a/modules/rattanroad_shards/jobs/JobRequirements.h
+++ b/modules/rattanroad_shards/jobs/JobRequirements.h
@@ -14,4 +14,8 @@
 /** Returns the placement requirements of one task of the phase. */
 PlacementRequest placementRequest(const protocol::PlacedJob& job, std::size_t phase);
 
+/** Returns whether a holder can serve the job of a record, which may have been written by something else than a holder:
+    phases depend on earlier phases only, and the number of tasks is one that a holder can keep. */
+bool isServable(const protocol::JobRecord& record);
+
 }
--- a/modules/rattanroad_shards/jobs/ShardDispatcher.cpp
+++ b/modules/rattanroad_shards/jobs/ShardDispatcher.cpp
@@ -65,11 +65,11 @@
 void ShardDispatcher::loadRecord(const StoredItem& item)
 {
     protocol::JobRecord record;
-    if (!record.ParseFromString(item.value)) {
-        m_hooks.log("record_malformed", JobId(item.key), "cannot parse the job record");
+    if (!record.ParseFromString(item.value) || !isServable(record)) {
+        m_hooks.log("record_malformed", JobId(item.key), "the job record cannot be read");
         return;
     }
-    if (record.shard() != m_settings.shard.value() || record.state() > static_cast<unsigned>(JobState::Cancelled))
+    if (record.shard() != m_settings.shard.value())
         return;
     const JobId id(item.key.substr(storekeys::jobPrefix.size()));
     // A target that the later holder has not contacted yet would still accept requests of this one.
@@ -167,8 +167,7 @@
             applyHandedOverState(*known);
     }
     m_hooks.log("handover_received", JobId(),
-        std::to_string(handover.jobs_size()) + " jobs, states of " + std::to_string(handover.stored_jobs_size())
-            + " stored jobs");
+        std::to_string(handover.jobs_size()) + " jobs, " + std::to_string(handover.stored_jobs_size()) + " stored");
     // Open jobs may follow in another message. Sessions that are opened before would stop their runs.
     if (handover.jobs().empty())
         return;
--- a/scripts/check-mutations.sh
+++ b/scripts/check-mutations.sh
@@ -121,4 +121,5 @@
 guard waiting-unanswered entrance/JobEntrance.cpp 'if (found->second.unresolvedAttempts > 0) {' 'if (false) {'
 guard question-unanswered entrance/JobEntrance.cpp 'm_queries.answerWaiting();' ''
 guard fixed-retention node/ShardNode.cpp 'settings.jobs.retention = limits.jobRetention();' ''
+guard malformed-record jobs/ShardDispatcher.cpp ' || !isServable(record)' ''
 exit "$failed"
--- a/tests/shards/DispatcherTests.cpp
+++ b/tests/shards/DispatcherTests.cpp
@@ -173,6 +173,33 @@
     REQUIRE(fixture.targets().runs().size() == 1);
 }
 
+// Guards against a record that ends each process that reads it, and with it the service of all other jobs of the shard.
+TEST_CASE("a holder serves its jobs beside records that it cannot read")
+{
+    DispatcherFixture fixture;
+    const auto put = [&fixture](const std::string& job, const std::function<void(protocol::JobRecord&)>& change) {
+        protocol::JobRecord record;
+        record.set_shard("north");
+        record.set_generation(1);
+        *record.mutable_job() = DispatcherFixture::description(job, 60ms, false);
+        change(record);
+        fixture.store().put(storekeys::job(JobId(job)), record.SerializeAsString());
+    };
+    put("a-later-phase",
+        [](protocol::JobRecord& record) { record.mutable_job()->mutable_phases(0)->add_after(70000); });
+    put("a-tasks",
+        [](protocol::JobRecord& record) { record.mutable_job()->mutable_phases(0)->set_count(4000000000U); });
+    put("a-no-tasks", [](protocol::JobRecord& record) { record.mutable_job()->clear_phases(); });
+    put("a-state", [](protocol::JobRecord& record) { record.set_state(77); });
+    fixture.store().put(storekeys::job(JobId("a-text")), "no record");
+    fixture.storeRecord("b", 1);
+    fixture.begin(2);
+    fixture.run(20s);
+    REQUIRE(fixture.dispatcher().state(JobId("b")) == JobState::Done);
+    REQUIRE(fixture.targets().runs().size() == 1);
+    REQUIRE(!fixture.wasDisplaced());
+}
+
 // The holder was paused between acquiring the shard and reading the records. The later holder may have starts in
 // flight.
 TEST_CASE("a holder that reads a record of a later generation starts no task and is displaced")
