--- a/modules/rattanroad_shards/jobs/ShardJob.h
+++ b/modules/rattanroad_shards/jobs/ShardJob.h
@@ -113,9 +113,16 @@
     /** This holder has received the job from one origin, which had not sent it before. Nobody else can have it or
         expect it here. */
     bool hasSingleOrigin { false };
-    /** The record with the final state is in the store, or the job is best effort and needs none. */
-    bool isFinalStateStored { false };
-    std::vector<std::function<void()>> onFinalStateStored;
+    /** When the end of the job could first be shown: its record holds the final state, or the job is best effort. */
+    std::optional<TimePoint> endShownAt;
+    std::vector<std::function<void()>> onEndShown;
+
+    bool isEndShown() const { return endShownAt.has_value(); }
+    /** Returns the state that callers are shown. What they have seen is never less durable than what a later holder
+        reads. */
+    JobState shownState() const { return hasEnded(state) && !isEndShown() ? JobState::Running : state; }
+    /** Returns whether the job has ended and its record does not hold the end yet. */
+    bool isEndUnstored() const { return isAccepted && !description.best_effort() && hasEnded(state) && !isEndShown(); }
 
     /** Returns whether a task of the job may ever have been started. */
     bool mayHaveRun() const
--- a/scripts/check-mutations.sh
+++ b/scripts/check-mutations.sh
@@ -95,7 +95,7 @@
     'isCertain ? EntranceVerdict::Refused : EntranceVerdict::Unknown' 'EntranceVerdict::Refused'
 guard acceptance-without-shard store/RecordWriter.cpp \
     'transaction.conditions.push_back({ m_settings.shardKey, KeyRevision(m_token->value()) });' ''
-guard end-forgotten-early jobs/ShardDispatcher.cpp 'if (job.isFinalStateStored || job.description.best_effort())' 'if (true)'
+guard end-forgotten-early jobs/CompletionRetention.cpp 'if (job.isEndShown() || job.description.best_effort())' 'if (true)'
 guard later-record jobs/ShardDispatcher.cpp 'if (record.generation() > m_holding->generation.value()) {' 'if (false) {'
 guard forsaken-job-runs jobs/ShardDispatcher.cpp \
     'job.description.best_effort() && m_clock.now() - job.lastSubmittedAt >= m_settings.running.originTimeout' 'false'
@@ -124,6 +124,13 @@
     'if (const auto returnedTo = std::optional<std::string>(); returnedTo) {'
 guard earlier-process entrance/RequestNumber.cpp 'XXH64(&value, sizeof value, 0) >> unusedBits' 'value * 0 * unusedBits'
 guard store-lost-for-ever store/RecordWriter.cpp 'if (m_pendingKeys.empty() && m_inFlight == 0)' 'if (false)'
+guard end-shown-unstored jobs/ShardJob.h 'return hasEnded(state) && !isEndShown() ? JobState::Running : state;' 'return state;'
+guard end-not-handed-over jobs/JobCodec.cpp 'if (job.isEndUnstored())' 'if (false)'
+guard end-kept-from-successor node/ShardNode.cpp 'handOverEnds(shard, generation, load.address());' ''
+guard waiting-unanswered entrance/JobEntrance.cpp 'if (found->second.unresolvedAttempts > 0) {' 'if (false) {'
+guard question-unanswered entrance/JobEntrance.cpp 'm_queries.answerWaiting();' ''
+guard fixed-retention node/ShardNode.cpp 'settings.jobs.retention = limits.jobRetention();' ''
+guard malformed-record jobs/ShardDispatcher.cpp ' || !isServable(record)' ''
 guard late-poll targets/TargetSession.cpp 'isLeaseLongEnough && !m_guard.isBlocked()' 'isLeaseLongEnough'
 guard token-unraised targets/IncarnationGuard.cpp 'm_exposedUntil = std::max(m_exposedUntil, latest + m_lateWindow);' \
     'm_exposedUntil = std::min(m_exposedUntil, latest + m_lateWindow);'
--- a/tests/shards/DispatcherTests.cpp
+++ b/tests/shards/DispatcherTests.cpp
@@ -89,9 +89,15 @@
 
     void targetListRead() { m_dispatcher.targetListRead(); }
 
+    /** Acquires the shard as ShardElection does: the revision of its key is the token, without which no record can be
+        written. */
     void begin(std::uint64_t generation)
     {
-        m_dispatcher.begin({ FencingToken(generation), Generation(generation), false });
+        m_store.put(storekeys::holder(shard), "host");
+        m_storeCalls.read(storekeys::holder(shard),
+            [this](const ReadReply& reply) { m_token = FencingToken(reply.items.front().revision.value()); });
+        m_queue.runUntil(m_clock.now() + 10ms);
+        m_dispatcher.begin({ m_token, Generation(generation), false });
         m_dispatcher.targetListRead();
         m_dispatcher.targetListUpdated(m_clock.now());
     }
@@ -149,6 +155,7 @@
     KeyValueStore m_storeCalls;
     TargetCalls m_targetCalls;
     ShardDispatcher m_dispatcher;
+    FencingToken m_token;
     bool m_wasDisplaced { false };
     int m_refusals { 0 };
 };
@@ -166,6 +173,33 @@
     REQUIRE(fixture.targets().runs().size() == 1);
 }
 
+// Guards against a record that ends each process that reads it, and with it the service of all other jobs of the shard.
+TEST_CASE("a holder serves its jobs beside records that it cannot read")
+{
+    DispatcherFixture fixture;
+    const auto put = [&fixture](const std::string& job, const std::function<void(protocol::JobRecord&)>& change) {
+        protocol::JobRecord record;
+        record.set_shard("north");
+        record.set_generation(1);
+        *record.mutable_job() = DispatcherFixture::description(job, 60ms, false);
+        change(record);
+        fixture.store().put(storekeys::job(JobId(job)), record.SerializeAsString());
+    };
+    put("a-later-phase",
+        [](protocol::JobRecord& record) { record.mutable_job()->mutable_phases(0)->add_after(70000); });
+    put("a-tasks",
+        [](protocol::JobRecord& record) { record.mutable_job()->mutable_phases(0)->set_count(4000000000U); });
+    put("a-no-tasks", [](protocol::JobRecord& record) { record.mutable_job()->clear_phases(); });
+    put("a-state", [](protocol::JobRecord& record) { record.set_state(77); });
+    fixture.store().put(storekeys::job(JobId("a-text")), "no record");
+    fixture.storeRecord("b", 1);
+    fixture.begin(2);
+    fixture.run(20s);
+    REQUIRE(fixture.dispatcher().state(JobId("b")) == JobState::Done);
+    REQUIRE(fixture.targets().runs().size() == 1);
+    REQUIRE(!fixture.wasDisplaced());
+}
+
 // The holder was paused between acquiring the shard and reading the records. The later holder may have starts in
 // flight.
 TEST_CASE("a holder that reads a record of a later generation starts no task and is displaced")
@@ -258,8 +292,6 @@
 TEST_CASE("a job whose record was stored before its shard was handed over is accepted")
 {
     DispatcherFixture fixture;
-    // The revision of this write is the token of the holder.
-    fixture.store().put(storekeys::holder(ShardId("north")), "host");
     fixture.begin(2);
     fixture.run(1s);
     std::optional<SubmitVerdict> verdict;
