--- a/scripts/check-mutations.sh
+++ b/scripts/check-mutations.sh
@@ -113,5 +113,13 @@
 guard earlier-acknowledgement targets/TargetSession.cpp 'm_wasPollAnswered ? m_acknowledged : 0' 'm_acknowledged'
 guard failure-counted-again jobs/TaskRunner.cpp \
     'if (std::find(task.failedRuns.begin(), task.failedRuns.end(), run) != task.failedRuns.end()) {' 'if (false) {'
+guard late-work-counted scheduling/WorkQueue.cpp 'm_lateTimes.begin()->first < now' 'false'
+guard capacity-of-idle-time scheduling/CapacityModel.cpp 'pass.isRoomShort ? std::optional<TimePoint>(now) : std::nullopt' 'now'
+guard capacity-of-pause scheduling/CapacityModel.cpp 'now - *m_shortSince <= m_settings.maximumInterval' 'true'
+guard refused-at-all scheduling/Admission.cpp 'decision.wait <= decision.maximumWait;' 'true;'
+guard stored-backlog scheduling/Admission.cpp 'stored.workBefore += figures.lateStoredWork;' ';'
+guard given-up-job-reopened jobs/ShardDispatcher.cpp 'job.state == JobState::Cancelled && !isReturned' \
+    'job.state == JobState::Cancelled'
+guard starved-priority scheduling/ScheduleOrder.cpp 'm_shares->owed(waiting).value_or(waiting.front())' 'waiting.front()'
 guard earlier-process entrance/RequestNumber.cpp 'XXH64(&value, sizeof value, 0) >> unusedBits' 'value * 0 * unusedBits'
 exit "$failed"
--- a/tests/shards/SchedulingTests.cpp
+++ b/tests/shards/SchedulingTests.cpp
@@ -1,4 +1,5 @@
 #include "rattanroad_shards/scheduling/Admission.h"
+#include "rattanroad_shards/scheduling/ArrivalRates.h"
 #include "rattanroad_shards/scheduling/CapacityModel.h"
 #include "rattanroad_shards/scheduling/ScheduleOrder.h"
 
@@ -28,10 +29,10 @@
     return job;
 }
 
-std::string orderOf(const WorkQueue& queue)
+std::string orderOf(const WorkQueue& queue, const GuaranteedShares* shares = nullptr)
 {
     std::string ids;
-    ScheduleOrder order(queue);
+    ScheduleOrder order(queue, shares);
     while (const WaitingJob* const job = order.next())
         ids += job->id.value();
     return ids;
@@ -186,3 +187,62 @@
     figures.workBefore = figures.workOfPriority = 1;
     CHECK_FALSE(admission.decide({ 380ms, start - 1s, 200ms, false }, figures, start).isAccepted);
 }
+
+// Guards against the loss of urgent jobs to others when not all can be done in time.
+TEST_CASE("jobs go by priority when not everything can be done in time, and by deadline otherwise")
+{
+    WorkQueue queue;
+    queue.set(waitingJob("a", 1, 100ms, 50ms, 1000));
+    queue.set(waitingJob("b", 0, 200ms, 50ms, 1000));
+    CHECK_FALSE(ScheduleOrder::isRoomShort(queue, 10, start));
+    CHECK(orderOf(queue) == "ab");
+    // The second job has to wait for 200 ms and has 150 ms.
+    CHECK(ScheduleOrder::isRoomShort(queue, 5, start));
+    GuaranteedShares shares({});
+    CHECK(orderOf(queue, &shares) == "ba");
+    // The lower priority is owed a part of its share.
+    shares.started(0, 1000, { 0, 1 }, 1000);
+    CHECK(orderOf(queue, &shares) == "ab");
+}
+
+// Guards against a change for deployments that give all queues the same priority.
+TEST_CASE("jobs of a single priority always go by deadline")
+{
+    WorkQueue queue;
+    queue.set(waitingJob("a", 3, 100ms, 50ms, 100000));
+    queue.set(waitingJob("b", 3, 90ms, 50ms, 100000));
+    CHECK_FALSE(ScheduleOrder::isRoomShort(queue, 1, start));
+}
+
+// Guards against a lower priority that starves while higher ones take all they can.
+TEST_CASE("each waiting priority gets its guaranteed share of the started work")
+{
+    GuaranteedShares shares({ 0.1, 50ms });
+    const std::vector<std::uint32_t> waiting { 0, 1, 2 };
+    std::map<std::uint32_t, int> started;
+    for (int i = 0; i < 1000; ++i) {
+        const std::uint32_t priority = shares.owed(waiting).value_or(0);
+        ++started[priority];
+        shares.started(priority, 1000, waiting, 1000);
+    }
+    CHECK(started[1] >= 95);
+    CHECK(started[2] >= 95);
+    CHECK(started[0] >= 780);
+}
+
+// Guards against room for urgent jobs that is too small when they arrive, or stays unused after they have stopped.
+TEST_CASE("the room that higher priorities need follows their arrivals")
+{
+    ArrivalRates arrivals;
+    TimePoint now = start;
+    for (int i = 0; i < 3000; ++i) {
+        arrivals.accepted(0, 500, 100, now);
+        now += 1ms;
+    }
+    CHECK(arrivals.rateAbove(1, now) == Approx(500).epsilon(0.05));
+    CHECK(arrivals.rateAbove(0, now) == 0);
+    CHECK(arrivals.expectedRoomAbove(1, 1, now) > 500);
+    CHECK(arrivals.expectedRoomAbove(1, 1, now) < 700);
+    now += 3s;
+    CHECK(arrivals.expectedRoomAbove(1, 1, now) < 50);
+}
