--- a/scripts/check-mutations.sh
+++ b/scripts/check-mutations.sh
@@ -122,6 +122,14 @@
 guard started-job-returned jobs/ShardDispatcher.cpp ' || !job.isUntouched())' ')'
 guard returned-job-is-back jobs/ShardDispatcher.cpp 'if (const auto returnedTo = m_returned.origin(id, isResent, origin.sentAt)) {' \
     'if (const auto returnedTo = std::optional<std::string>(); returnedTo) {'
+guard late-work-counted scheduling/WorkQueue.cpp 'm_lateTimes.begin()->first < now' 'false'
+guard capacity-of-idle-time scheduling/CapacityModel.cpp 'pass.isRoomShort ? std::optional<TimePoint>(now) : std::nullopt' 'now'
+guard capacity-of-pause scheduling/CapacityModel.cpp 'now - *m_shortSince <= m_settings.maximumInterval' 'true'
+guard refused-at-all scheduling/Admission.cpp 'decision.wait <= decision.maximumWait;' 'true;'
+guard stored-backlog scheduling/Admission.cpp 'stored.workBefore += figures.lateStoredWork;' ';'
+guard given-up-job-reopened jobs/ShardDispatcher.cpp 'job.state == JobState::Cancelled && !isReturned' \
+    'job.state == JobState::Cancelled'
+guard starved-priority scheduling/ScheduleOrder.cpp 'm_shares->owed(waiting).value_or(waiting.front())' 'waiting.front()'
 guard earlier-process entrance/RequestNumber.cpp 'XXH64(&value, sizeof value, 0) >> unusedBits' 'value * 0 * unusedBits'
 guard store-lost-for-ever store/RecordWriter.cpp 'if (m_pendingKeys.empty() && m_inFlight == 0)' 'if (false)'
 guard end-shown-unstored jobs/ShardJob.h 'return hasEnded(state) && !isEndShown() ? JobState::Running : state;' 'return state;'
