Transfer stored jobs that no target of their shard can run to another shard

When the last target with its label left that failure domain, or the domain was evacuated, it never ran again, though targets with the label in others were idle.

Change: the holder rewrites the record with another shard, under the conditions that its own key and the record are unchanged (evacuation/JobTransfers), and notifies that shard's holder until it acknowledges. Records name the shard that they came from, so that a later holder repeats the notice, and a floor for the numbers of attempts. A cancel reads the record again on each retry.

Sizes are not compared between shards yet.

--- a/modules/rattanroad_shards/entrance/JobQueries.cpp
+++ b/modules/rattanroad_shards/entrance/JobQueries.cpp
@@ -161,6 +161,8 @@
         return;
     }
     ++pending.attempt;
+    // The job may be transferred to another shard meanwhile, which its record names.
+    pending.wasRecordRead = false;
     m_timers.after(m_settings.retryPause, [this, id] { startAttempt(id); });
 }
 
--- a/modules/rattanroad_shards/jobs/JobCodec.cpp
+++ b/modules/rattanroad_shards/jobs/JobCodec.cpp
@@ -76,6 +76,8 @@
     if (hasEnded(job.state))
         return record.SerializeAsString();
     *record.mutable_job() = job.description;
+    record.set_transferred_from(job.transferredFrom.value());
+    record.set_attempt_floor(job.attemptFloor);
     for (std::size_t phase = 0; phase < job.phases.size(); ++phase) {
         for (std::size_t index = 0; index < job.phases[phase].size(); ++index) {
             const ShardTask& task = job.phases[phase][index];
@@ -100,6 +102,8 @@
 
 void applyProgress(const protocol::JobRecord& record, ShardJob& job, TimePoint now)
 {
+    job.transferredFrom = ShardId(record.transferred_from());
+    job.attemptFloor = record.attempt_floor();
     for (const protocol::TaskProgress& progress : record.progress()) {
         ShardTask* const task = job.task({ job.id, progress.phase(), progress.index() });
         if (!task)
--- a/modules/rattanroad_shards/jobs/ShardDispatcher.cpp
+++ b/modules/rattanroad_shards/jobs/ShardDispatcher.cpp
@@ -21,6 +21,8 @@
     , m_runner(m_settings.running, m_jobs, m_targets, m_timers, clock, runnerHooks())
     , m_acquiredAt(clock.now())
     , m_returned(m_settings.returned, clock)
+    , m_store(store)
+    , m_transfers({ m_settings.shard, storekeys::holder(m_settings.shard) }, store, m_timers, transferHooks())
 {
     sweep();
 }
@@ -31,6 +33,7 @@
     m_targetListAwaitedSince = m_clock.now();
     m_targets.requireListSince(*m_targetListAwaitedSince);
     m_writer.begin(holding.token, holding.isContinued && m_isLoaded);
+    m_transfers.begin(holding.token);
     if (holding.isContinued && m_isLoaded) {
         m_targets.setToken(holding.token);
         m_runner.begin(holding.generation);
@@ -54,6 +57,7 @@
     m_holding.reset();
     m_lostAt = m_clock.now();
     m_writer.end();
+    m_transfers.end();
     m_records.stop();
     m_runner.end();
     m_targets.close();
@@ -66,9 +70,12 @@
         m_hooks.log("record_malformed", JobId(item.key), "cannot parse the job record");
         return;
     }
+    const JobId id(item.key.substr(storekeys::jobPrefix.size()));
+    const bool isOpen = record.state() < static_cast<unsigned>(JobState::Done);
+    if (isOpen && record.transferred_from() == m_settings.shard.value() && record.shard() != m_settings.shard.value())
+        m_transfers.notifyAgain(id, ShardId(record.shard()));
     if (record.shard() != m_settings.shard.value() || record.state() > static_cast<unsigned>(JobState::Cancelled))
         return;
-    const JobId id(item.key.substr(storekeys::jobPrefix.size()));
     // A target that the later holder has not contacted yet would still accept requests of this one.
     if (record.generation() > m_holding->generation.value()) {
         m_hooks.log("record_of_later_holder", id, "generation " + std::to_string(record.generation()));
@@ -258,7 +265,7 @@
 
 void ShardDispatcher::recordLosses(const ShardJob& job)
 {
-    if (job.description.best_effort())
+    if (job.description.best_effort() || job.isBeingTransferred)
         return;
     m_writer.update(storekeys::job(job.id), encode(job), [this, id = job.id, sequence = job.lossSequence] {
         ShardJob* const found = m_jobs.find(id);
@@ -365,6 +372,103 @@
     return true;
 }
 
+JobTransfers::Hooks ShardDispatcher::transferHooks()
+{
+    JobTransfers::Hooks hooks;
+    hooks.notify = [this](const JobId& job, const ShardId& to) {
+        if (m_hooks.notifyTransfer)
+            m_hooks.notifyTransfer(job, to);
+    };
+    hooks.moved = [this](const JobId& id, const ShardId& to) {
+        m_hooks.log("job_transferred", id, "from shard " + m_settings.shard.value() + " to " + to.value());
+        ShardJob* const job = m_jobs.find(id);
+        if (!job)
+            return;
+        acknowledgeCompletions(*job, m_lastCompletionSequence);
+        m_writer.forget(storekeys::job(id));
+        m_jobs.close(*job);
+        m_jobs.remove(id);
+    };
+    hooks.kept = [this](const JobId& id, KeyRevision revision) {
+        m_writer.setRevision(storekeys::job(id), revision);
+        if (ShardJob* const job = m_jobs.find(id))
+            job->isBeingTransferred = false;
+    };
+    hooks.keyChanged = [this] { m_hooks.keyChanged(); };
+    return hooks;
+}
+
+bool ShardDispatcher::isTransferDue(ShardJob& job)
+{
+    const bool isStored = !job.description.best_effort() && job.isAccepted && !hasEnded(job.state);
+    if (!isStored || job.isBeingTransferred)
+        return false;
+    const bool isEvacuatedNow = isEvacuated() && !areStartsAllowed();
+    const TimePoint now = m_clock.now();
+    if (!m_targets.isListRecent() || (!isEvacuatedNow && !m_runner.hasUnplaceableTask(job))) {
+        job.unplaceableSince.reset();
+        return false;
+    }
+    if (!job.unplaceableSince)
+        job.unplaceableSince = now;
+    const bool isLasting = isEvacuatedNow || now - *job.unplaceableSince >= m_settings.transferDelay;
+    return isLasting && !m_runner.mayHaveRun(job);
+}
+
+void ShardDispatcher::transferJobs()
+{
+    if (!m_hooks.chooseShard || !m_hooks.notifyTransfer)
+        return;
+    for (const auto& entry : m_jobs.openJobs()) {
+        ShardJob& job = *entry.second;
+        if (!isTransferDue(job))
+            continue;
+        const auto revision = m_writer.settledRevision(storekeys::job(job.id));
+        const auto to = revision && m_transfers.canStart() ? m_hooks.chooseShard(job.description) : std::nullopt;
+        if (!to || *to == m_settings.shard)
+            continue;
+        protocol::JobRecord record;
+        record.ParseFromString(encode(job));
+        record.set_shard(to->value());
+        // Generations count the holders of one shard.
+        record.set_generation(0);
+        record.set_transferred_from(m_settings.shard.value());
+        record.set_attempt_floor(m_runner.highestAttempt(job));
+        job.isBeingTransferred = true;
+        m_transfers.start(job.id, *to, record.SerializeAsString(), *revision);
+    }
+}
+
+void ShardDispatcher::transferReceived(const JobId& id, const std::function<void()>& reply)
+{
+    if (!isHolding())
+        return;
+    if (const ShardJob* const known = m_jobs.find(id); known && known->isAccepted) {
+        reply();
+        return;
+    }
+    m_store.read(storekeys::job(id), [this, id, reply, token = m_holding->token](const ReadReply& read) {
+        const bool isAnswered = read.status == StoreStatus::Absent || read.status == StoreStatus::Done;
+        if (!isHolding() || m_holding->token != token || !isAnswered)
+            return;
+        if (!m_jobs.find(id) && !read.items.empty())
+            loadRecord(read.items.front());
+        ShardJob* const job = m_jobs.find(id);
+        // A submission of the job is being stored, will find the record, and is then forgotten.
+        if (job && !job->isAccepted)
+            return;
+        if (job && !hasEnded(job->state)) {
+            m_hooks.log("job_received", id, "by a transfer to shard " + m_settings.shard.value());
+            // An earlier holder of this shard may have read the job too.
+            const bool mayHaveEarlierRun = mayHaveEarlierRuns();
+            job->setMayHaveEarlierRun(mayHaveEarlierRun);
+            m_isRecovering = m_isRecovering || mayHaveEarlierRun;
+            m_runner.scheduleSoon();
+        }
+        reply();
+    });
+}
+
 void ShardDispatcher::evacuationChanged()
 {
     if (!isHolding())
@@ -383,7 +487,7 @@
         if (!job.description.best_effort() || !job.hasSingleOrigin || !job.isUntouched())
             continue;
         // A job that only this shard can run may still start in time.
-        if (!areStartsAllowed() || (m_hooks.canRunElsewhere && m_hooks.canRunElsewhere(job.description)))
+        if (!areStartsAllowed() || (m_hooks.chooseShard && m_hooks.chooseShard(job.description)))
             returned.push_back(&job);
     }
     for (ShardJob* const job : returned) {
@@ -464,6 +568,11 @@
         return;
     }
     ShardJob& job = *found;
+    // The holder of the shard that the record names next cancels it.
+    if (job.isBeingTransferred) {
+        reply(false, JobState::Queued);
+        return;
+    }
     if (!hasEnded(job.state))
         finishJob(job, JobState::Cancelled, "cancelled by its caller");
     if (job.isFinalStateStored)
@@ -558,6 +667,7 @@
         recordRunsInDanger();
         removeExpiredJobs();
         returnWaitingJobs();
+        transferJobs();
         m_runner.scheduleSoon();
     }
     m_timers.after(m_settings.sweepInterval, [this] { sweep(); });
@@ -608,7 +718,8 @@
     const TimePoint now = m_clock.now();
     for (const auto& entry : m_jobs.openJobs()) {
         ShardJob& job = *entry.second;
-        if (job.retainedCompletions.empty() || now - job.retainedCompletions.front().seenAt < m_settings.progressDelay)
+        if (job.isBeingTransferred || job.retainedCompletions.empty()
+            || now - job.retainedCompletions.front().seenAt < m_settings.progressDelay)
             continue;
         m_writer.update(
             storekeys::job(job.id), encode(job), [this, id = job.id, lastSequence = m_lastCompletionSequence] {
--- a/modules/rattanroad_shards/jobs/ShardDispatcher.h
+++ b/modules/rattanroad_shards/jobs/ShardDispatcher.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "rattanroad_shards/evacuation/JobTransfers.h"
 #include "rattanroad_shards/evacuation/ReturnedJobs.h"
 #include "rattanroad_shards/holding/ShardElection.h"
 #include "rattanroad_shards/jobs/JobCodec.h"
@@ -40,6 +41,9 @@
         /** Time for which a new holder waits for the handover of its predecessor before it polls the targets, because
             it stops the runs of jobs that it does not know. Several link latencies. */
         std::chrono::milliseconds handoverWait { 80 };
+        /** A stored job is transferred when no listed target has been able to run a task for this long: entries of
+            targets whose leases expired are back within two seconds. */
+        std::chrono::milliseconds transferDelay { 2500 };
         /** Interval of the periodic checks. */
         std::chrono::milliseconds sweepInterval { 100 };
         /** A job is refused when its expected wait is longer than this many times its latency objective, because its
@@ -62,8 +66,10 @@
         /** Returns whether the evacuation, if there is one, leaves time for starts; an empty hook means that it does.
          */
         std::function<bool()> areStartsAllowed;
-        /** Returns whether another shard can run a job; may be empty. */
-        std::function<bool(const protocol::PlacedJob&)> canRunElsewhere;
+        /** Returns the shard that a recent load shows to be able to run a job, or nothing; may be empty. */
+        std::function<std::optional<ShardId>(const protocol::PlacedJob&)> chooseShard;
+        /** Notifies the holder of another shard that the record of a job names that shard; may be empty. */
+        std::function<void(const JobId&, const ShardId& to)> notifyTransfer;
         /** Tells the origin of a best-effort job that it has to submit it to another shard; may be empty. */
         std::function<void(const JobId&, const std::string& origin)> jobReturned;
         /** Logs an event of a job, or of the shard when the job id is empty. */
@@ -117,6 +123,11 @@
         state is stored already. */
     void cancel(const JobId& job, const StateReply& reply);
 
+    /** The record of a job names this shard, by a transfer. Reads it, and calls @p reply once this holder has the job or
+        it has ended; not if the store does not answer. */
+    void transferReceived(const JobId& job, const std::function<void()>& reply);
+    /** The holder of another shard has a job that was transferred there. */
+    void transferAcknowledged(const JobId& job, const ShardId& to) { m_transfers.acknowledged(job, to); }
     /** The failure domain of the shard is evacuated, or is so no longer. */
     void evacuationChanged();
 
@@ -126,6 +137,11 @@
 
 private:
     void loadRecord(const StoredItem& item);
+    JobTransfers::Hooks transferHooks();
+    /** Transfers the stored jobs that no target of this shard can run to other shards. */
+    void transferJobs();
+    /** Returns whether a stored job has to run in another shard, and nothing of it may be active in this one. */
+    bool isTransferDue(ShardJob& job);
     void finishLoading();
     void openSessions();
     TargetSession::Hooks sessionHooks();
@@ -186,6 +202,8 @@
     std::map<JobId, protocol::JobHandover> m_handedOverRuns;
     TimePoint m_lostAt { distantPast };
     ReturnedJobs m_returned;
+    KeyValueStore& m_store;
+    JobTransfers m_transfers;
 };
 
 }
--- a/modules/rattanroad_shards/jobs/ShardJob.h
+++ b/modules/rattanroad_shards/jobs/ShardJob.h
@@ -104,6 +104,14 @@
     /** The latest time at which the origin is certain to have wanted the job. Earlier than lastSubmittedAt after a
         handover, which may have been under way for long. Runs start and keep their leases by this time. */
     TimePoint certainlySubmittedAt;
+    /** Shard that the job was transferred from last; empty for none. */
+    ShardId transferredFrom;
+    /** Attempts have numbers above this one, because holders of earlier shards may have used the others. */
+    std::uint32_t attemptFloor { 0 };
+    /** The record is being rewritten to name another shard; nothing starts and no other change is stored. */
+    bool isBeingTransferred { false };
+    /** Since when no target of the shard can run a waiting task. */
+    std::optional<TimePoint> unplaceableSince;
     /** This holder has received the job from one origin, which had not sent it before. Nobody else can have it or
         expect it here. */
     bool hasSingleOrigin { false };
--- a/modules/rattanroad_shards/jobs/TaskRunner.cpp
+++ b/modules/rattanroad_shards/jobs/TaskRunner.cpp
@@ -303,6 +303,8 @@
 
 void TaskRunner::placeJob(ShardJob& job, PlacementPass& pass)
 {
+    if (job.isBeingTransferred)
+        return;
     const TimePoint now = m_clock.now();
     // After a pause of this process the caller may have submitted the job to another host.
     if (job.description.best_effort() && now - job.certainlySubmittedAt >= m_settings.originTimeout)
@@ -361,7 +363,7 @@
 std::uint32_t TaskRunner::nextAttempt(const ShardJob& job, const ShardTask& task) const
 {
     const std::uint64_t laterGenerations = m_generation->value() - job.acceptedIn.value();
-    const auto first = static_cast<std::uint32_t>(laterGenerations * attemptsPerGeneration) + 1;
+    const auto first = job.attemptFloor + static_cast<std::uint32_t>(laterGenerations * attemptsPerGeneration) + 1;
     return std::max(first, task.attempt + 1);
 }
 
@@ -375,6 +377,44 @@
     return capacity == 0 ? unbounded : std::chrono::milliseconds(static_cast<std::int64_t>(work / capacity));
 }
 
+bool TaskRunner::hasUnplaceableTask(const ShardJob& job) const
+{
+    for (std::size_t phase = 0; phase < job.phases.size(); ++phase) {
+        const auto& tasks = job.phases[phase];
+        const bool isWaiting = std::any_of(tasks.begin(), tasks.end(),
+            [](const ShardTask& task) { return task.state == ShardTask::State::Waiting; });
+        if (isWaiting && job.isPhaseReady(phase)
+            && !m_targets.isEligibleSomewhere(placementRequest(job.description, phase)))
+            return true;
+    }
+    return false;
+}
+
+bool TaskRunner::mayHaveRun(const ShardJob& job) const
+{
+    for (std::size_t phase = 0; phase < job.phases.size(); ++phase) {
+        for (std::uint32_t index = 0; index < job.phases[phase].size(); ++index) {
+            const ShardTask& task = job.phases[phase][index];
+            const bool isPossible = task.state == ShardTask::State::Placed || task.mayHaveEarlierRun
+                || m_targets.hasRun({ job.id, static_cast<std::uint32_t>(phase), index });
+            if (isPossible)
+                return true;
+        }
+    }
+    return false;
+}
+
+std::uint32_t TaskRunner::highestAttempt(const ShardJob& job) const
+{
+    const std::uint64_t generations = m_generation ? m_generation->value() - job.acceptedIn.value() + 1 : 1;
+    std::uint32_t highest = job.attemptFloor + static_cast<std::uint32_t>(generations * attemptsPerGeneration);
+    for (const auto& phase : job.phases) {
+        for (const ShardTask& task : phase)
+            highest = std::max(highest, task.attempt);
+    }
+    return highest;
+}
+
 bool TaskRunner::hasEligibleTarget(const ShardJob& job) const
 {
     for (std::size_t phase = 0; phase < job.phases.size(); ++phase) {
--- a/modules/rattanroad_shards/jobs/TaskRunner.h
+++ b/modules/rattanroad_shards/jobs/TaskRunner.h
@@ -72,6 +72,13 @@
     /** Estimates the wait of a job with this soft deadline: the work scheduled before it, divided by the capacity of
         the usable targets. */
     std::chrono::milliseconds expectedWait(TimePoint softDeadline) const;
+    /** Returns whether a waiting task of the job could start now if a target had room, and no listed target is eligible
+        for it. */
+    bool hasUnplaceableTask(const ShardJob& job) const;
+    /** Returns whether a run of a task of the job is active or may be. */
+    bool mayHaveRun(const ShardJob& job) const;
+    /** Returns a number that is not below any attempt that this or an earlier holder of the shard can have used. */
+    std::uint32_t highestAttempt(const ShardJob& job) const;
     /** Returns whether each phase has a listed target that could run it. */
     bool hasEligibleTarget(const ShardJob& job) const;
 
--- a/modules/rattanroad_shards/node/ShardNode.cpp
+++ b/modules/rattanroad_shards/node/ShardNode.cpp
@@ -111,6 +111,17 @@
             m_targetList.readFor(shard->first);
             return;
         }
+        if (message.has_shard_job_transfer()) {
+            transferReceived(message.shard_job_transfer(), message.from_host());
+            return;
+        }
+        if (message.has_shard_job_transfer_reply()) {
+            const protocol::ShardJobTransferReply& reply = message.shard_job_transfer_reply();
+            const auto from = m_shards.find(ShardId(reply.from_shard()));
+            if (from != m_shards.end())
+                from->second.dispatcher->transferAcknowledged(JobId(reply.id()), ShardId(reply.to_shard()));
+            return;
+        }
         m_entrance.received(message);
     }
 
@@ -153,8 +164,9 @@
             hooks.isEvacuated = [this, domain] { return m_operatorKeys.evacuations().isEvacuated(domain); };
             hooks.areStartsAllowed
                 = [this, domain] { return m_operatorKeys.evacuations().mayStart(domain, isStoreLost()); };
-            hooks.canRunElsewhere
-                = [this](const protocol::PlacedJob& job) { return m_entrance.loads().choose(job).has_value(); };
+            hooks.chooseShard = [this](const protocol::PlacedJob& job) { return m_entrance.loads().choose(job); };
+            hooks.notifyTransfer
+                = [this, shard](const JobId& job, const ShardId& to) { notifyTransfer(job, shard, to); };
             hooks.jobReturned = [this, shard](const JobId& job, const std::string& origin) {
                 protocol::Envelope message = envelope();
                 message.mutable_shard_job_returned()->set_id(job.value());
@@ -496,6 +508,32 @@
         m_links.send(load.address(), message);
     }
 
+    void notifyTransfer(const JobId& job, const ShardId& from, const ShardId& to)
+    {
+        const std::string* const address = dispatcher(to) ? &m_settings.address : m_entrance.loads().holderAddress(to);
+        if (!address)
+            return;
+        protocol::Envelope message = envelope();
+        message.mutable_shard_job_transfer()->set_id(job.value());
+        message.mutable_shard_job_transfer()->set_from_shard(from.value());
+        message.mutable_shard_job_transfer()->set_to_shard(to.value());
+        sendOrReceive(std::string(*address), message);
+    }
+
+    void transferReceived(const protocol::ShardJobTransfer& transfer, const std::string& sender)
+    {
+        ShardDispatcher* const receiver = dispatcher(ShardId(transfer.to_shard()));
+        if (!receiver)
+            return;
+        receiver->transferReceived(JobId(transfer.id()), [this, transfer, sender] {
+            protocol::Envelope message = envelope();
+            message.mutable_shard_job_transfer_reply()->set_id(transfer.id());
+            message.mutable_shard_job_transfer_reply()->set_from_shard(transfer.from_shard());
+            message.mutable_shard_job_transfer_reply()->set_to_shard(transfer.to_shard());
+            sendOrReceive(sender, message);
+        });
+    }
+
     void openLinks()
     {
         for (const ShardId& shard : m_entrance.loads().shards()) {
@@ -529,7 +567,7 @@
     void sendOrReceive(const std::string& address, const protocol::Envelope& message)
     {
         if (address == m_settings.address)
-            m_entrance.received(message);
+            received(message);
         else
             m_links.send(address, message);
     }
--- a/modules/rattanroad_shards/store/RecordWriter.cpp
+++ b/modules/rattanroad_shards/store/RecordWriter.cpp
@@ -64,6 +64,14 @@
     m_entries[key].isRemoval = true;
 }
 
+std::optional<KeyRevision> RecordWriter::settledRevision(const std::string& key) const
+{
+    const auto found = m_entries.find(key);
+    const bool isSettled = found != m_entries.end() && !found->second.isPending && !found->second.isInFlight
+        && !found->second.insertCallback && found->second.revision.value() != 0;
+    return isSettled ? std::optional<KeyRevision>(found->second.revision) : std::nullopt;
+}
+
 void RecordWriter::flushAfter(Duration delay)
 {
     m_timers.after(delay, [this] { flush(); });
--- a/modules/rattanroad_shards/store/RecordWriter.h
+++ b/modules/rattanroad_shards/store/RecordWriter.h
@@ -60,6 +60,11 @@
     /** Sets the known revision of a record that was read from the store. */
     void setRevision(const std::string& key, KeyRevision revision) { m_entries[key].revision = revision; }
 
+    /** Returns the known revision of a record of which no change is pending or under way, or nothing. */
+    std::optional<KeyRevision> settledRevision(const std::string& key) const;
+    /** Forgets a record that is no longer of this shard. */
+    void forget(const std::string& key) { m_entries.erase(key); }
+
     /** Returns whether the store rejected the last transaction or did not reply to it. */
     bool isStoreUnavailable() const { return m_isStoreUnavailable; }
 
--- /dev/null
+++ b/tests/shards/JobTransferTests.cpp
@@ -0,0 +1,209 @@
+#include "rattanroad_shards/holding/StoreKeys.h"
+#include "shards/FleetChecks.h"
+
+using namespace rattanroad;
+using namespace rattanroad::emulator;
+using namespace rattanroad::shards;
+using namespace std::chrono_literals;
+
+namespace {
+
+/** Within this time a job whose last eligible target has left is in another shard: the delay of the transfer, a write,
+    a notice and a read. */
+constexpr auto transferTime = 6s;
+/** The same when a holder is lost meanwhile: its lease ends, and its successor has to wait for earlier runs. */
+constexpr auto takeoverTime = 25s;
+constexpr std::uint32_t tasks = 6;
+
+/** A fleet of two failure domains, each with one target that has the label that a stored job needs. Two tasks of the
+   job run when the target of its shard leaves the target list; the others wait. */
+class TransferFleet {
+public:
+    explicit TransferFleet(bool fails = false)
+    {
+        for (const std::string& domain : domains)
+            addTarget(domain);
+        m_fleet.startAll();
+        m_call = &m_fleet.submit(HostId("north-0"), "job", tasks, 400ms, false, fails);
+        m_call->description.mutable_phases(0)->set_required_label("special");
+        m_fleet.run(200ms);
+        m_shard = record().shard();
+        m_holder = m_fleet.holderOf(m_shard);
+    }
+
+    EmulatedFleet& fleet() { return m_fleet; }
+    EmulatedFleet::Call& call() { return *m_call; }
+    const std::string& shard() const { return m_shard; }
+    std::string otherShard() const { return m_shard == domains[0] ? domains[1] : domains[0]; }
+    const HostId& holder() const { return m_holder; }
+    void removeTarget() { m_fleet.unlistTarget(TargetId("special-" + m_shard)); }
+    protocol::JobRecord record()
+    {
+        protocol::JobRecord record;
+        record.ParseFromString(m_fleet.store().value(storekeys::job(JobId("job"))).value_or(""));
+        return record;
+    }
+    /** Runs until the record of the job names the other shard. */
+    void runUntilWritten()
+    {
+        REQUIRE(m_fleet.runUntil([this] { return record().shard() == otherShard(); }, transferTime));
+    }
+    void requireDone(Duration limit = transferTime)
+    {
+        m_fleet.runUntil([this] { return record().state() == static_cast<std::uint32_t>(JobState::Done); }, limit);
+        showLog(m_fleet);
+        REQUIRE(record().state() == static_cast<std::uint32_t>(JobState::Done));
+        REQUIRE(m_fleet.startCount("job") == tasks);
+        requireNoViolations(m_fleet);
+    }
+
+private:
+    void addTarget(const std::string& domain)
+    {
+        TargetReport report = m_fleet.targets().reports().at(TargetId("target-" + domain + "-0"));
+        report.id = TargetId("special-" + domain);
+        report.labels = { "special" };
+        m_fleet.targets().add(report);
+        m_fleet.listTarget(report.id);
+    }
+
+    const std::vector<std::string> domains { "north", "south" };
+    EmulatedFleet m_fleet;
+    EmulatedFleet::Call* m_call { nullptr };
+    std::string m_shard;
+    HostId m_holder;
+};
+
+}
+
+TEST_CASE("a stored job that no target of its shard can run any more is done in another shard")
+{
+    TransferFleet transfer;
+    REQUIRE(transfer.fleet().startCount("job") == 2);
+    transfer.removeTarget();
+    transfer.runUntilWritten();
+    REQUIRE(transfer.record().transferred_from() == transfer.shard());
+    transfer.requireDone();
+    REQUIRE(stateOf(transfer.fleet(), HostId("north-0"), "job") == JobState::Done);
+}
+
+TEST_CASE("a stored job of an evacuated failure domain is done in another one")
+{
+    TransferFleet transfer;
+    transfer.fleet().evacuate(transfer.shard());
+    transfer.requireDone();
+}
+
+TEST_CASE("a transferred job is found when the first notices are lost")
+{
+    TransferFleet transfer;
+    transfer.removeTarget();
+    transfer.fleet().run(2300ms);
+    transfer.fleet().dropMessages(transfer.holder(), 2s);
+    transfer.requireDone();
+}
+
+TEST_CASE("a transferred job is found when its holder dies before the notice")
+{
+    // The next holder of the first shard finds the record, which names where the job came from.
+    TransferFleet transfer;
+    transfer.removeTarget();
+    transfer.fleet().run(2300ms);
+    transfer.fleet().dropMessages(transfer.holder(), 2s);
+    transfer.runUntilWritten();
+    transfer.fleet().kill(transfer.holder());
+    transfer.requireDone(takeoverTime);
+}
+
+TEST_CASE("a transferred job is found when the holder of its new shard changes")
+{
+    for (const auto delay : { 0ms, 20ms, 300ms }) {
+        TransferFleet transfer;
+        transfer.removeTarget();
+        transfer.runUntilWritten();
+        transfer.fleet().run(delay);
+        transfer.fleet().kill(transfer.fleet().holderOf(transfer.otherShard()));
+        transfer.requireDone(takeoverTime);
+    }
+}
+
+TEST_CASE("a transfer whose write is executed without a reply is completed")
+{
+    TransferFleet transfer;
+    transfer.removeTarget();
+    transfer.fleet().run(2300ms);
+    transfer.fleet().store().faults.repliesToLose = 4;
+    transfer.requireDone();
+}
+
+TEST_CASE("a transfer whose write is executed late leaves the job in one shard")
+{
+    TransferFleet transfer;
+    transfer.removeTarget();
+    transfer.fleet().run(2300ms);
+    transfer.fleet().store().faults.lateTransactions = 4;
+    transfer.requireDone(takeoverTime);
+}
+
+TEST_CASE("a job that is cancelled during its transfer does not run again")
+{
+    for (const auto delay : { 0ms, 5ms, 100ms }) {
+        TransferFleet transfer;
+        transfer.removeTarget();
+        transfer.runUntilWritten();
+        transfer.fleet().run(delay);
+        std::optional<JobState> state;
+        transfer.fleet()
+            .node(HostId("north-0"))
+            .entrance()
+            .cancel(JobId("job"), 1500ms, [&state](JobEntrance::QueryResult result, JobState seen) {
+                if (result == JobEntrance::QueryResult::Known)
+                    state = seen;
+            });
+        transfer.fleet().run(2s);
+        showLog(transfer.fleet());
+        REQUIRE(state == JobState::Cancelled);
+        const std::size_t starts = transfer.fleet().startCount("job");
+        transfer.fleet().run(5s);
+        REQUIRE(transfer.fleet().startCount("job") == starts);
+        requireNoViolations(transfer.fleet());
+    }
+}
+
+TEST_CASE("a job that is submitted again during its transfer remains one job")
+{
+    TransferFleet transfer;
+    transfer.removeTarget();
+    transfer.runUntilWritten();
+    for (const char* const host : { "north-1", "south-0", "south-1" })
+        transfer.fleet().resend(transfer.call(), HostId(host));
+    transfer.requireDone();
+    for (const EntranceVerdict verdict : transfer.call().verdicts)
+        REQUIRE(verdict == EntranceVerdict::Accepted);
+}
+
+TEST_CASE("a query during a transfer knows the job")
+{
+    TransferFleet transfer;
+    transfer.removeTarget();
+    transfer.runUntilWritten();
+    REQUIRE(stateOf(transfer.fleet(), HostId("south-1"), "job"));
+    transfer.requireDone();
+}
+
+TEST_CASE("a transferred job has no more failed runs than its attempts")
+{
+    // Guards against attempts that are counted anew in the other shard.
+    TransferFleet transfer(true);
+    transfer.fleet().run(300ms);
+    transfer.removeTarget();
+    transfer.fleet().run(transferTime);
+    showLog(transfer.fleet());
+    REQUIRE(transfer.record().state() == static_cast<std::uint32_t>(JobState::Failed));
+    for (const auto& task : transfer.fleet().targets().runs()) {
+        const auto failed = std::count_if(
+            task.second.begin(), task.second.end(), [](const auto& run) { return run.ending == "failed"; });
+        REQUIRE(failed <= 3);
+    }
+    requireNoViolations(transfer.fleet());
+}
