--- a/modules/rattanroad_shards/jobs/CompletionRetention.cpp
+++ b/modules/rattanroad_shards/jobs/CompletionRetention.cpp
@@ -74,7 +74,8 @@
     const TimePoint now = m_clock.now();
     for (const auto& entry : m_jobs.openJobs()) {
         ShardJob& job = *entry.second;
-        if (job.retainedCompletions.empty() || now - job.retainedCompletions.front().seenAt < m_settings.progressDelay)
+        if (job.isBeingTransferred || job.retainedCompletions.empty()
+            || now - job.retainedCompletions.front().seenAt < m_settings.progressDelay)
             continue;
         m_writer.update(
             storekeys::job(job.id), m_hooks.encode(job), [this, id = job.id, lastSequence = m_lastSequence] {
--- a/modules/rattanroad_shards/jobs/CompletionRetention.h
+++ b/modules/rattanroad_shards/jobs/CompletionRetention.h
@@ -37,6 +37,8 @@
     void storeEnd(ShardJob& job);
     /** Writes the records of jobs whose completions have been retained for long. */
     void storeOverdueProgress();
+    /** Acknowledges all completions of a job whose record covers them. */
+    void acknowledgeAll(ShardJob& job) { acknowledge(job, m_lastSequence); }
     /** Removes the ended jobs whose retention is over, and their records. */
     void removeExpiredJobs();
 
--- a/modules/rattanroad_shards/jobs/TaskRunner.h
+++ b/modules/rattanroad_shards/jobs/TaskRunner.h
@@ -89,6 +89,13 @@
     void accepted(const ShardJob& job);
     /** Returns the expected wait of a new job that comes after all jobs in time. */
     std::chrono::milliseconds expectedWait() const;
+    /** Returns whether a waiting task of the job could start now if a target had room, and no listed target is eligible
+        for it. */
+    bool hasUnplaceableTask(const ShardJob& job) const;
+    /** Returns whether a run of a task of the job is active or may be. */
+    bool mayHaveRun(const ShardJob& job) const;
+    /** Returns a number that is not below any attempt that this or an earlier holder of the shard can have used. */
+    std::uint32_t highestAttempt(const ShardJob& job) const;
     /** Returns whether each phase has a listed target that could run it. */
     bool hasEligibleTarget(const ShardJob& job) const;
 
--- a/tests/shards/ScarcityTests.cpp
+++ b/tests/shards/ScarcityTests.cpp
@@ -149,7 +149,7 @@
                 outcome.doneAt = m_clock.now();
             m_open.erase(job.id);
         };
-        hooks.jobReturned = [this](const ShardJob& job, std::chrono::milliseconds) {
+        hooks.jobGivenUp = [this](const ShardJob& job, std::chrono::milliseconds) {
             m_outcomes[job.id].isRefused = !job.mayHaveRun();
             m_open.erase(job.id);
         };
