Ask the holder in the tests of ends that are not stored yet

Cause: without the change that they guard (ShardDispatcher::state() returning the state that callers are shown), the two tests passed: the hosts that they ask did not learn the state from the holder.

Change: they also ask the dispatcher that holds the shard.

Measured: both fail when state() returns the state of the job, and pass with shownState().

--- a/tests/shards/StoredJobTests.cpp
+++ b/tests/shards/StoredJobTests.cpp
@@ -74,6 +74,8 @@
     refuseAllHosts(fleet);
     fleet.run(500ms);
     REQUIRE(fleet.targets().running() == 0);
+    const std::string shard = shardOf(fleet, "a");
+    REQUIRE(fleet.node(fleet.holderOf(shard)).dispatcher(ShardId(shard))->state(JobId("a")) == JobState::Running);
     for (const HostId& host : fleet.hosts())
         REQUIRE_FALSE(isShownAsEnded(fleet, host, "a"));
     fleet.store().faults.refusedHosts.clear();
@@ -99,6 +101,8 @@
     });
     fleet.run(500ms);
     REQUIRE_FALSE(isAnswered);
+    const std::string shard = shardOf(fleet, "a");
+    REQUIRE(fleet.node(fleet.holderOf(shard)).dispatcher(ShardId(shard))->state(JobId("a")) == JobState::Running);
     for (const HostId& host : fleet.hosts())
         REQUIRE_FALSE(isShownAsEnded(fleet, host, "a"));
     fleet.store().faults.refusedHosts.clear();
