--- a/scripts/check-mutations.sh
+++ b/scripts/check-mutations.sh
@@ -122,11 +122,9 @@
 guard returned-job-is-back jobs/ShardDispatcher.cpp 'if (const auto returnedTo = m_returned.origin(id, isResent, origin.sentAt)) {' \
     'if (const auto returnedTo = std::optional<std::string>(); returnedTo) {'
 guard transfer-with-run jobs/ShardDispatcher.cpp 'isLasting && !m_runner.mayHaveRun(job)' 'isLasting'
-guard transfer-unseen evacuation/JobTransfers.cpp \
-    'if (record != reply.current.end() && isMoved(*record, transfer->to)) {' 'if (false) {'
 guard transfer-notice-once evacuation/JobTransfers.cpp \
     'after(m_settings.noticeInterval, [this, job] { notify(job); });' ''
 guard transfer-forgotten jobs/ShardDispatcher.cpp 'm_transfers.notifyAgain(id, ShardId(record.shard()));' ';'
-guard transfer-of-submission jobs/ShardDispatcher.cpp 'known && known->isAccepted) {' 'known) {'
+guard transfer-of-submission jobs/ShardDispatcher.cpp 'if (job && !job->isAccepted)' 'if (false)'
 guard earlier-process entrance/RequestNumber.cpp 'XXH64(&value, sizeof value, 0) >> unusedBits' 'value * 0 * unusedBits'
 exit "$failed"
