--- a/scripts/check-mutations.sh
+++ b/scripts/check-mutations.sh
@@ -131,12 +131,10 @@
     'job.state == JobState::Cancelled'
 guard starved-priority scheduling/ScheduleOrder.cpp 'm_shares->owed(waiting).value_or(waiting.front())' 'waiting.front()'
 guard transfer-with-run jobs/ShardDispatcher.cpp 'isLasting && !m_runner.mayHaveRun(job)' 'isLasting'
-guard transfer-unseen evacuation/JobTransfers.cpp \
-    'if (record != reply.current.end() && isMoved(*record, transfer->to)) {' 'if (false) {'
 guard transfer-notice-once evacuation/JobTransfers.cpp \
     'after(m_settings.noticeInterval, [this, job] { notify(job); });' ''
 guard transfer-forgotten jobs/ShardDispatcher.cpp 'm_transfers.notifyAgain(id, ShardId(record.shard()));' ';'
-guard transfer-of-submission jobs/ShardDispatcher.cpp 'known && known->isAccepted) {' 'known) {'
+guard transfer-of-submission jobs/ShardDispatcher.cpp 'if (job && !job->isAccepted)' 'if (false)'
 guard earlier-process entrance/RequestNumber.cpp 'XXH64(&value, sizeof value, 0) >> unusedBits' 'value * 0 * unusedBits'
 guard store-lost-for-ever store/RecordWriter.cpp 'if (m_pendingKeys.empty() && m_inFlight == 0)' 'if (false)'
 guard end-shown-unstored jobs/ShardJob.h 'return hasEnded(state) && !isEndShown() ? JobState::Running : state;' 'return state;'
