--- a/modules/rattanroad_shards/rattanroad_shards.h
+++ b/modules/rattanroad_shards/rattanroad_shards.h
@@ -10,7 +10,7 @@
     Read node/ShardNode.h first, then the path of a job: entrance/JobEntrance.h, entrance/ShardLoads.h,
     entrance/JobHomes.h, entrance/HolderRequests.h, jobs/ShardDispatcher.h, jobs/TaskRunner.h, targets/ShardTargets.h,
    targets/PlacementPass.h, placing/TaskPlacer.h and targets/TargetSession.h. holding/ShardElection.h elects the holder
-   of a shard. entrance/LoadFeed.h brings the loads of all shards to each host, over node/HostLinks.h.
+   of a shard. scheduling/ decides about order and refusal. entrance/LoadFeed.h brings the loads of all shards to each host, over node/HostLinks.h.
 */
 #pragma once
 
