--- a/benchmarks/ShardBenchmark.cpp
+++ b/benchmarks/ShardBenchmark.cpp
@@ -74,7 +74,9 @@
         ShardDispatcher::Settings settings;
         settings.shard = ShardId("north");
         // Jobs wait for as long as the backlog is.
-        settings.refusalFactor = 1e6;
+        settings.running.admission.storedWaitFactor = 1e6;
+        // Leaves best-effort jobs any wait.
+        settings.running.admission.runTimeMargin = -1e6;
         return settings;
     }
 
