--- a/modules/rattanroad_core/json/BoundedJson.cpp
+++ b/modules/rattanroad_core/json/BoundedJson.cpp
@@ -4,6 +4,21 @@
 
 using nlohmann::json;
 
+namespace {
+    /** Returns the position of the quote that ends the string whose first character is at @p begin. */
+    std::size_t endOfString(std::string_view text, std::size_t begin)
+    {
+        for (std::size_t end = text.find('"', begin); end != std::string_view::npos; end = text.find('"', end + 1)) {
+            std::size_t backslashes = 0;
+            while (end - backslashes > begin && text[end - backslashes - 1] == '\\')
+                ++backslashes;
+            if (backslashes % 2 == 0)
+                return end;
+        }
+        return text.size();
+    }
+}
+
 bool isWithinJsonBounds(std::string_view text, std::size_t maximumElements)
 {
     int depth = 0;
@@ -11,10 +26,7 @@
     for (std::size_t i = 0; i < text.size(); ++i) {
         switch (text[i]) {
         case '"':
-            for (++i; i < text.size() && text[i] != '"'; ++i) {
-                if (text[i] == '\\')
-                    ++i;
-            }
+            i = endOfString(text, i + 1);
             break;
         case '[':
         case '{':
--- a/tests/network/ConnectionAccountTests.cpp
+++ b/tests/network/ConnectionAccountTests.cpp
@@ -127,6 +127,9 @@
     CHECK_FALSE(isWithinJsonBounds(R"({"a":"[[[,,,\"[","b":[1,2]})", 5));
     CHECK_FALSE(isWithinJsonBounds(std::string(maximumJsonDepth + 1, '['), 1000));
     CHECK(isWithinJsonBounds("\"unterminated \\", 0));
+    CHECK(isWithinJsonBounds(R"("\\\\")", 0));
+    CHECK_FALSE(isWithinJsonBounds(R"(["\\","\"","\\\""])", 2));
+    CHECK(isWithinJsonBounds(R"(["\\","\"","\\\""])", 3));
     CHECK(parseBoundedJson("[[],[]]", 3).is_discarded());
     CHECK(parseBoundedJson("[[],[]]", 4).size() == 2);
     CHECK(parseBoundedJson("]]]]{").is_discarded());
