Read the clock once a turn when connections are examined

Change: one clock reading a turn, and no choice of connections while the account is within its limits.

--- a/modules/rattanroad_network/http/ConnectionAccount.h
+++ b/modules/rattanroad_network/http/ConnectionAccount.h
@@ -85,6 +85,9 @@
     /** Returns whether a further request must be refused. */
     bool isFull() const { return m_heldBytes > m_limits.maximumHeldBytes.value(); }
 
+    /** Returns whether excess() has to choose connections. */
+    bool isExceeded() const { return isFull() || m_connections.size() > m_limits.maximumConnections; }
+
     /** Returns the connections to close until the account is within its limits again: those that hold most for the
         least progress. Requests that are being served are left alone, since they end by themselves. */
     std::vector<Closing> excess(TimePoint now) const;
--- a/modules/rattanroad_network/http/HttpConnections.cpp
+++ b/modules/rattanroad_network/http/HttpConnections.cpp
@@ -187,6 +187,7 @@
     {
         ++m_turn;
         m_examined.swap(m_changed);
+        const TimePoint now = m_loop.clock().now();
         for (const CallerConnectionId id : m_examined) {
             const auto found = m_connections.find(id.value());
             if (found == m_connections.end())
@@ -194,12 +195,13 @@
             Connection& connection = *found->second;
             connection.isListed = false;
             wrapRead(connection);
-            examine(connection);
+            examine(connection, now);
         }
         if (!m_paused.empty() && m_pauseTimer == TimerId())
             m_pauseTimer = m_loop.addTimer(pauseCheckInterval, [this] { checkPaused(); });
         m_examined.clear();
-        close(m_account.excess(m_loop.clock().now()));
+        if (m_account.isExceeded())
+            close(m_account.excess(now));
     }
 
     /** h2o does not read while it sends "100 Continue", and sets its own callback afterwards. */
@@ -226,7 +228,7 @@
     }
 
     /** Closes the connection if its header fields are too long. */
-    void examine(Connection& connection)
+    void examine(Connection& connection, TimePoint now)
     {
         const h2o_buffer_t* const input = connection.socket->input;
         const std::size_t inputBytes = input->bytes ? input->size : 0;
@@ -249,7 +251,7 @@
         if (isReading && connection.socket->_cb.read != &Impl::read)
             m_paused.push_back(connection.id);
         const std::size_t held = (input->bytes ? input->capacity : 0) + connection.answerBytes + connection.kernelBytes;
-        m_account.update(connection.id, stage, held, connection.hasProgressed, m_loop.clock().now());
+        m_account.update(connection.id, stage, held, connection.hasProgressed, now);
         connection.hasProgressed = false;
     }
 
