Keep no room for expected work and for overtaken tasks

A case of evacuations counts jobs once the last ones have had time to end: at 0.9 of 40, four of them were still running.

--- a/modules/rattanroad_shards/jobs/JobRequirements.cpp
+++ b/modules/rattanroad_shards/jobs/JobRequirements.cpp
@@ -26,14 +26,6 @@
     return std::chrono::milliseconds(static_cast<std::int64_t>(stretched) + job.rule().target_duration_ms());
 }
 
-std::uint64_t totalMillicores(const protocol::PlacedJob& job)
-{
-    std::uint64_t millicores = 0;
-    for (const protocol::PhaseDescription& phase : job.phases())
-        millicores += std::uint64_t { phase.count() } * phase.millicores();
-    return millicores;
-}
-
 Resources taskResources(const protocol::PhaseDescription& phase)
 {
     return { phase.millicores(), phase.memory_mb(), phase.accelerators() };
--- a/modules/rattanroad_shards/jobs/JobRequirements.h
+++ b/modules/rattanroad_shards/jobs/JobRequirements.h
@@ -9,8 +9,6 @@
 std::chrono::milliseconds criticalPathLength(const protocol::PlacedJob& job);
 /** Returns the time from submission within which the caller expects the job to end. */
 std::chrono::milliseconds latencyObjective(const protocol::PlacedJob& job);
-/** Returns the millicores that all tasks of the job use if they run at a time. */
-std::uint64_t totalMillicores(const protocol::PlacedJob& job);
 /** Returns the resources that one task of the phase needs. */
 Resources taskResources(const protocol::PhaseDescription& phase);
 /** Returns the placement requirements of one task of the phase. */
--- a/modules/rattanroad_shards/jobs/JobTable.cpp
+++ b/modules/rattanroad_shards/jobs/JobTable.cpp
@@ -45,8 +45,6 @@
 void JobTable::clear()
 {
     m_workQueue.clear();
-    m_runningMillicores.clear();
-    m_runningOfJobs.clear();
     m_open.clear();
     m_jobs.clear();
 }
@@ -61,7 +59,6 @@
 {
     m_open.erase(job.id);
     m_workQueue.remove(job.id);
-    setRunning(job, 0);
 }
 
 void JobTable::refresh(const ShardJob& job)
@@ -71,26 +68,6 @@
         m_workQueue.set(*waiting);
     else
         m_workQueue.remove(job.id);
-    if (m_open.count(job.id) != 0)
-        setRunning(job, shards::runningMillicores(job));
-}
-
-void JobTable::setRunning(const ShardJob& job, std::uint64_t millicores)
-{
-    const auto [known, isNew] = m_runningOfJobs.try_emplace(job.id, 0);
-    std::uint64_t& sum = m_runningMillicores[job.description.rule().priority()];
-    sum = sum - known->second + millicores;
-    known->second = millicores;
-    if (millicores == 0)
-        m_runningOfJobs.erase(known);
-}
-
-std::uint64_t JobTable::runningMillicores(std::uint32_t priority) const
-{
-    std::uint64_t millicores = 0;
-    for (auto sum = m_runningMillicores.begin(); sum != m_runningMillicores.end() && sum->first <= priority; ++sum)
-        millicores += sum->second;
-    return millicores;
 }
 
 void JobTable::addQueueDepths(protocol::ShardLoad& load) const
--- a/modules/rattanroad_shards/jobs/JobTable.h
+++ b/modules/rattanroad_shards/jobs/JobTable.h
@@ -40,8 +40,6 @@
     WorkQueue& workQueue() { return m_workQueue; }
     /** Updates the place of a job among those that have tasks to start, after some of its tasks have changed. */
     void refresh(const ShardJob& job);
-    /** Returns the millicores that the running tasks of this priority and higher ones use. */
-    std::uint64_t runningMillicores(std::uint32_t priority) const;
     /** Sets the expected ratio of run times to their estimates. Applies to each job with its next refresh. */
     void setRunTimeFactor(double factor) { m_runTimeFactor = factor; }
     /** Adds the number of queued jobs per queue. */
@@ -52,17 +50,12 @@
     std::vector<JobId> expired() const;
 
 private:
-    void setRunning(const ShardJob& job, std::uint64_t millicores);
-
     Settings m_settings;
     const Clock& m_clock;
     std::map<JobId, std::unique_ptr<ShardJob>> m_jobs;
     std::map<JobId, ShardJob*> m_open;
     WorkQueue m_workQueue;
     double m_runTimeFactor { 1 };
-    /** Millicores of the running tasks, by priority and of each job. */
-    std::map<std::uint32_t, std::uint64_t> m_runningMillicores;
-    std::map<JobId, std::uint64_t> m_runningOfJobs;
 };
 
 }
--- a/modules/rattanroad_shards/jobs/TaskRunner.cpp
+++ b/modules/rattanroad_shards/jobs/TaskRunner.cpp
@@ -5,7 +5,6 @@
 #include "rattanroad_shards/scheduling/ScheduleOrder.h"
 
 #include <algorithm>
-#include <cmath>
 
 namespace rattanroad::shards {
 
@@ -223,7 +222,8 @@
         if (TargetSession* const session = m_targets.session(lastTarget))
             session->stop(id);
     }
-    m_jobs.refresh(job);
+    if (!wasPlaced)
+        m_jobs.refresh(job);
     if (job.areAllPhasesDone())
         m_hooks.finished(job, JobState::Done, "");
     else
@@ -324,8 +324,6 @@
     WorkQueue& queue = m_jobs.workQueue();
     queue.updateLate(now);
     m_startedWork = 0;
-    m_startedMillicores = 0;
-    m_reservedTargets = 0;
     m_isRoomShort = false;
     const double rate = m_capacity.rate(now, pass.usableMillicores());
     updateOverload(rate);
@@ -337,10 +335,6 @@
             m_isRoomShort = true;
             break;
         }
-        if (m_isOverloaded && !mayUseRoom(*next, pass, priorities)) {
-            m_isRoomShort = true;
-            continue;
-        }
         const std::uint32_t priority = next->priority;
         const std::uint64_t startedBefore = m_startedWork;
         placeJob(*m_jobs.find(next->id), pass);
@@ -355,10 +349,7 @@
 void TaskRunner::updateOverload(double rate)
 {
     const WorkQueue& queue = m_jobs.workQueue();
-    const TimePoint now = m_clock.now();
-    if (ScheduleOrder::isRoomShort(queue, rate, now))
-        m_roomShortAt = now;
-    const bool isOverloaded = now - m_roomShortAt < m_settings.overloadHold;
+    const bool isOverloaded = ScheduleOrder::isRoomShort(queue, rate, m_clock.now());
     if (isOverloaded && !m_isOverloaded)
         m_hooks.log("room_short", JobId(),
             std::to_string(queue.size()) + " waiting jobs, work of "
@@ -368,17 +359,6 @@
     m_isOverloaded = isOverloaded;
 }
 
-bool TaskRunner::mayUseRoom(
-    const WaitingJob& job, const PlacementPass& pass, const std::vector<std::uint32_t>& priorities) const
-{
-    if (m_shares.owed(priorities) == job.priority)
-        return true;
-    const double expected = m_arrivals.expectedRoomAbove(job.priority, m_runTimeFactor, m_clock.now());
-    const std::uint64_t higher = job.priority == 0 ? 0 : m_jobs.runningMillicores(job.priority - 1);
-    const std::uint64_t free = pass.freeMillicores() - std::min(pass.freeMillicores(), m_startedMillicores);
-    return static_cast<double>(higher + free) >= expected + job.smallestTask;
-}
-
 void TaskRunner::placeJob(ShardJob& job, PlacementPass& pass)
 {
     if (job.isBeingTransferred)
@@ -399,7 +379,6 @@
                 continue;
             if (!placeTask(job, phase, index, pass)) {
                 m_isRoomShort = true;
-                reserveTarget(job, phase, pass);
                 break;
             }
         }
@@ -415,18 +394,6 @@
     return isRecorded && m_crashPolicy.mayStart(task.lostRuns, now);
 }
 
-void TaskRunner::reserveTarget(const ShardJob& job, std::size_t phase, PlacementPass& pass)
-{
-    const TimePoint now = m_clock.now();
-    const PlacementRequest request = placementRequest(job.description, phase);
-    const auto limit = static_cast<std::size_t>(
-        std::ceil(static_cast<double>(pass.candidateCount()) * m_settings.maximumReservedShare));
-    // Tasks of the smallest size are overtaken by none.
-    const bool isOvertaken = request.resources.millicores > m_jobs.workQueue().smallestTask();
-    if (isOvertaken && job.softDeadline > now && m_reservedTargets < limit && pass.reserve(request))
-        ++m_reservedTargets;
-}
-
 bool TaskRunner::placeTask(ShardJob& job, std::size_t phase, std::uint32_t index, PlacementPass& pass)
 {
     if (!pass.mayHaveRoom(taskResources(job.description.phases(static_cast<int>(phase)))))
@@ -453,7 +420,6 @@
     session.start(id, task.attempt, job.description.payload(), request.resources, choice->predicted, task.savedProgress,
         choice->isIsolated);
     pass.started(session);
-    m_startedMillicores += request.resources.millicores;
     m_startedWork += taskWork(job.description.phases(static_cast<int>(phase)));
     if (request.estimate.count() > 0) {
         const double factor
@@ -502,7 +468,7 @@
 void TaskRunner::accepted(const ShardJob& job)
 {
     if (const WaitingJob* const waiting = m_jobs.workQueue().find(job.id))
-        m_arrivals.accepted(waiting->priority, waiting->work, totalMillicores(job.description), m_clock.now());
+        m_arrivals.accepted(waiting->priority, waiting->work, m_clock.now());
 }
 
 bool TaskRunner::hasRoomNow(const ShardJob& job)
--- a/modules/rattanroad_shards/jobs/TaskRunner.h
+++ b/modules/rattanroad_shards/jobs/TaskRunner.h
@@ -26,11 +26,6 @@
         CrashPolicy::Settings crashes;
         CapacityModel::Settings capacity;
         Admission::Settings admission;
-        /** Jobs are started by priority for this long after not all could be done in time, so that higher priorities
-            that wait for a moment only do not lose room to the long tasks of lower ones. */
-        std::chrono::milliseconds overloadHold { 300 };
-        /** Largest share of the targets that are kept for tasks for which none has room. */
-        double maximumReservedShare { 0.125 };
         /** See GuaranteedShares. */
         std::chrono::milliseconds maximumCredit { GuaranteedShares::Settings().maximumCredit };
     };
@@ -113,8 +108,6 @@
     void placeJob(ShardJob& job, PlacementPass& pass);
     /** Returns false when no target can take the task now. */
     bool placeTask(ShardJob& job, std::size_t phase, std::uint32_t index, PlacementPass& pass);
-    /** Keeps a target for a task that smaller ones would overtake, within bounds. */
-    void reserveTarget(const ShardJob& job, std::size_t phase, PlacementPass& pass);
     std::uint32_t nextAttempt(const ShardJob& job, const ShardTask& task) const;
     void taskDone(ShardJob& job, ShardTask& task, const TaskId& id);
     /** Returns whether the job has failed because the task has used up its attempts. */
@@ -129,9 +122,6 @@
     bool hasRoomNow(const ShardJob& job);
     double rate() const;
     void updateOverload(double rate);
-    /** Returns whether a task of this priority may take room, or higher priorities are expected to need it soon. */
-    bool mayUseRoom(
-        const WaitingJob& job, const PlacementPass& pass, const std::vector<std::uint32_t>& priorities) const;
 
     Settings m_settings;
     CrashPolicy m_crashPolicy;
@@ -146,16 +136,12 @@
     Admission m_admission;
     GuaranteedShares m_shares;
     ArrivalRates m_arrivals;
-    /** When not everything that waited could be done in time. */
-    TimePoint m_roomShortAt { distantPast };
+    /** Not everything that waits can be done in time. */
     bool m_isOverloaded { false };
     /** Average of the expected ratio of run times to their estimates at the latest starts. */
     double m_runTimeFactor { 1 };
     /** Work that the present pass has started. */
     std::uint64_t m_startedWork { 0 };
-    std::uint64_t m_startedMillicores { 0 };
-    /** Targets that the present pass keeps for tasks for which none has room. */
-    std::size_t m_reservedTargets { 0 };
     /** The present pass has found a task for which no target has room. */
     bool m_isRoomShort { false };
     /** Tasks that have lost a run. */
--- a/modules/rattanroad_shards/jobs/WaitingWork.cpp
+++ b/modules/rattanroad_shards/jobs/WaitingWork.cpp
@@ -23,18 +23,6 @@
     return static_cast<std::uint64_t>(counted.count()) * phase.millicores();
 }
 
-std::uint64_t runningMillicores(const ShardJob& job)
-{
-    std::uint64_t millicores = 0;
-    for (std::size_t phase = 0; phase < job.phases.size(); ++phase) {
-        const auto running = std::count_if(job.phases[phase].begin(), job.phases[phase].end(),
-            [](const ShardTask& task) { return task.state == ShardTask::State::Placed; });
-        millicores
-            += static_cast<std::uint64_t>(running) * job.description.phases(static_cast<int>(phase)).millicores();
-    }
-    return millicores;
-}
-
 std::optional<WaitingJob> waitingJob(const ShardJob& job, double runTimeFactor)
 {
     WaitingJob waiting;
@@ -67,9 +55,8 @@
         waiting.hopelessAt = *job.callerDeadline - scaled(remaining, runTimeFactor * shortestRunShare);
     // A job that has started is worth completing as long as it may be in time, and the runs that it has had are lost
     // otherwise.
-    // One that has not would start at its latest time and end late half of the time, before others that could be in
-    // time.
-    waiting.lateAt = hasStarted ? job.softDeadline : waiting.latestStart;
+    waiting.lateAt
+        = hasStarted ? job.softDeadline : job.softDeadline - scaled(remaining, runTimeFactor * shortestRunShare);
     return waiting;
 }
 
--- a/modules/rattanroad_shards/jobs/WaitingWork.h
+++ b/modules/rattanroad_shards/jobs/WaitingWork.h
@@ -12,8 +12,6 @@
 
 /** Returns the work of one task of the phase, in millicores times milliseconds. */
 std::uint64_t taskWork(const protocol::PhaseDescription& phase);
-/** Returns the millicores that the running tasks of a job use. */
-std::uint64_t runningMillicores(const ShardJob& job);
 /** Returns what the order of a job depends on, or nothing when it has no task to start. @p runTimeFactor is the
     expected ratio of run times to their estimates. */
 std::optional<WaitingJob> waitingJob(const ShardJob& job, double runTimeFactor);
--- a/modules/rattanroad_shards/scheduling/ArrivalRates.h
+++ b/modules/rattanroad_shards/scheduling/ArrivalRates.h
@@ -18,20 +18,14 @@
     {
     }
 
-    /** A job was accepted whose tasks use @p millicores if all run at a time. */
-    void accepted(std::uint32_t priority, std::uint64_t work, std::uint64_t millicores, TimePoint now);
+    void accepted(std::uint32_t priority, std::uint64_t work, TimePoint now);
     /** Returns the work that is accepted in a millisecond with a higher priority than @p priority. */
     double rateAbove(std::uint32_t priority, TimePoint now) const;
-    /** Returns the millicores that running jobs with a higher priority than @p priority need for all but short times:
-       the average, and the standard deviation of the sum of jobs that arrive independently of one another. */
-    double expectedRoomAbove(std::uint32_t priority, double runTimeFactor, TimePoint now) const;
     void reset() { m_rates.clear(); }
 
 private:
     struct Average {
         double rate { 0 };
-        /** Average of the millicores of a job. */
-        double millicores { 0 };
         TimePoint at;
     };
     double rateAt(const Average& average, TimePoint now) const;
--- a/modules/rattanroad_shards/targets/PlacementPass.cpp
+++ b/modules/rattanroad_shards/targets/PlacementPass.cpp
@@ -114,29 +114,9 @@
     return Choice { sessions[placement.target], placement.predicted, false };
 }
 
-bool PlacementPass::reserve(const PlacementRequest& task)
+void PlacementPass::started(const TargetSession& session)
 {
-    const TargetSession* best = nullptr;
-    std::uint32_t mostFree = 0;
-    const Group& group = matching(task);
-    m_hooks.examined(group.candidates.size());
-    for (const Candidate* const candidate : group.candidates) {
-        const std::uint32_t free = candidate->session->free().millicores;
-        if (!task.resources.fitsInto(candidate->session->report().capacity) || (best && free <= mostFree))
-            continue;
-        best = candidate->session;
-        mostFree = free;
-    }
-    if (best)
-        update(*best, false);
-    return best != nullptr;
-}
-
-void PlacementPass::started(const TargetSession& session) { update(session, m_hooks.isUsable(session)); }
-
-void PlacementPass::update(const TargetSession& session, bool isUsable)
-{
-    const auto updateGroup = [&session, isUsable](Group& group) {
+    const auto updateGroup = [&session, isUsable = m_hooks.isUsable(session)](Group& group) {
         group.largestRoom.reset();
         if (isUsable)
             return;
--- a/modules/rattanroad_shards/targets/PlacementPass.h
+++ b/modules/rattanroad_shards/targets/PlacementPass.h
@@ -45,11 +45,6 @@
         isolated on one that has no run, if there is one.
     */
     std::optional<Choice> choose(const TaskId& id, const PlacementRequest& task, const std::vector<TargetId>& avoided);
-    /** Keeps a target for a task for which none has room: the one that could run it and has the most room gets no more
-        starts in this pass. Returns whether there is one. */
-    bool reserve(const PlacementRequest& task);
-    /** Returns the number of targets that may get starts. */
-    std::size_t candidateCount() const { return m_candidates.size(); }
     /** A run was started on the chosen target. */
     void started(const TargetSession& session);
 
@@ -70,8 +65,6 @@
     std::optional<Choice> chooseAmong(const std::vector<Candidate*>& candidates, const TaskId& id,
         const PlacementRequest& task, const std::vector<TargetId>& avoided);
     Group& matching(const PlacementRequest& task);
-    /** Updates the groups after a change of the target's room, or removes the target from them. */
-    void update(const TargetSession& session, bool isUsable);
     const Resources& largestRoom(Group& group) const;
     double factor(Candidate& candidate) const;
 
--- a/tests/shards/EvacuationTests.cpp
+++ b/tests/shards/EvacuationTests.cpp
@@ -272,6 +272,8 @@
         fleet.store().faults.isDown = false;
         const TimePoint backAt = evacuation.now();
         evacuation.submitJobsFor(4s, 2, 150ms);
+        // The last jobs have to end before they are counted.
+        fleet.run(500ms);
         REQUIRE(evacuation.startsIn("north", backAt + 1s) == 0);
         REQUIRE(evacuation.shareDone(backAt + 2s) > 0.9);
         requireNoViolations(fleet);
