Mend what the linter finds in the new tests

Cause: six findings of clang-tidy in new test files, none in the product. Change: reserved vectors, a reference, a member name, literals without a widening product; no check is changed.

--- a/tests/network/HttpTests.cpp
+++ b/tests/network/HttpTests.cpp
@@ -388,6 +388,7 @@
 TEST_CASE_METHOD(LimitFixture, "a new connection takes the place of one that has been idle", "[http]")
 {
     std::vector<int> idle;
+    idle.reserve(6);
     for (int i = 0; i < 6; ++i)
         idle.push_back(caller(""));
     run(50ms);
--- a/tests/platform/FleetHostTests.cpp
+++ b/tests/platform/FleetHostTests.cpp
@@ -153,6 +153,7 @@
     HostFixture fixture(shutdownTime);
     fixture.setCallerWait(20s);
     std::vector<std::shared_ptr<std::optional<HttpResult>>> waiting;
+    waiting.reserve(10);
     for (int i = 0; i < 10; ++i)
         waiting.push_back(fixture.submit("000000000000001" + std::to_string(i), 4500ms, true));
     fixture.run(300ms);
--- a/tests/shards/EvacuationTests.cpp
+++ b/tests/shards/EvacuationTests.cpp
@@ -32,7 +32,7 @@
         const TimePoint end = now() + duration;
         while (now() < end) {
             const std::vector<HostId> hosts = m_fleet.hosts();
-            const HostId host = hosts[++m_jobs % hosts.size()];
+            const HostId& host = hosts[++m_jobs % hosts.size()];
             if (m_fleet.isUp(host))
                 m_fleet.submit(host, "job-" + std::to_string(m_jobs), tasks, taskDuration, true);
             m_fleet.run(50ms);
--- a/tests/shards/JobTransferTests.cpp
+++ b/tests/shards/JobTransferTests.cpp
@@ -21,7 +21,7 @@
 public:
     explicit TransferFleet(bool fails = false)
     {
-        for (const std::string& domain : domains)
+        for (const std::string& domain : m_domains)
             addTarget(domain);
         m_fleet.startAll();
         m_call = &m_fleet.submit(HostId("north-0"), "job", tasks, 400ms, false, fails);
@@ -34,7 +34,7 @@
     EmulatedFleet& fleet() { return m_fleet; }
     EmulatedFleet::Call& call() { return *m_call; }
     const std::string& shard() const { return m_shard; }
-    std::string otherShard() const { return m_shard == domains[0] ? domains[1] : domains[0]; }
+    std::string otherShard() const { return m_shard == m_domains[0] ? m_domains[1] : m_domains[0]; }
     const HostId& holder() const { return m_holder; }
     void removeTarget() { m_fleet.unlistTarget(TargetId("special-" + m_shard)); }
     protocol::JobRecord record()
@@ -67,7 +67,7 @@
         m_fleet.listTarget(report.id);
     }
 
-    const std::vector<std::string> domains { "north", "south" };
+    const std::vector<std::string> m_domains { "north", "south" };
     EmulatedFleet m_fleet;
     EmulatedFleet::Call* m_call { nullptr };
     std::string m_shard;
--- a/tests/shards/SchedulingTests.cpp
+++ b/tests/shards/SchedulingTests.cpp
@@ -121,14 +121,14 @@
     CHECK(capacity.rate(now, 32000) == 32000);
     // 24 of 32 cores are used, by tasks that are estimated right.
     for (int i = 0; i < 300; ++i) {
-        capacity.passEnded(now, { 24000 * 10, 32000, true });
+        capacity.passEnded(now, { 240000, 32000, true });
         now += 10ms;
     }
     CHECK(capacity.rate(now, 32000) == Approx(24000).epsilon(0.05));
     // Half of the targets are lost.
     CHECK(capacity.rate(now, 16000) == Approx(12000).epsilon(0.05));
     // Starts while nothing waits show the demand, not the capacity.
-    capacity.passEnded(now, { 24000 * 10, 32000, false });
+    capacity.passEnded(now, { 240000, 32000, false });
     for (int i = 0; i < 50; ++i) {
         now += 10ms;
         capacity.passEnded(now, { 1000, 32000, false });
@@ -155,9 +155,9 @@
     Admission::Figures figures;
     figures.rate = 1000;
     CHECK(admission.decide(request, figures, start).isAccepted);
-    figures.workBefore = figures.workOfPriority = 100 * 1000;
+    figures.workBefore = figures.workOfPriority = 100000;
     CHECK(admission.decide(request, figures, start).isAccepted);
-    figures.workBefore = figures.workOfPriority = 300 * 1000;
+    figures.workBefore = figures.workOfPriority = 300000;
     const Admission::Decision refused = admission.decide(request, figures, start);
     CHECK_FALSE(refused.isAccepted);
     CHECK(refused.wait == 300ms);
@@ -171,7 +171,7 @@
     const Admission admission({});
     Admission::Figures figures;
     figures.rate = 1000;
-    figures.lateStoredWork = 900 * 1000;
+    figures.lateStoredWork = 900000;
     CHECK_FALSE(admission.decide({ 380ms, start + 380ms, 200ms, true }, figures, start).isAccepted);
     CHECK(admission.decide({ 380ms, start + 380ms, 200ms, false }, figures, start).isAccepted);
 }
--- a/tests/shards/StoredJobTests.cpp
+++ b/tests/shards/StoredJobTests.cpp
@@ -52,6 +52,7 @@
     fleet.store().faults.refusedHosts.clear();
     fleet.run(200ms);
     std::vector<EmulatedFleet::Call*> calls;
+    calls.reserve(8);
     for (int i = 0; i < 8; ++i)
         calls.push_back(&fleet.submit(fleet.hosts().front(), "b" + std::to_string(i), 1, 50ms, false));
     fleet.run(1s);
