Transfer stored jobs under the raised token of their shard

Cause: a holder that raises its token for a restarted target told the writer of records and the sessions, but not the transfers. Their next write met the raised key, and the job stayed neither here nor in the other shard for as long as the holding lasted. Change: the transfers take over the raised token, and a transfer whose write meets another token is written again.

--- a/modules/rattanroad_shards/evacuation/JobTransfers.cpp
+++ b/modules/rattanroad_shards/evacuation/JobTransfers.cpp
@@ -83,6 +83,8 @@
     }
     const bool isHeld = shard != reply.current.end() && shard->revision == KeyRevision(m_token->value());
     if (!isHeld) {
+        // Written again in case this host has raised its own token.
+        after(m_settings.retryPause, [this, job] { write(job); });
         m_hooks.keyChanged();
         return;
     }
--- a/modules/rattanroad_shards/jobs/ShardDispatcher.cpp
+++ b/modules/rattanroad_shards/jobs/ShardDispatcher.cpp
@@ -61,6 +61,7 @@
         return;
     m_holding->token = token;
     m_writer.begin(token, true);
+    m_transfers.begin(token);
     m_targets.raiseToken(token);
 }
 
--- a/scripts/check-mutations.sh
+++ b/scripts/check-mutations.sh
@@ -133,6 +133,7 @@
 guard transfer-with-run jobs/ShardDispatcher.cpp 'isLasting && !m_runner.mayHaveRun(job)' 'isLasting'
 guard transfer-notice-once evacuation/JobTransfers.cpp \
     'after(m_settings.noticeInterval, [this, job] { notify(job); });' ''
+guard transfer-with-earlier-token jobs/ShardDispatcher.cpp 'm_transfers.begin(token);' ''
 guard transfer-forgotten jobs/ShardDispatcher.cpp 'm_transfers.notifyAgain(id, ShardId(record.shard()));' ';'
 guard transfer-of-submission jobs/ShardDispatcher.cpp 'if (job && !job->isAccepted)' 'if (false)'
 guard earlier-process entrance/RequestNumber.cpp 'XXH64(&value, sizeof value, 0) >> unusedBits' 'value * 0 * unusedBits'
--- a/tests/shards/JobTransferTests.cpp
+++ b/tests/shards/JobTransferTests.cpp
@@ -1,6 +1,8 @@
 #include "rattanroad_shards/holding/StoreKeys.h"
 #include "shards/FleetChecks.h"
 
+#include <algorithm>
+
 using namespace rattanroad;
 using namespace rattanroad::emulator;
 using namespace rattanroad::shards;
@@ -94,6 +96,23 @@
     transfer.requireDone();
 }
 
+// Guards against a transfer that writes with the token of before: the write fails and the holder gives its lease up.
+TEST_CASE("a job is transferred after the holder has raised its token")
+{
+    TransferFleet transfer;
+    EmulatedFleet& fleet = transfer.fleet();
+    fleet.targets().restart(TargetId("target-" + transfer.shard() + "-0"));
+    const auto lines = [&fleet](const std::string& event) {
+        return std::count_if(fleet.log().begin(), fleet.log().end(),
+            [&event](const std::string& line) { return line.find(event) != std::string::npos; });
+    };
+    REQUIRE(fleet.runUntil([&lines] { return lines("shard_token_raised") > 0; }, 1s));
+    const auto acquisitions = lines("shard_acquired");
+    transfer.removeTarget();
+    transfer.requireDone();
+    REQUIRE(lines("shard_acquired") == acquisitions);
+}
+
 TEST_CASE("a transferred job is found when the first notices are lost")
 {
     TransferFleet transfer;
