Keep a resubmitted job out of a second shard while the first may run it

Callers saw nothing; two runs of one task overlapped for up to 1.2 s.

Cause: an origin repeats an unanswered submission after 0.3 s, through a stand-in when the home has fallen silent. The stand-in could not find the job and placed it in the shard that the origin prefers. The lease that bounds a run of which nobody can tell ends 1.25 s after the last attempt, which covers another submission of the caller but not a further attempt of the same one.

Change: JobHomes places such a job only when that lease has ended, or when the search finds it. Origins keep to a stand-in while the shard is unknown. A stand-in uses what it found for the same submission only.

--- a/modules/rattanroad_shards/entrance/HolderRequests.cpp
+++ b/modules/rattanroad_shards/entrance/HolderRequests.cpp
@@ -54,7 +54,8 @@
 void HolderRequests::locate(const protocol::ShardSubmit& submission)
 {
     const JobHomes::Submission origin { submission.origin(), Incarnation(submission.origin_incarnation()),
-        RequestNumber::fromWire(submission.request()).id(), submission.declined(), submission.located() };
+        RequestNumber::fromWire(submission.request()).id(), submission.declined(), submission.located(),
+        submission.resent() };
     m_homes.locate(ShardId(submission.home()), JobId(submission.job().id()), ShardId(submission.shard()), origin,
         [this, submission](const ShardId& shard, bool mayBeSubmittedBefore) {
             protocol::ShardSubmit located = submission;
--- a/modules/rattanroad_shards/entrance/JobEntrance.cpp
+++ b/modules/rattanroad_shards/entrance/JobEntrance.cpp
@@ -174,8 +174,15 @@
     if (!submission.job.best_effort() || m_loads.hasHolderWithoutHomes())
         return std::nullopt;
     const std::vector<ShardId> homes = m_requests.homes().homesOf(JobId(submission.job.id()));
-    const auto home = std::find_if(homes.begin(), homes.end(),
-        [this](const ShardId& shard) { return m_hooks.localDispatcher(shard) || m_loads.servesAsHome(shard); });
+    const auto serves
+        = [this](const ShardId& shard) { return m_hooks.localDispatcher(shard) || m_loads.servesAsHome(shard); };
+    // A stand-in is kept while the shard is not known: a further attempt through another home would let the job run on
+    // in a shard that the stand-in cannot ask.
+    const bool isStandInKept = !submission.isShardCertain && submission.unresolvedAttempts > 0
+        && !submission.home.value().empty() && serves(submission.home);
+    if (isStandInKept)
+        return submission.home;
+    const auto home = std::find_if(homes.begin(), homes.end(), serves);
     if (home == homes.end())
         return std::nullopt;
     // A home whose holder was silent learns of the job with the next attempt.
--- a/modules/rattanroad_shards/entrance/JobHomes.cpp
+++ b/modules/rattanroad_shards/entrance/JobHomes.cpp
@@ -55,13 +55,16 @@
     const auto found = known->entries.find(job);
     if (submission.isLocated) {
         if (found == known->entries.end())
-            insert(*known, job, { preferred, submission, true });
+            insert(*known, job, { preferred, submission, true, {} });
         else
             found->second.shard = preferred;
         located(preferred, true);
         return;
     }
-    if (found != known->entries.end()) {
+    // Meanwhile the home that this one stands in for may have located the job for another submission.
+    const bool isEntryCurrent = found != known->entries.end()
+        && (homesOf(job).front() == home || found->second.submission.isSame(submission));
+    if (isEntryCurrent) {
         Entry& entry = found->second;
         entry.isShared = entry.isShared || !entry.submission.isSame(submission);
         // No attempt of the only submission was accepted, so the job is in no shard.
@@ -70,8 +73,8 @@
         located(ShardId(entry.shard), entry.isShared);
         return;
     }
-    if (knowsAll(home, job)) {
-        insert(*known, job, { preferred, submission, false });
+    if (knowsAll(home, job) && !submission.isResent) {
+        insert(*known, job, { preferred, submission, false, {} });
         located(preferred, false);
         return;
     }
@@ -122,20 +125,42 @@
     Home& known = *homeOf(home);
     const std::vector<Waiting> waiting = std::move(known.searches.at(job).waiting);
     known.searches.erase(job);
+    // The origin submits the job again.
+    if (answer == Answer::Unknown && mayRunElsewhere(known, job, waiting))
+        return;
+    known.unknownSince.erase(job);
     const bool isFound = answer == Answer::Found;
-    const ShardId location = isFound ? shard : waiting.front().preferred;
-    insert(known, job, { location, waiting.front().submission, answer != Answer::InNoShard || waiting.size() > 1 });
+    const auto earlier = answer == Answer::Unknown ? known.entries.find(job) : known.entries.end();
+    const ShardId location = isFound     ? shard
+        : earlier != known.entries.end() ? earlier->second.shard
+                                         : waiting.front().preferred;
+    insert(known, job, { location, waiting.front().submission, answer != Answer::InNoShard || waiting.size() > 1, {} });
     for (std::size_t i = 0; i < waiting.size(); ++i)
         waiting[i].located(location, isFound || i > 0);
 }
 
+bool JobHomes::mayRunElsewhere(Home& home, const JobId& job, const std::vector<Waiting>& waiting)
+{
+    const TimePoint now = m_clock.now();
+    for (auto entry = home.unknownSince.begin(); entry != home.unknownSince.end();)
+        entry = now - entry->second >= m_settings.retention ? home.unknownSince.erase(entry) : std::next(entry);
+    const bool isAnyResent
+        = std::any_of(waiting.begin(), waiting.end(), [](const Waiting& entry) { return entry.submission.isResent; });
+    // The attempts through other homes were sent before the first one that came here.
+    return isAnyResent && now - home.unknownSince.emplace(job, now).first->second < m_settings.maximumRunAfterAttempt;
+}
+
 void JobHomes::insert(Home& home, const JobId& job, Entry entry)
 {
     const TimePoint now = m_clock.now();
-    if (home.entries.emplace(job, std::move(entry)).second)
-        home.insertionOrder.emplace_back(now, job);
+    entry.insertedAt = now;
+    home.entries[job] = std::move(entry);
+    home.insertionOrder.emplace_back(now, job);
     while (!home.insertionOrder.empty() && now - home.insertionOrder.front().first >= m_settings.retention) {
-        home.entries.erase(home.insertionOrder.front().second);
+        const auto oldest = home.entries.find(home.insertionOrder.front().second);
+        // The entry may have been replaced since.
+        if (oldest != home.entries.end() && oldest->second.insertedAt == home.insertionOrder.front().first)
+            home.entries.erase(oldest);
         home.insertionOrder.pop_front();
     }
 }
--- a/modules/rattanroad_shards/entrance/JobHomes.h
+++ b/modules/rattanroad_shards/entrance/JobHomes.h
@@ -17,7 +17,8 @@
     of the job; no other host has to. A holder that may not know all jobs of its home, because it has acquired it
     recently or stands in for a home whose holder is silent, asks the holders of all shards first. When one of them does
     not answer, the shard of the job stays unknown: the job goes to the shard that its origin prefers and keeps it.
-    TaskRunner::Settings::maximumLeaseAfterSubmission then ensures that a run of which nobody can tell has ended.
+    TaskRunner::Settings::maximumLeaseAfterSubmission then ensures that a run of which nobody can tell has ended. An
+    attempt that follows an unanswered one of the same submission waits for this, as that one may just have started.
 */
 class JobHomes {
 public:
@@ -28,6 +29,9 @@
         std::chrono::seconds retention { 30 };
         /** Time for the holders of the other shards to answer: tens of round trips between failure domains. */
         std::chrono::milliseconds askTimeout { 30 };
+        /** Time after an attempt within which a shard that accepted it may run the job without a further attempt; see
+            TaskRunner::Settings::maximumLeaseAfterSubmission. */
+        std::chrono::milliseconds maximumRunAfterAttempt { 1250 };
     };
     /** One submission of a job: all attempts of one origin host to hand over the request of one caller. */
     struct Submission {
@@ -38,6 +42,8 @@
         bool wasDeclined { false };
         /** The preferred shard has accepted the job, which its home may not know. */
         bool isLocated { false };
+        /** An earlier attempt was not answered: it may have reached another home, and a shard of that one's choice. */
+        bool isResent { false };
 
         bool isSame(const Submission& other) const
         {
@@ -79,6 +85,7 @@
         Submission submission;
         /** Another submission was sent to the shard too. */
         bool isShared { false };
+        TimePoint insertedAt {};
     };
     struct Waiting {
         ShardId preferred;
@@ -95,6 +102,8 @@
         std::map<JobId, Entry> entries;
         std::deque<std::pair<TimePoint, JobId>> insertionOrder;
         std::map<JobId, Search> searches;
+        /** When a search for a job that another home may have located first had no result. */
+        std::map<JobId, TimePoint> unknownSince;
     };
 
     Home* homeOf(const ShardId& home);
@@ -108,6 +117,9 @@
     };
     /** Ends a search. @p shard is that in which the job was found. */
     void finishSearch(const ShardId& home, const JobId& job, Answer answer, const ShardId& shard);
+    /** Returns whether an earlier attempt of a waiting submission may have brought the job to a shard that has not
+        answered, and may run there still. */
+    bool mayRunElsewhere(Home& home, const JobId& job, const std::vector<Waiting>& waiting);
     void insert(Home& home, const JobId& job, Entry entry);
 
     Settings m_settings;
--- a/modules/rattanroad_shards/node/ShardNode.cpp
+++ b/modules/rattanroad_shards/node/ShardNode.cpp
@@ -237,6 +237,7 @@
         for (const FailureDomainId& domain : m_settings.failureDomains)
             settings.loads.shards.emplace_back(domain.value());
         settings.homes.shards = settings.loads.shards;
+        settings.homes.maximumRunAfterAttempt = m_settings.limits.maximumLeaseAfterSubmission();
         settings.replyTimeout = m_settings.limits.repetition();
         return settings;
     }
--- a/scripts/check-mutations.sh
+++ b/scripts/check-mutations.sh
@@ -136,6 +136,10 @@
 guard transfer-with-earlier-token jobs/ShardDispatcher.cpp 'm_transfers.begin(token);' ''
 guard transfer-forgotten jobs/ShardDispatcher.cpp 'm_transfers.notifyAgain(id, ShardId(record.shard()));' ';'
 guard transfer-of-submission jobs/ShardDispatcher.cpp 'if (job && !job->isAccepted)' 'if (false)'
+guard attempt-in-two-shards entrance/JobHomes.cpp \
+    'if (answer == Answer::Unknown && mayRunElsewhere(known, job, waiting))' 'if (false)'
+guard outdated-stand-in entrance/JobHomes.cpp \
+    'homesOf(job).front() == home || found->second.submission.isSame(submission)' 'true'
 guard earlier-process entrance/RequestNumber.cpp 'XXH64(&value, sizeof value, 0) >> unusedBits' 'value * 0 * unusedBits'
 guard store-lost-for-ever store/RecordWriter.cpp 'if (m_pendingKeys.empty() && m_inFlight == 0)' 'if (false)'
 guard end-shown-unstored jobs/ShardJob.h 'return hasEnded(state) && !isEndShown() ? JobState::Running : state;' 'return state;'
--- a/tests/shards/JobHomesTests.cpp
+++ b/tests/shards/JobHomesTests.cpp
@@ -171,6 +171,60 @@
     }
 }
 
+// Guards against two shards that run a job at once: its home has passed the first attempt on, and fell silent before the
+// reply.
+TEST_CASE_METHOD(HomesFixture, "an attempt after an unanswered one waits until no other shard can run the job")
+{
+    homes.begin(standIn, true);
+    JobHomes::Submission resent = from("a", false);
+    resent.isResent = true;
+    const auto attempt = [&] {
+        questions.clear();
+        locate(standIn, north, resent);
+        answer(north, false);
+        answer(south, false);
+    };
+    SECTION("the shard stays unknown")
+    {
+        const TimePoint first = clock.now();
+        for (; clock.now() < first + JobHomes::Settings().maximumRunAfterAttempt; queue.runUntil(clock.now() + 300ms)) {
+            attempt();
+            CHECK(locations.empty());
+        }
+        attempt();
+        queue.runUntil(clock.now() + 100ms);
+        CHECK(locations == std::vector<Location> { { north, false } });
+    }
+    SECTION("the shard answers to a later attempt")
+    {
+        attempt();
+        queue.runUntil(clock.now() + 300ms);
+        attempt();
+        answer(ShardId("west"), true);
+        CHECK(locations == std::vector<Location> { { ShardId("west"), true } });
+    }
+    SECTION("another host submits the job for the first time")
+    {
+        locate(standIn, south, from("b"));
+        queue.runUntil(clock.now() + 100ms);
+        CHECK(locations == std::vector<Location> { { south, false } });
+    }
+}
+
+// Guards against a stand-in that sends a job to the shard of an earlier submission, while its home has located it anew.
+TEST_CASE_METHOD(HomesFixture, "a stand-in asks again where a job is when it is submitted again")
+{
+    homes.begin(standIn, true);
+    locate(standIn, north, from("a"));
+    queue.runUntil(clock.now() + 100ms);
+    REQUIRE(locations == std::vector<Location> { { north, false } });
+    questions.clear();
+    locate(standIn, north, from("b"));
+    REQUIRE(questions.size() == 3);
+    answer(south, true);
+    CHECK(locations.back() == Location { south, true });
+}
+
 // A home knows a fifth of the jobs of five shards; control may take 3.3 % of a core.
 TEST_CASE_METHOD(HomesFixture, "a home is not slowed down by the jobs that it has forgotten")
 {
