Keep the end of a job out of its record while the job is transferred

Callers: an accepted job was lost. Its record was empty after a transfer, so that the next holder could not read it.

Cause: finishJob() stored the end of a job whose record JobTransfers was rewriting. When the transfer succeeded, RecordWriter::forget() dropped the value of the waiting write and kept its key; the write then replaced the record of the other shard with an empty value.

Change: the end is kept until the outcome of the transfer is known, and counts only if the job stays. forget() drops waiting writes as well.

--- a/modules/rattanroad_shards/jobs/ShardDispatcher.cpp
+++ b/modules/rattanroad_shards/jobs/ShardDispatcher.cpp
@@ -4,6 +4,7 @@
 #include "rattanroad_shards/jobs/JobRequirements.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace rattanroad::shards {
 
@@ -424,8 +425,13 @@
     };
     hooks.kept = [this](const JobId& id, KeyRevision revision) {
         m_writer.setRevision(storekeys::job(id), revision);
-        if (ShardJob* const job = m_jobs.find(id))
-            job->isBeingTransferred = false;
+        ShardJob* const job = m_jobs.find(id);
+        if (!job)
+            return;
+        job->isBeingTransferred = false;
+        if (const auto end = std::exchange(job->endDuringTransfer, std::nullopt))
+            finishJob(*job, end->state, end->reason);
+        m_runner.scheduleSoon();
     };
     hooks.keyChanged = [this] { m_hooks.keyChanged(); };
     return hooks;
@@ -619,6 +625,11 @@
 
 void ShardDispatcher::finishJob(ShardJob& job, JobState state, const std::string& reason)
 {
+    if (job.isBeingTransferred) {
+        if (!job.endDuringTransfer)
+            job.endDuringTransfer = JobEnd { state, reason };
+        return;
+    }
     job.state = state;
     job.endedAt = m_clock.now();
     m_jobs.close(job);
--- a/modules/rattanroad_shards/jobs/ShardJob.h
+++ b/modules/rattanroad_shards/jobs/ShardJob.h
@@ -23,6 +23,13 @@
     }
 };
 
+/** How a job has ended. */
+struct JobEnd {
+    JobState state;
+    /** For the log; may be empty. */
+    std::string reason;
+};
+
 /** State of one task of a job in the memory of the shard's holder. */
 struct ShardTask {
     enum class State {
@@ -116,6 +123,9 @@
     std::uint32_t attemptFloor { 0 };
     /** The record is being rewritten to name another shard; nothing starts and no other change is stored. */
     bool isBeingTransferred { false };
+    /** How the job ended during its transfer. Counts only if the transfer fails: the other shard reads a record without
+        the end, and runs the tasks of which it knows none. */
+    std::optional<JobEnd> endDuringTransfer;
     /** Since when no target of the shard can run a waiting task. */
     std::optional<TimePoint> unplaceableSince;
     /** This holder has received the job from one origin, which had not sent it before. Nobody else can have it or
--- a/modules/rattanroad_shards/store/RecordWriter.cpp
+++ b/modules/rattanroad_shards/store/RecordWriter.cpp
@@ -64,6 +64,12 @@
     m_entries[key].isRemoval = true;
 }
 
+void RecordWriter::forget(const std::string& key)
+{
+    m_entries.erase(key);
+    m_pendingKeys.erase(std::remove(m_pendingKeys.begin(), m_pendingKeys.end(), key), m_pendingKeys.end());
+}
+
 std::optional<KeyRevision> RecordWriter::settledRevision(const std::string& key) const
 {
     const auto found = m_entries.find(key);
--- a/modules/rattanroad_shards/store/RecordWriter.h
+++ b/modules/rattanroad_shards/store/RecordWriter.h
@@ -64,7 +64,7 @@
     /** Returns the known revision of a record of which no change is pending or under way, or nothing. */
     std::optional<KeyRevision> settledRevision(const std::string& key) const;
     /** Forgets a record that is no longer of this shard. */
-    void forget(const std::string& key) { m_entries.erase(key); }
+    void forget(const std::string& key);
 
     /** Returns whether the store rejected the last transaction or did not reply to it. Ends after the retry pause when
        no record is left to be written again. */
--- a/tests/shards/JobTransferTests.cpp
+++ b/tests/shards/JobTransferTests.cpp
@@ -21,12 +21,13 @@
    job run when the target of its shard leaves the target list; the others wait. */
 class TransferFleet {
 public:
-    explicit TransferFleet(bool fails = false)
+    explicit TransferFleet(
+        bool fails = false, std::uint32_t taskCount = tasks, std::chrono::milliseconds duration = 400ms)
     {
         for (const std::string& domain : m_domains)
             addTarget(domain);
         m_fleet.startAll();
-        m_call = &m_fleet.submit(HostId("north-0"), "job", tasks, 400ms, false, fails);
+        m_call = &m_fleet.submit(HostId("north-0"), "job", taskCount, duration, false, fails);
         m_call->description.mutable_phases(0)->set_required_label("special");
         m_fleet.run(200ms);
         m_shard = record().shard();
@@ -226,3 +227,41 @@
     }
     requireNoViolations(transfer.fleet());
 }
+
+// Guards against the end of a job that is stored over the record which another shard has read: the record was emptied,
+// or the job ran again after it was shown as done.
+TEST_CASE("a job that ends while the write of its transfer is without a reply has one end")
+{
+    const Duration outage = GENERATE(100ms, 400ms, 700ms, 1000ms);
+    for (Duration returnedAfter { 0 }; returnedAfter < 700ms; returnedAfter += 20ms) {
+        TransferFleet transfer(false, 2, 700ms);
+        EmulatedFleet& fleet = transfer.fleet();
+        const TargetId target("special-" + transfer.shard());
+        fleet.targets().faults.unreachableTargets = { target };
+        // The runs count as lost before the target is no longer listed.
+        fleet.run(2000ms);
+        transfer.removeTarget();
+        fleet.run(2400ms);
+        fleet.store().faults.refusedHosts = { transfer.holder() };
+        fleet.queue().after(outage, [&fleet] { fleet.store().faults.refusedHosts.clear(); });
+        fleet.run(returnedAfter);
+        fleet.targets().faults.unreachableTargets.clear();
+        std::size_t startsWhenDone = 0;
+        for (Duration elapsed { 0 }; elapsed < transferTime; elapsed += 100ms) {
+            fleet.run(100ms);
+            REQUIRE_FALSE(fleet.store().value(storekeys::job(JobId("job"))) == std::string());
+            const bool isDone = transfer.record().state() == static_cast<std::uint32_t>(JobState::Done);
+            if (startsWhenDone == 0 && isDone)
+                startsWhenDone = fleet.startCount("job");
+            if (startsWhenDone != 0 && (!isDone || fleet.startCount("job") != startsWhenDone)) {
+                showLog(fleet);
+                INFO("target back after " << returnedAfter.count());
+                REQUIRE(isDone);
+                REQUIRE(fleet.startCount("job") == startsWhenDone);
+            }
+        }
+        showLog(fleet);
+        REQUIRE(startsWhenDone != 0);
+        requireNoViolations(fleet);
+    }
+}
