Isolate tasks by the targets that they may use, and not for long after one loss

Callers: stored jobs of innocent tasks waited while targets were idle; LOST when a target with a rare label was lost for good.

Cause: a task with one lost run had its target to itself until it ended, within a limit that counts all targets of the shard and always allows one. With a label of one target the label was closed. The transfers of one moment chose one shard, by a load without any of them. Tasks with two losses started beside others.

Change: IsolationPolicy weighs the losses under a task against the eligible targets that are left for others. One loss: a preference, for 1.5 s, and not on the only target. Two: required; passes keep targets for it, within a quarter of the eligible ones, one at least. Jobs that it closes out are transferred; transfers choose another shard than their own and count in the loads until one contains them.

--- a/modules/rattanroad_shards/entrance/JobEntrance.h
+++ b/modules/rattanroad_shards/entrance/JobEntrance.h
@@ -82,6 +82,11 @@
     /** Updates the load of a shard that this host or another holds. */
     void loadReceived(const protocol::ShardLoad& load);
     const ShardLoads& loads() const { return m_loads; }
+    /** A job that this host transfers arrives at a shard after @p delay; new jobs are sent elsewhere accordingly. */
+    void jobAssigned(const ShardId& shard, const protocol::PlacedJob& job, Duration delay)
+    {
+        m_loads.addAssignedJob(shard, job, delay);
+    }
     JobHomes& homes() { return m_requests.homes(); }
     /** Tells whether the failure domain of a shard is evacuated. */
     void setEvacuated(const ShardId& shard, bool isEvacuated) { m_loads.setEvacuated(shard, isEvacuated); }
--- a/modules/rattanroad_shards/entrance/ShardLoads.cpp
+++ b/modules/rattanroad_shards/entrance/ShardLoads.cpp
@@ -27,8 +27,7 @@
     latest.isUnreachable = false;
     latest.receivedAt = m_clock.now() - std::chrono::milliseconds(load.age_ms());
     auto& assigned = latest.assignedMillicores;
-    while (!assigned.empty() && assigned.front().first <= latest.receivedAt - m_settings.messageTime)
-        assigned.pop_front();
+    assigned.erase(assigned.begin(), assigned.upper_bound(latest.receivedAt - m_settings.messageTime));
     if (load.has_clock_ms())
         m_clocks[load.address()].update(load.clock_ms(), latest.receivedAt);
     return true;
@@ -64,12 +63,12 @@
     });
 }
 
-void ShardLoads::addAssignedJob(const ShardId& shard, const protocol::PlacedJob& job)
+void ShardLoads::addAssignedJob(const ShardId& shard, const protocol::PlacedJob& job, Duration delay)
 {
     std::uint64_t millicores = 0;
     for (const protocol::PhaseDescription& phase : job.phases())
         millicores += std::uint64_t { phase.count() } * phase.millicores();
-    m_loads[shard].assignedMillicores.emplace_back(m_clock.now(), millicores);
+    m_loads[shard].assignedMillicores.emplace(m_clock.now() + delay, millicores);
 }
 
 bool ShardLoads::isUsable(const LatestLoad& latest) const
@@ -78,13 +77,13 @@
         && !latest.isUnreachable;
 }
 
-std::optional<ShardId> ShardLoads::choose(const protocol::PlacedJob& job) const
+std::optional<ShardId> ShardLoads::choose(const protocol::PlacedJob& job, const std::optional<ShardId>& excluded) const
 {
     std::optional<ShardId> best;
     double bestCost = 0;
     for (const ShardId& shard : m_settings.shards) {
         const auto latest = m_loads.find(shard);
-        if (latest == m_loads.end() || !isUsable(latest->second) || isEvacuated(shard))
+        if (latest == m_loads.end() || !isUsable(latest->second) || isEvacuated(shard) || shard == excluded)
             continue;
         const auto cost = costOf(shard, latest->second, job);
         if (!cost || (best && *cost >= bestCost))
--- a/modules/rattanroad_shards/entrance/ShardLoads.h
+++ b/modules/rattanroad_shards/entrance/ShardLoads.h
@@ -3,7 +3,6 @@
 #include "rattanroad_shards/entrance/RemoteClock.h"
 #include "rattanroad_shards/holding/FleetView.h"
 
-#include <deque>
 #include <map>
 #include <optional>
 #include <set>
@@ -46,10 +45,11 @@
     /** Returns whether the load of each shard is known and was sent within @p maximumAge. */
     bool areAllRecent(Duration maximumAge) const;
     const std::vector<ShardId>& shards() const { return m_settings.shards; }
-    /** Adds a job that was sent to a shard to its load until the next load arrives. */
-    void addAssignedJob(const ShardId& shard, const protocol::PlacedJob& job);
-    /** Returns the shard with the lowest cost among those that can run the job, or nothing. */
-    std::optional<ShardId> choose(const protocol::PlacedJob& job) const;
+    /** Adds a job that arrives at a shard after @p delay to its load, until a load arrives that contains it. */
+    void addAssignedJob(const ShardId& shard, const protocol::PlacedJob& job, Duration delay = Duration(0));
+    /** Returns the shard with the lowest cost among those that can run the job and are not @p excluded, or nothing. */
+    std::optional<ShardId> choose(
+        const protocol::PlacedJob& job, const std::optional<ShardId>& excluded = std::nullopt) const;
     /** The holder of a shard could not be connected to: the shard is not chosen until a load arrives that is later than
         the present one. */
     void setUnreachable(const ShardId& shard) { m_loads[shard].isUnreachable = true; }
@@ -76,9 +76,9 @@
         /** When the first host received it from the holder. */
         TimePoint receivedAt { distantPast };
         bool isUnreachable { false };
-        /** Capacity requested by jobs that were sent to the shard and are not contained in the load, in millicores,
-           with the time that they were sent, oldest first. */
-        std::deque<std::pair<TimePoint, std::uint64_t>> assignedMillicores;
+        /** Capacity requested by jobs that were sent to the shard and are not contained in the load, in millicores, by
+           the time at which they arrive there, without the time of the last message. */
+        std::multimap<TimePoint, std::uint64_t> assignedMillicores;
     };
 
     /** Returns the latest load of a shard if the host that sent it is the newest known holder, or null. */
--- a/modules/rattanroad_shards/jobs/ShardDispatcher.cpp
+++ b/modules/rattanroad_shards/jobs/ShardDispatcher.cpp
@@ -456,7 +456,7 @@
 
 void ShardDispatcher::transferJobs()
 {
-    if (!m_hooks.chooseShard || !m_hooks.notifyTransfer)
+    if (!m_hooks.chooseShard || !m_hooks.notifyTransfer || !m_hooks.jobAssigned)
         return;
     for (const auto& entry : m_jobs.openJobs()) {
         ShardJob& job = *entry.second;
@@ -464,7 +464,7 @@
             continue;
         const auto revision = m_writer.settledRevision(storekeys::job(job.id));
         const auto to = revision && m_transfers.canStart() ? m_hooks.chooseShard(job.description) : std::nullopt;
-        if (!to || *to == m_settings.shard)
+        if (!to)
             continue;
         protocol::JobRecord record;
         record.ParseFromString(encode(job));
@@ -474,6 +474,7 @@
         record.set_transferred_from(m_settings.shard.value());
         record.set_attempt_floor(m_runner.highestAttempt(job));
         job.isBeingTransferred = true;
+        m_hooks.jobAssigned(job.description, *to);
         m_transfers.start(job.id, *to, record.SerializeAsString(), *revision);
     }
 }
@@ -662,6 +663,7 @@
         updateRecovery();
         m_targets.removeUnlisted();
         m_runner.rescheduleOverdueRuns();
+        m_runner.endPreferredIsolations();
         cancelAbandonedJobs();
         giveUpHopelessJobs();
         m_completions.storeOverdueProgress();
--- a/modules/rattanroad_shards/jobs/ShardDispatcher.h
+++ b/modules/rattanroad_shards/jobs/ShardDispatcher.h
@@ -71,8 +71,10 @@
         /** Returns whether the evacuation, if there is one, leaves time for starts; an empty hook means that it does.
          */
         std::function<bool()> areStartsAllowed;
-        /** Returns the shard that a recent load shows to be able to run a job, or nothing; may be empty. */
+        /** Returns another shard that a recent load shows to be able to run a job, or nothing; may be empty. */
         std::function<std::optional<ShardId>(const protocol::PlacedJob&)> chooseShard;
+        /** A job is being transferred to another shard, whose load does not contain it yet; may be empty. */
+        std::function<void(const protocol::PlacedJob&, const ShardId& to)> jobAssigned;
         /** Notifies the holder of another shard that the record of a job names that shard; may be empty. */
         std::function<void(const JobId&, const ShardId& to)> notifyTransfer;
         /** Tells the origin of a best-effort job that it has to submit it to another shard; may be empty. */
--- a/modules/rattanroad_shards/jobs/TaskRunner.cpp
+++ b/modules/rattanroad_shards/jobs/TaskRunner.cpp
@@ -31,6 +31,7 @@
     Settings settings, JobTable& jobs, ShardTargets& targets, Timers timers, const Clock& clock, Hooks hooks)
     : m_settings(settings)
     , m_crashPolicy(settings.crashes)
+    , m_isolationPolicy(settings.isolation)
     , m_jobs(jobs)
     , m_targets(targets)
     , m_timers(std::move(timers))
@@ -321,6 +322,7 @@
         return;
     const TimePoint now = m_clock.now();
     PlacementPass pass = m_targets.beginPass();
+    keepTargetsForIsolation(pass);
     WorkQueue& queue = m_jobs.workQueue();
     queue.updateLate(now);
     m_startedWork = 0;
@@ -373,9 +375,7 @@
             continue;
         for (std::uint32_t index = 0; index < job.phases[phase].size(); ++index) {
             const ShardTask& task = job.phases[phase][index];
-            const bool isWaiting
-                = task.state == ShardTask::State::Waiting && !task.mayHaveEarlierRun && task.earliestStart <= now;
-            if (!isWaiting || !mayStart(job, task, now))
+            if (!mayStart(job, task, now))
                 continue;
             if (!placeTask(job, phase, index, pass)) {
                 m_isRoomShort = true;
@@ -389,6 +389,10 @@
 
 bool TaskRunner::mayStart(const ShardJob& job, const ShardTask& task, TimePoint now) const
 {
+    const bool isWaiting
+        = task.state == ShardTask::State::Waiting && !task.mayHaveEarlierRun && task.earliestStart <= now;
+    if (!isWaiting || job.isBeingTransferred)
+        return false;
     // A later holder must know of the lost runs, so they are recorded before the next start.
     const bool isRecorded = job.description.best_effort() || task.lossSequence <= job.recordedLossSequence;
     return isRecorded && m_crashPolicy.mayStart(task.lostRuns, now);
@@ -399,7 +403,7 @@
     if (!pass.mayHaveRoom(taskResources(job.description.phases(static_cast<int>(phase)))))
         return false;
     PlacementRequest request = placementRequest(job.description, phase);
-    request.prefersIdleTarget = !job.phases[phase][index].lostRuns.empty() && m_targets.mayIsolate();
+    request.isolation = isolationOf(job.phases[phase][index], request, pass);
     const TaskId id { job.id, static_cast<std::uint32_t>(phase), index };
     // A run of an earlier attempt or holder may still be active.
     if (m_targets.hasRun(id))
@@ -418,7 +422,7 @@
     task.startedAt = m_clock.now();
     job.state = JobState::Running;
     session.start(id, task.attempt, job.description.payload(), request.resources, choice->predicted, task.savedProgress,
-        choice->isIsolated);
+        choice->isolation);
     pass.started(session);
     m_startedWork += taskWork(job.description.phases(static_cast<int>(phase)));
     if (request.estimate.count() > 0) {
@@ -430,6 +434,47 @@
     return true;
 }
 
+std::size_t TaskRunner::countLosses(const ShardTask& task) const
+{
+    const TimePoint now = m_clock.now();
+    return static_cast<std::size_t>(std::count_if(task.lostRuns.begin(), task.lostRuns.end(),
+        [&](const LostRun& run) { return !m_crashPolicy.isForgotten(run, now); }));
+}
+
+Isolation TaskRunner::isolationOf(const ShardTask& task, const PlacementRequest& request, PlacementPass& pass) const
+{
+    const std::size_t losses = countLosses(task);
+    if (losses == 0)
+        return Isolation::None;
+    const PlacementPass::EligibleTargets eligible = pass.eligibleTargets(request);
+    return m_isolationPolicy.decide(
+        { losses, eligible.count, eligible.isolated, m_isolatedTasks, pass.usableTargets() });
+}
+
+void TaskRunner::keepTargetsForIsolation(PlacementPass& pass)
+{
+    const TimePoint now = m_clock.now();
+    std::vector<TaskId> waiting;
+    m_isolatedTasks = 0;
+    for (const TaskId& id : m_suspects) {
+        const TaskLookup found = find(id);
+        const bool isCounted = found.task && !hasEnded(found.job->state) && found.task->state != ShardTask::State::Done
+            && countLosses(*found.task) >= m_settings.isolation.lossesBeforeRequired;
+        m_isolatedTasks += isCounted;
+        if (!isCounted || !found.job->isPhaseReady(id.phase) || !mayStart(*found.job, *found.task, now))
+            continue;
+        waiting.push_back(id);
+    }
+    for (const TaskId& id : waiting) {
+        const TaskLookup found = find(id);
+        const PlacementRequest request = placementRequest(found.job->description, id.phase);
+        const PlacementPass::EligibleTargets eligible = pass.eligibleTargets(request);
+        if (isolationOf(*found.task, request, pass) == Isolation::Required
+            && m_isolationPolicy.mayIsolateAnother(eligible.count, eligible.isolated))
+            pass.keepForIsolation(request);
+    }
+}
+
 std::uint32_t TaskRunner::nextAttempt(const ShardJob& job, const ShardTask& task) const
 {
     const std::uint64_t laterGenerations = m_generation->value() - job.acceptedIn.value();
@@ -485,6 +530,7 @@
             return false;
         if (!pass)
             pass.reset(new PlacementPass(m_targets.beginPass()));
+        keepTargetsForIsolation(*pass);
         if (!pass->choose({ job.id, static_cast<std::uint32_t>(phase), 0 }, request, {})) {
             smallest->second = request.resources.millicores;
             return false;
@@ -505,8 +551,7 @@
         const auto& tasks = job.phases[phase];
         const bool isWaiting = std::any_of(
             tasks.begin(), tasks.end(), [](const ShardTask& task) { return task.state == ShardTask::State::Waiting; });
-        if (isWaiting && job.isPhaseReady(phase)
-            && !m_targets.isEligibleSomewhere(placementRequest(job.description, phase)))
+        if (isWaiting && job.isPhaseReady(phase) && m_targets.isClosedFor(placementRequest(job.description, phase)))
             return true;
     }
     return false;
--- a/modules/rattanroad_shards/jobs/TaskRunner.h
+++ b/modules/rattanroad_shards/jobs/TaskRunner.h
@@ -24,6 +24,7 @@
             submission, so that the run has ended by then even if it cannot be stopped or its holder dies. */
         std::chrono::milliseconds maximumLeaseAfterSubmission { 1250 };
         CrashPolicy::Settings crashes;
+        IsolationPolicy::Settings isolation;
         CapacityModel::Settings capacity;
         Admission::Settings admission;
         /** See GuaranteedShares. */
@@ -56,6 +57,8 @@
     void scheduleSoon();
     /** Stops all runs of a job. */
     void stopRuns(const ShardJob& job);
+    /** Lets tasks start on targets that a run which only prefers isolation has had to itself for long. */
+    void endPreferredIsolations() { m_targets.endPreferredIsolations(m_settings.isolation.preferredDuration); }
     /** Adds overdue runs to the run time samples and stops each once, so that the task starts elsewhere. */
     void rescheduleOverdueRuns();
 
@@ -85,7 +88,7 @@
     /** Returns the expected wait of a new job that comes after all jobs in time. */
     std::chrono::milliseconds expectedWait() const;
     /** Returns whether a waiting task of the job could start now if a target had room, and no listed target is eligible
-        for it. */
+        for it, or each that is eligible is closed until an isolated run ends. */
     bool hasUnplaceableTask(const ShardJob& job) const;
     /** Returns whether a run of a task of the job is active or may be. */
     bool mayHaveRun(const ShardJob& job) const;
@@ -116,7 +119,14 @@
     void settleLosses(ShardJob& job, ShardTask& task, const TaskId& id, const TargetSession& session);
     /** Ends the job as failed if the task has crashed its targets too often; otherwise has the lost runs recorded. */
     void lossesChanged(ShardJob& job, ShardTask& task);
+    /** Returns whether the task waits for a target and is not held back for another reason. */
     bool mayStart(const ShardJob& job, const ShardTask& task, TimePoint now) const;
+    /** Keeps targets for the waiting tasks with a Required isolation, as far as
+        IsolationPolicy::Settings::maximumShare allows. */
+    void keepTargetsForIsolation(PlacementPass& pass);
+    Isolation isolationOf(const ShardTask& task, const PlacementRequest& request, PlacementPass& pass) const;
+    /** Returns the number of lost runs that still count. */
+    std::size_t countLosses(const ShardTask& task) const;
     /** Returns whether some target has room for a task of each phase that does not depend on another, after the jobs
         that wait have got what they can use. */
     bool hasRoomNow(const ShardJob& job);
@@ -125,6 +135,7 @@
 
     Settings m_settings;
     CrashPolicy m_crashPolicy;
+    IsolationPolicy m_isolationPolicy;
     JobTable& m_jobs;
     ShardTargets& m_targets;
     Timers m_timers;
@@ -146,6 +157,8 @@
     bool m_isRoomShort { false };
     /** Tasks that have lost a run. */
     std::set<TaskId> m_suspects;
+    /** Those of them with a Required isolation in the present pass. */
+    std::size_t m_isolatedTasks { 0 };
     bool m_isScheduled { false };
     /** A pass is due since something has changed. */
     bool m_isPassDue { false };
--- a/modules/rattanroad_shards/node/ShardNode.cpp
+++ b/modules/rattanroad_shards/node/ShardNode.cpp
@@ -169,7 +169,11 @@
             hooks.isEvacuated = [this, domain] { return m_operatorKeys.evacuations().isEvacuated(domain); };
             hooks.areStartsAllowed
                 = [this, domain] { return m_operatorKeys.evacuations().mayStart(domain, isStoreLost()); };
-            hooks.chooseShard = [this](const protocol::PlacedJob& job) { return m_entrance.loads().choose(job); };
+            hooks.chooseShard
+                = [this, shard](const protocol::PlacedJob& job) { return m_entrance.loads().choose(job, shard); };
+            hooks.jobAssigned = [this](const protocol::PlacedJob& job, const ShardId& to) {
+                m_entrance.jobAssigned(to, job, m_settings.transferTime);
+            };
             hooks.notifyTransfer
                 = [this, shard](const JobId& job, const ShardId& to) { notifyTransfer(job, shard, to); };
             hooks.jobSentElsewhere = [this, shard](const JobId& job, const std::string& origin) {
--- a/modules/rattanroad_shards/node/ShardNode.h
+++ b/modules/rattanroad_shards/node/ShardNode.h
@@ -59,6 +59,9 @@
         /** Time after the acquisition of a shard within which its previous holder, if it lives, learns of it from a
            load and stops: the records are loaded from a slow store, and two loads are sent. */
         std::chrono::milliseconds displacementTime { 500 };
+        /** Time until another shard has a job that is transferred to it: a write, a notice, which may be repeated, and
+           a read. */
+        std::chrono::milliseconds transferTime { 500 };
         LoopMonitor::Settings loop;
         /** Submissions that arrive this soon after a pause were sent during it and are dropped; their origin hosts
             submit them again if they are still wanted. */
--- a/modules/rattanroad_shards/placing/TaskPlacer.h
+++ b/modules/rattanroad_shards/placing/TaskPlacer.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "rattanroad_shards/placing/IsolationPolicy.h"
 #include "rattanroad_shards/types/ShardTypes.h"
 
 #include <vector>
@@ -27,8 +28,8 @@
     std::string dataRack;
     /** Largest number of tasks of the phase on one target; 0 for no limit. */
     std::uint32_t maximumPerTarget { 0 };
-    /** The task may crash its target: it gets a target without other runs if there is one. */
-    bool prefersIdleTarget { false };
+    /** How far the task is kept apart from others, as it may crash its target. */
+    Isolation isolation { Isolation::None };
 };
 
 struct Placement {
--- a/modules/rattanroad_shards/targets/PlacementPass.cpp
+++ b/modules/rattanroad_shards/targets/PlacementPass.cpp
@@ -28,7 +28,7 @@
     for (TargetSession* const session : sessions) {
         if (!m_hooks.isUsable(*session))
             continue;
-        m_candidates.push_back({ session, std::nullopt });
+        m_candidates.push_back({ session, std::nullopt, false });
         m_usableMillicores += session->report().capacity.millicores;
         m_freeMillicores += session->free().millicores;
     }
@@ -77,18 +77,48 @@
     Group& group = matching(task);
     if (!task.resources.fitsInto(largestRoom(group)))
         return std::nullopt;
-    if (task.prefersIdleTarget) {
+    if (task.isolation != Isolation::None) {
         std::vector<Candidate*> idle;
         std::copy_if(group.candidates.begin(), group.candidates.end(), std::back_inserter(idle),
-            [](const Candidate* candidate) { return candidate->session->runs().empty(); });
-        if (auto choice = chooseAmong(idle, id, task, avoided)) {
-            choice->isIsolated = true;
+            [&task](const Candidate* candidate) {
+                const bool isOpen = candidate->isKeptForIsolation || task.isolation != Isolation::Required;
+                return isOpen && candidate->session->runs().empty();
+            });
+        auto choice = chooseAmong(idle, id, task, avoided);
+        if (choice)
+            choice->isolation = task.isolation;
+        if (choice || task.isolation == Isolation::Required)
             return choice;
-        }
     }
     return chooseAmong(group.candidates, id, task, avoided);
 }
 
+PlacementPass::EligibleTargets PlacementPass::eligibleTargets(const PlacementRequest& task)
+{
+    EligibleTargets targets;
+    for (const Candidate* const candidate : matching(task).candidates) {
+        if (!task.resources.fitsInto(candidate->session->report().capacity))
+            continue;
+        ++targets.count;
+        targets.isolated += candidate->isKeptForIsolation || candidate->session->isolation() != Isolation::None;
+    }
+    return targets;
+}
+
+void PlacementPass::keepForIsolation(const PlacementRequest& task)
+{
+    Candidate* fewest = nullptr;
+    for (Candidate* const candidate : matching(task).candidates) {
+        const TargetSession& session = *candidate->session;
+        const bool isCandidate = task.resources.fitsInto(session.report().capacity) && !candidate->isKeptForIsolation
+            && session.isolation() == Isolation::None;
+        if (isCandidate && (!fewest || session.runs().size() < fewest->session->runs().size()))
+            fewest = candidate;
+    }
+    if (fewest)
+        fewest->isKeptForIsolation = true;
+}
+
 std::optional<PlacementPass::Choice> PlacementPass::chooseAmong(const std::vector<Candidate*>& candidates,
     const TaskId& id, const PlacementRequest& task, const std::vector<TargetId>& avoided)
 {
@@ -102,7 +132,9 @@
     std::vector<PlacementCandidate> targets;
     for (Candidate* const candidate : candidates) {
         TargetSession& session = *candidate->session;
-        if (!task.resources.fitsInto(session.free()) || (isAvoidable && contains(avoided, session)))
+        const bool isExcluded = (candidate->isKeptForIsolation && task.isolation != Isolation::Required)
+            || (isAvoidable && contains(avoided, session));
+        if (isExcluded || !task.resources.fitsInto(session.free()))
             continue;
         const std::uint32_t tasksOfPhase = task.maximumPerTarget == 0 ? 0 : runsOfPhase(session, id);
         sessions.push_back(&session);
@@ -111,7 +143,7 @@
     const Placement placement = m_placer.choose(task, targets);
     if (placement.target == targets.size())
         return std::nullopt;
-    return Choice { sessions[placement.target], placement.predicted, false };
+    return Choice { sessions[placement.target], placement.predicted, Isolation::None };
 }
 
 void PlacementPass::started(const TargetSession& session)
--- a/modules/rattanroad_shards/targets/PlacementPass.h
+++ b/modules/rattanroad_shards/targets/PlacementPass.h
@@ -18,8 +18,14 @@
     struct Choice {
         TargetSession* session;
         std::chrono::milliseconds predicted;
-        /** No other task may start on the target beside this one. */
-        bool isIsolated { false };
+        /** Unless it is None, no other task may start on the target beside this one. */
+        Isolation isolation { Isolation::None };
+    };
+    /** The usable targets for which a task is eligible. */
+    struct EligibleTargets {
+        std::size_t count { 0 };
+        /** Those of them that are kept for isolated tasks. */
+        std::size_t isolated { 0 };
     };
     struct Hooks {
         /** Returns whether the target may get new starts. */
@@ -40,9 +46,16 @@
     std::uint64_t usableMillicores() const { return m_usableMillicores; }
     /** Returns the part of it that was free when the pass began. */
     std::uint64_t freeMillicores() const { return m_freeMillicores; }
+    /** Returns the number of targets that could get starts when the pass began. */
+    std::size_t usableTargets() const { return m_candidates.size(); }
+    EligibleTargets eligibleTargets(const PlacementRequest& task);
+    /** Keeps the eligible target with the fewest runs for tasks with a Required isolation: the pass places no other
+       task on it, so that it becomes idle. */
+    void keepForIsolation(const PlacementRequest& task);
     /** Returns the target that is expected to finish the task first, or nothing when none has room. A target of
-        @p avoided is chosen only when no other usable target could run the task. A task that prefers an idle target is
-        isolated on one that has no run, if there is one.
+        @p avoided is chosen only when no other usable target could run the task. A task with an isolation gets a target
+        that has no run, and with a Required one, a target that is kept for such tasks; if there is none, a Preferred
+        isolation is dropped, and nothing is returned for a Required one.
     */
     std::optional<Choice> choose(const TaskId& id, const PlacementRequest& task, const std::vector<TargetId>& avoided);
     /** A run was started on the chosen target. */
@@ -53,6 +66,8 @@
         TargetSession* session { nullptr };
         /** See RunTimeModel; absent until it is needed. */
         std::optional<double> factor;
+        /** See keepForIsolation(). */
+        bool isKeptForIsolation { false };
     };
     /** The candidates that match a service and a label. */
     struct Group {
--- a/modules/rattanroad_shards/targets/ShardTargets.cpp
+++ b/modules/rattanroad_shards/targets/ShardTargets.cpp
@@ -156,20 +156,29 @@
         [&task](const auto& entry) { return entry.second->runs().count(task) != 0; });
 }
 
-bool ShardTargets::mayIsolate() const
-{
-    const auto isolated = std::count_if(
-        m_sessions.begin(), m_sessions.end(), [](const auto& entry) { return entry.second->hasIsolatedRun(); });
-    return static_cast<double>(isolated + 1) <= static_cast<double>(m_sessions.size()) * m_settings.maximumIsolatedShare
-        || isolated == 0;
-}
-
 bool ShardTargets::isEligibleSomewhere(const PlacementRequest& task) const
 {
     return std::any_of(m_reports.begin(), m_reports.end(),
         [&task](const auto& entry) { return TaskPlacer::isEligible(task, entry.second); });
 }
 
+bool ShardTargets::isClosedFor(const PlacementRequest& task) const
+{
+    return std::all_of(m_reports.begin(), m_reports.end(), [&](const auto& entry) {
+        const TargetSession* const opened = session(entry.first);
+        return !TaskPlacer::isEligible(task, entry.second) || (opened && opened->isolation() == Isolation::Required);
+    });
+}
+
+void ShardTargets::endPreferredIsolations(std::chrono::milliseconds duration)
+{
+    for (const auto& entry : m_sessions) {
+        if (entry.second->isolation() == Isolation::Preferred
+            && entry.second->endPreferredIsolation(m_clock.now() - duration))
+            m_hooks.roomChanged();
+    }
+}
+
 bool ShardTargets::hasRoomElsewhere(const TargetSession& session, const PlacementRequest& task) const
 {
     return std::any_of(m_sessions.begin(), m_sessions.end(), [&](const auto& entry) {
--- a/modules/rattanroad_shards/targets/ShardTargets.h
+++ b/modules/rattanroad_shards/targets/ShardTargets.h
@@ -34,9 +34,6 @@
             by a few tenths, so less than one run in thirty is overdue on a healthy target. */
         double overdueFactor { 3 };
         std::chrono::milliseconds overdueMargin { 60 };
-        /** Largest share of the targets that run an isolated task at a time: after a whole failure domain was cut off,
-            most tasks may crash their targets. */
-        double maximumIsolatedShare { 0.25 };
     };
     struct OverdueRun {
         TargetSession* session;
@@ -94,10 +91,13 @@
     std::string describeList() const;
     /** Returns whether some target has a run of the task or may have one. */
     bool hasRun(const TaskId& task) const;
-    /** Returns whether another task may be isolated on a target. */
-    bool mayIsolate() const;
     /** Returns whether some listed target could run the task if it had room. */
     bool isEligibleSomewhere(const PlacementRequest& task) const;
+    /** Returns whether no listed target is eligible for the task, or each that is has a run with a Required isolation.
+     */
+    bool isClosedFor(const PlacementRequest& task) const;
+    /** Lets other runs start beside those that prefer isolation and have had it for @p duration. */
+    void endPreferredIsolations(std::chrono::milliseconds duration);
     /** Returns whether a target other than that of @p session has room for the task now. */
     bool hasRoomElsewhere(const TargetSession& session, const PlacementRequest& task) const;
     /** Returns a pass over the usable targets. It is valid until the next event. */
--- a/modules/rattanroad_shards/targets/TargetRuns.cpp
+++ b/modules/rattanroad_shards/targets/TargetRuns.cpp
@@ -31,20 +31,38 @@
 TargetRun& TargetRuns::add(const TaskId& task, TargetRun run)
 {
     m_used += run.resources;
+    m_isolation = std::max(m_isolation, run.isolation);
     return m_runs[task] = std::move(run);
 }
 
 void TargetRuns::remove(const TaskId& task)
 {
     m_runs.erase(task);
+    updateUse();
+}
+
+void TargetRuns::updateUse()
+{
     m_used = {};
-    for (const auto& entry : m_runs)
+    m_isolation = Isolation::None;
+    for (const auto& entry : m_runs) {
         m_used += entry.second.resources;
+        m_isolation = std::max(m_isolation, entry.second.isolation);
+    }
 }
 
-bool TargetRuns::hasIsolatedRun() const
+bool TargetRuns::endPreferredIsolation(TimePoint startedBefore)
 {
-    return std::any_of(m_runs.begin(), m_runs.end(), [](const auto& run) { return run.second.isIsolated; });
+    bool hasEnded = false;
+    for (auto& entry : m_runs) {
+        TargetRun& run = entry.second;
+        if (run.isolation != Isolation::Preferred || run.startedAt >= startedBefore)
+            continue;
+        run.isolation = Isolation::None;
+        hasEnded = true;
+    }
+    updateUse();
+    return hasEnded;
 }
 
 std::vector<TaskId> TargetRuns::tasks() const
--- a/modules/rattanroad_shards/targets/TargetRuns.h
+++ b/modules/rattanroad_shards/targets/TargetRuns.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "rattanroad_shards/placing/IsolationPolicy.h"
 #include "rattanroad_shards/targets/TargetCalls.h"
 
 #include <map>
@@ -31,8 +32,8 @@
     /** Reported as lost if the list of a new incarnation lacks the run, whose start was confirmed by a reply that
         named no incarnation. */
     std::optional<RunLoss> possibleLoss;
-    /** No other run may start on the target; @c resources is its whole capacity. */
-    bool isIsolated { false };
+    /** Unless it is None, no other run may start on the target. */
+    Isolation isolation { Isolation::None };
 };
 
 /** The runs on one target, at most one for each task, and the resources that they occupy. */
@@ -48,14 +49,21 @@
     const TargetRun* find(const TaskId& task, std::uint32_t attempt) const;
     TargetRun& add(const TaskId& task, TargetRun run);
     void remove(const TaskId& task);
-    bool hasIsolatedRun() const;
+    /** Returns the strictest isolation of a run on the target. */
+    Isolation isolation() const { return m_isolation; }
+    /** Lets other runs start beside those that have had the target to themselves since before @p startedBefore and only
+        prefer it. Returns whether there was one. */
+    bool endPreferredIsolation(TimePoint startedBefore);
     std::vector<TaskId> tasks() const;
     /** Returns the tasks of the runs that were confirmed before a poll was sent whose reply lists only @p listed. */
     std::vector<TaskId> missingFrom(const std::set<TaskId>& listed, TimePoint sentAt) const;
 
 private:
+    void updateUse();
+
     std::map<TaskId, TargetRun> m_runs;
     Resources m_used;
+    Isolation m_isolation { Isolation::None };
 };
 
 }
--- a/modules/rattanroad_shards/targets/TargetSession.cpp
+++ b/modules/rattanroad_shards/targets/TargetSession.cpp
@@ -120,13 +120,13 @@
 }
 
 void TargetSession::start(const TaskId& task, std::uint32_t attempt, const std::string& payload, Resources resources,
-    std::chrono::milliseconds predicted, const std::string& savedProgress, bool isIsolated)
+    std::chrono::milliseconds predicted, const std::string& savedProgress, Isolation isolation)
 {
     // The time limits of canStart() are not checked: they may have passed since the target was chosen.
     assert(!m_isClosed && m_isReady && m_isListed && !m_report.isDraining && !m_runs.find(task));
     Run& run = m_runs.add(task,
-        { attempt, payload, isIsolated ? m_report.capacity : resources, Run::State::Starting, m_clock.now(),
-            std::nullopt, predicted, savedProgress, 0, false, std::nullopt, isIsolated });
+        { attempt, payload, resources, Run::State::Starting, m_clock.now(), std::nullopt, predicted, savedProgress, 0,
+            false, std::nullopt, isolation });
     sendStart(task, run);
 }
 
@@ -443,7 +443,7 @@
         const TimePoint now = m_clock.now();
         m_runs.add(running.task,
             { running.attempt, "", adopted.value_or(m_report.capacity), Run::State::Running, now, now,
-                std::chrono::milliseconds(0), running.savedProgress, 0, true, std::nullopt, false });
+                std::chrono::milliseconds(0), running.savedProgress, 0, true, std::nullopt, Isolation::None });
         if (!adopted)
             stop(running.task);
     }
--- a/modules/rattanroad_shards/targets/TargetSession.h
+++ b/modules/rattanroad_shards/targets/TargetSession.h
@@ -107,10 +107,10 @@
        requests until setReport(); the runs end with the lease. */
     void setMoved();
 
-    /** Starts a run. An isolated run occupies the whole capacity.
+    /** Starts a run. While it is isolated, no other may start on the target.
         @pre canStart() was true when the target was chosen */
     void start(const TaskId& task, std::uint32_t attempt, const std::string& payload, Resources resources,
-        std::chrono::milliseconds predicted, const std::string& savedProgress, bool isIsolated = false);
+        std::chrono::milliseconds predicted, const std::string& savedProgress, Isolation isolation = Isolation::None);
     /** Stops the run of a task, if there is one. */
     void stop(const TaskId& task);
     /** Lets the target forget a completion. Ignored for an earlier incarnation. */
@@ -122,11 +122,17 @@
     /** Returns whether the target has reported all its runs and completions under the current token. */
     bool isReconciled() const { return m_isReady && m_hasListedAll; }
     bool isListed() const { return m_isListed; }
-    Resources free() const { return m_report.capacity.minus(m_runs.used()); }
+    /** Returns the room for another run. */
+    Resources free() const
+    {
+        return isolation() == Isolation::None ? m_report.capacity.minus(m_runs.used()) : Resources();
+    }
     const TargetReport& report() const { return m_report; }
     std::uint64_t incarnationMs() const { return m_incarnationMs; }
     const std::map<TaskId, Run>& runs() const { return m_runs.all(); }
-    bool hasIsolatedRun() const { return m_runs.hasIsolatedRun(); }
+    Isolation isolation() const { return m_runs.isolation(); }
+    /** See TargetRuns::endPreferredIsolation(). */
+    bool endPreferredIsolation(TimePoint startedBefore) { return m_runs.endPreferredIsolation(startedBefore); }
     /** Returns whether this incarnation of the target was draining, so that its end was planned. */
     bool wasDraining(std::uint64_t incarnationMs) const { return incarnationMs == m_drainingIncarnationMs; }
     /** Returns whether the target has answered nothing since a call to it was left unanswered. */
--- a/scripts/check-mutations.sh
+++ b/scripts/check-mutations.sh
@@ -140,6 +140,19 @@
     'if (answer == Answer::Unknown && mayRunElsewhere(known, job, waiting))' 'if (false)'
 guard outdated-stand-in entrance/JobHomes.cpp \
     'homesOf(job).front() == home || found->second.submission.isSame(submission)' 'true'
+guard transfer-of-ended-job jobs/ShardDispatcher.cpp $'if (job.isBeingTransferred) {\n        if (!job.endDuring' \
+    $'if (false) {\n        if (!job.endDuring'
+guard end-lost-in-transfer jobs/ShardDispatcher.cpp 'if (const auto end = std::exchange(job->endDuringTransfer, std::nullopt))' \
+    'if (const std::optional<JobEnd> end; end)'
+guard transfer-to-same-shard node/ShardNode.cpp 'choose(job, shard)' 'choose(job)'
+guard transfers-uncounted node/ShardNode.cpp 'm_entrance.jobAssigned(to, job, m_settings.transferTime);' ';'
+guard isolation-of-only-target placing/IsolationPolicy.cpp \
+    'figures.eligibleTargets > figures.isolatedTargets + 1' 'true'
+guard isolation-without-end jobs/ShardDispatcher.cpp 'm_runner.endPreferredIsolations();' ''
+guard isolation-dropped targets/PlacementPass.cpp 'if (choice || task.isolation == Isolation::Required)' 'if (choice)'
+guard isolation-starved jobs/TaskRunner.cpp 'pass.keepForIsolation(request);' ';'
+guard isolation-closes-shard targets/ShardTargets.cpp \
+    ' || (opened && opened->isolation() == Isolation::Required);' ';'
 guard earlier-process entrance/RequestNumber.cpp 'XXH64(&value, sizeof value, 0) >> unusedBits' 'value * 0 * unusedBits'
 guard store-lost-for-ever store/RecordWriter.cpp 'if (m_pendingKeys.empty() && m_inFlight == 0)' 'if (false)'
 guard end-shown-unstored jobs/ShardJob.h 'return hasEnded(state) && !isEndShown() ? JobState::Running : state;' 'return state;'
