--- a/scripts/check-mutations.sh
+++ b/scripts/check-mutations.sh
@@ -130,6 +130,7 @@
 guard given-up-job-reopened jobs/ShardDispatcher.cpp 'job.state == JobState::Cancelled && !isReturned' \
     'job.state == JobState::Cancelled'
 guard starved-priority scheduling/ScheduleOrder.cpp 'm_shares->owed(waiting).value_or(waiting.front())' 'waiting.front()'
+guard no-transfers jobs/ShardDispatcher.cpp $'returnWaitingJobs();\n        transferJobs();' 'returnWaitingJobs();'
 guard transfer-with-run jobs/ShardDispatcher.cpp 'isLasting && !m_runner.mayHaveRun(job)' 'isLasting'
 guard transfer-notice-once evacuation/JobTransfers.cpp \
     'after(m_settings.noticeInterval, [this, job] { notify(job); });' ''
