Log isolated runs and held ends, and test a transfer past a target too small

Log lines run_isolated, job_transfer_started, job_end_held and job_not_placed tell why a task has a target to itself, why a job changes its shard, and why a job that has ended or was submitted again is not answered yet.

--- a/modules/rattanroad_shards/entrance/JobHomes.cpp
+++ b/modules/rattanroad_shards/entrance/JobHomes.cpp
@@ -125,9 +125,11 @@
     Home& known = *homeOf(home);
     const std::vector<Waiting> waiting = std::move(known.searches.at(job).waiting);
     known.searches.erase(job);
-    // The origin submits the job again.
-    if (answer == Answer::Unknown && mayRunElsewhere(known, job, waiting))
+    if (answer == Answer::Unknown && mayRunElsewhere(known, job, waiting)) {
+        // The origin submits the job again.
+        m_hooks.log("job_not_placed", job, "an earlier attempt may have started it in a shard that does not answer");
         return;
+    }
     known.unknownSince.erase(job);
     const bool isFound = answer == Answer::Found;
     const auto earlier = answer == Answer::Unknown ? known.entries.find(job) : known.entries.end();
--- a/modules/rattanroad_shards/jobs/ShardDispatcher.cpp
+++ b/modules/rattanroad_shards/jobs/ShardDispatcher.cpp
@@ -474,6 +474,9 @@
         record.set_transferred_from(m_settings.shard.value());
         record.set_attempt_floor(m_runner.highestAttempt(job));
         job.isBeingTransferred = true;
+        m_hooks.log("job_transfer_started", job.id,
+            "from shard " + m_settings.shard.value() + " to " + to->value()
+                + (isEvacuated() ? ", evacuated" : ", no target of its own can run it"));
         m_hooks.jobAssigned(job.description, *to);
         m_transfers.start(job.id, *to, record.SerializeAsString(), *revision);
     }
@@ -628,7 +631,8 @@
 {
     if (job.isBeingTransferred) {
         if (!job.endDuringTransfer)
-            job.endDuringTransfer = JobEnd { state, reason };
+            m_hooks.log("job_end_held", job.id, "its record is being transferred");
+        job.endDuringTransfer = job.endDuringTransfer.value_or(JobEnd { state, reason });
         return;
     }
     job.state = state;
--- a/modules/rattanroad_shards/jobs/TaskRunner.cpp
+++ b/modules/rattanroad_shards/jobs/TaskRunner.cpp
@@ -421,6 +421,11 @@
     task.target = session.report().id;
     task.startedAt = m_clock.now();
     job.state = JobState::Running;
+    if (choice->isolation != Isolation::None)
+        m_hooks.log("run_isolated", job.id,
+            "task " + std::to_string(index) + " on " + task.target.value() + " with "
+                + std::to_string(countLosses(task))
+                + (choice->isolation == Isolation::Required ? " lost runs, until it ends" : " lost run, for a while"));
     session.start(id, task.attempt, job.description.payload(), request.resources, choice->predicted, task.savedProgress,
         choice->isolation);
     pass.started(session);
--- a/scripts/check-mutations.sh
+++ b/scripts/check-mutations.sh
@@ -138,7 +138,7 @@
 guard transfer-forgotten jobs/ShardDispatcher.cpp 'm_transfers.notifyAgain(id, ShardId(record.shard()));' ';'
 guard transfer-of-submission jobs/ShardDispatcher.cpp 'if (job && !job->isAccepted)' 'if (false)'
 guard attempt-in-two-shards entrance/JobHomes.cpp \
-    'if (answer == Answer::Unknown && mayRunElsewhere(known, job, waiting))' 'if (false)'
+    'answer == Answer::Unknown && mayRunElsewhere(known, job, waiting)' 'false'
 guard outdated-stand-in entrance/JobHomes.cpp \
     'homesOf(job).front() == home || found->second.submission.isSame(submission)' 'true'
 guard transfer-of-ended-job jobs/ShardDispatcher.cpp $'if (job.isBeingTransferred) {\n        if (!job.endDuring' \
--- a/tests/shards/IsolationTests.cpp
+++ b/tests/shards/IsolationTests.cpp
@@ -250,7 +250,7 @@
     const Duration longest = labelled.longestWait(0ms, 9s);
     showLog(fleet);
     CHECK(longest <= maximumWait);
-    CHECK(fleet.targets().running() == 6 * tasksPerJob);
+    CHECK(fleet.targets().running() == std::size_t { 6 } * tasksPerJob);
     requireNoViolations(fleet);
 }
 
--- a/tests/shards/JobHomesTests.cpp
+++ b/tests/shards/JobHomesTests.cpp
@@ -171,8 +171,8 @@
     }
 }
 
-// Guards against two shards that run a job at once: its home has passed the first attempt on, and fell silent before the
-// reply.
+// Guards against two shards that run a job at once: its home has passed the first attempt on, and fell silent before
+// the reply.
 TEST_CASE_METHOD(HomesFixture, "an attempt after an unanswered one waits until no other shard can run the job")
 {
     homes.begin(standIn, true);
--- a/tests/shards/JobTransferTests.cpp
+++ b/tests/shards/JobTransferTests.cpp
@@ -25,7 +25,7 @@
         bool fails = false, std::uint32_t taskCount = tasks, std::chrono::milliseconds duration = 400ms)
     {
         for (const std::string& domain : m_domains)
-            addTarget(domain);
+            addTarget(domain, "special-" + domain, { 32000, 65536, 0 });
         m_fleet.startAll();
         m_call = &m_fleet.submit(HostId("north-0"), "job", taskCount, duration, false, fails);
         m_call->description.mutable_phases(0)->set_required_label("special");
@@ -39,6 +39,13 @@
     const std::string& shard() const { return m_shard; }
     std::string otherShard() const { return m_shard == m_domains[0] ? m_domains[1] : m_domains[0]; }
     const HostId& holder() const { return m_holder; }
+    /** Adds a target to each failure domain that has the label and no room for a task of the job. */
+    void addSmallTargets()
+    {
+        for (const std::string& domain : m_domains)
+            addTarget(domain, "small-" + domain, { 4000, 65536, 0 });
+        m_fleet.run(200ms);
+    }
     void removeTarget() { m_fleet.unlistTarget(TargetId("special-" + m_shard)); }
     protocol::JobRecord record()
     {
@@ -61,10 +68,11 @@
     }
 
 private:
-    void addTarget(const std::string& domain)
+    void addTarget(const std::string& domain, const std::string& name, Resources capacity)
     {
         TargetReport report = m_fleet.targets().reports().at(TargetId("target-" + domain + "-0"));
-        report.id = TargetId("special-" + domain);
+        report.id = TargetId(name);
+        report.capacity = capacity;
         report.labels = { "special" };
         m_fleet.targets().add(report);
         m_fleet.listTarget(report.id);
@@ -90,6 +98,16 @@
     REQUIRE(stateOf(transfer.fleet(), HostId("north-0"), "job") == JobState::Done);
 }
 
+// Guards against a job that stays for good: its own shard has the label and is the cheapest one, and no target of the
+// size.
+TEST_CASE("a stored job goes to another shard when only a target too small for it is left in its own")
+{
+    TransferFleet transfer;
+    transfer.addSmallTargets();
+    transfer.removeTarget();
+    transfer.requireDone();
+}
+
 TEST_CASE("a stored job of an evacuated failure domain is done in another one")
 {
     TransferFleet transfer;
