--- a/modules/rattanroad_shards/jobs/TaskRunner.h
+++ b/modules/rattanroad_shards/jobs/TaskRunner.h
@@ -157,7 +157,7 @@
     bool m_isRoomShort { false };
     /** Tasks that have lost a run. */
     std::set<TaskId> m_suspects;
-    /** Those of them with a Required isolation in the present pass. */
+    /** How many of them have as many lost runs as a Required isolation needs, in the present pass. */
     std::size_t m_isolatedTasks { 0 };
     bool m_isScheduled { false };
     /** A pass is due since something has changed. */
--- a/modules/rattanroad_shards/placing/IsolationPolicy.h
+++ b/modules/rattanroad_shards/placing/IsolationPolicy.h
@@ -26,8 +26,9 @@
         std::size_t lossesBeforeRequired { 2 };
         /** Largest share of the targets for which a task is eligible that are kept for isolated tasks; at least one. */
         double maximumShare { 0.25 };
-        /** With more such tasks per target, something else than a task has taken the targets down, and isolating each
-            task would leave no room for the others. */
+        /** Largest number of tasks with lossesBeforeRequired lost runs, by usable target of the shard. With more of
+           them something else than a task has taken the targets down, and isolating each would leave no room for
+           others. */
         std::size_t maximumTasksPerTarget { 2 };
         /** Time after which a target with a Preferred isolation takes other tasks again. Leaves the others time to
            start within 3 s. */
--- a/tests/shards/IsolationTests.cpp
+++ b/tests/shards/IsolationTests.cpp
@@ -77,8 +77,8 @@
         return false;
     }
 
-    /** Runs for @p duration, and until all jobs are done. Returns the longest time for which a job had nothing running
-        while a target with the label had room for what is left of it twice over. Starts counting after @p delay. */
+    /** Runs for @p delay and then for @p duration. Returns the longest time of the latter for which a job had nothing
+        running while the targets with the label had room for what is left of it twice over. */
     Duration longestWait(Duration delay, Duration duration)
     {
         constexpr auto step = 50ms;
