--- a/review/lib-3/standin.py
+++ b/review/lib-3/standin.py
@@ -497,13 +497,13 @@
 
     def fields(self):
         ports = {}
-        for name in ("front", "ready"):
-            with socket.socket() as probe:
+        # The ports are held until all are chosen, so that they differ.
+        with contextlib.ExitStack() as held:
+            for name in ("front", "ready", "first"):
+                probe = held.enter_context(socket.socket())
                 probe.bind((self.ip, 0))
                 ports[name] = probe.getsockname()[1]
-        with socket.socket() as probe:
-            probe.bind((self.ip, 0))
-            first = probe.getsockname()[1]
+        first = ports["first"]
         self.front = "%s:%d" % (self.ip, ports["front"])
         self.ready = "%s:%d" % (self.ip, ports["ready"])
         return {"nodeName": self.name, "zone": self.zone, "region": "kigali", "ip": self.ip,
