Tell an error of a case from a broken rule

Cause: a case that ended by an error of its own program had exit status 1, the status of a broken rule.

Change: such a case has status 2, and a case that is ended early ends what it started.

--- a/review/lib-3/standin.py
+++ b/review/lib-3/standin.py
@@ -747,7 +747,8 @@
 
 
 def run_case(case, folder, zones):
-    """Runs a case and returns its exit status: 1 if the rule was broken, 0 if it held, 2 if it could not run."""
+    """Runs a case, which returns 1 if the rule was broken, 0 if it held and 2 if it could not run. Returns the exit
+    status of the program: 3 if the rule was broken, which an error of the program cannot be taken for."""
     trouble = os.environ.get("TROUBLE", "1") != "0"
 
     async def body():
@@ -755,8 +756,10 @@
         platform.record.write("with the disruption" if trouble else "without the disruption")
         try:
             await platform.start()
-            result = await asyncio.wait_for(case(platform, trouble), 116)
-        except (asyncio.TimeoutError, AssertionError, OSError) as error:
+            running = asyncio.ensure_future(asyncio.wait_for(case(platform, trouble), 116))
+            asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, running.cancel)
+            result = await running
+        except (Exception, asyncio.CancelledError) as error:
             platform.record.write("the case could not run:", repr(error))
             result = 2
         finally:
@@ -764,6 +767,5 @@
         platform.record.write("exit status", result)
         return result
 
-    with contextlib.suppress(KeyboardInterrupt):
-        return asyncio.run(body())
-    return 2
+    result = asyncio.run(body())
+    return 3 if result == 1 else result
