Place no job on a submission that its origin may have repeated

Cause: the search ends with its timer, however late, and the attempt that waits for it counted as the only one. The origin repeats an attempt after 0.3 s, possibly through another home. That home trusted its entry for an earlier submission of the job. The answers to an earlier search counted in a later one.

Change: a submission is valid at a home until its origin may have repeated it. A repeated attempt is looked for in all shards unless this home has placed the job for the same submission in the preferred shard. Searches are numbered. Whatever the pause, an attempt that is placed is then the latest one of its origin, or the search for a later one finds the job.

--- a/modules/rattanroad_shards/entrance/HolderRequests.cpp
+++ b/modules/rattanroad_shards/entrance/HolderRequests.cpp
@@ -55,7 +55,7 @@
 {
     const JobHomes::Submission origin { submission.origin(), Incarnation(submission.origin_incarnation()),
         RequestNumber::fromWire(submission.request()).id(), submission.declined(), submission.located(),
-        submission.resent() };
+        submission.resent(), validUntil(submission) };
     m_homes.locate(ShardId(submission.home()), JobId(submission.job().id()), ShardId(submission.shard()), origin,
         [this, submission](const ShardId& shard, bool mayBeSubmittedBefore) {
             protocol::ShardSubmit located = submission;
@@ -92,6 +92,12 @@
     return std::chrono::milliseconds(now - std::min(sentAt, now));
 }
 
+TimePoint HolderRequests::validUntil(const protocol::ShardSubmit& submission) const
+{
+    const bool mayMove = submission.job().best_effort() && !submission.located();
+    return mayMove ? m_clock.now() - ageOf(submission) + m_settings.repetition : TimePoint::max();
+}
+
 void HolderRequests::submitHere(ShardDispatcher& dispatcher, const protocol::ShardSubmit& submission)
 {
     const std::chrono::milliseconds age = ageOf(submission);
--- a/modules/rattanroad_shards/entrance/HolderRequests.h
+++ b/modules/rattanroad_shards/entrance/HolderRequests.h
@@ -19,6 +19,8 @@
         /** Address of this host. */
         std::string address;
         JobHomes::Settings homes;
+        /** Time after an unanswered attempt at which its origin makes the next one, possibly through another home. */
+        std::chrono::milliseconds repetition { 300 };
     };
     struct Hooks {
         /** Sends a message to this or another host; returns false when it was not sent. */
@@ -49,8 +51,11 @@
     void locate(const protocol::ShardSubmit& submission);
     void passOn(protocol::ShardSubmit submission);
     void submitHere(ShardDispatcher& dispatcher, const protocol::ShardSubmit& submission);
-    /** Returns the time since a submission was sent to this host. */
+    /** Returns the time since a submission was sent to this host, and the duration of the fastest message more. */
     std::chrono::milliseconds ageOf(const protocol::ShardSubmit& submission) const;
+    /** Returns until when the origin of a submission has not repeated it through another home, which may find another
+        shard for the job. The submission of a job whose origin knows its shard is always valid. */
+    TimePoint validUntil(const protocol::ShardSubmit& submission) const;
     void replyToSubmission(
         const protocol::ShardSubmit& submission, SubmitVerdict verdict, std::chrono::milliseconds retryAfter);
     /** Passes the cancellation of a job on to the holder of the shard that its home has found for it. */
--- a/modules/rattanroad_shards/entrance/JobEntrance.cpp
+++ b/modules/rattanroad_shards/entrance/JobEntrance.cpp
@@ -37,7 +37,7 @@
 
 HolderRequests::Settings JobEntrance::requestSettings() const
 {
-    return { m_settings.incarnation, m_settings.address, m_settings.homes };
+    return { m_settings.incarnation, m_settings.address, m_settings.homes, m_settings.replyTimeout };
 }
 
 HolderRequests::Hooks JobEntrance::requestHooks()
--- a/modules/rattanroad_shards/entrance/JobHomes.cpp
+++ b/modules/rattanroad_shards/entrance/JobHomes.cpp
@@ -61,10 +61,7 @@
         located(preferred, true);
         return;
     }
-    // Meanwhile the home that this one stands in for may have located the job for another submission.
-    const bool isEntryCurrent = found != known->entries.end()
-        && (homesOf(job).front() == home || found->second.submission.isSame(submission));
-    if (isEntryCurrent) {
+    if (found != known->entries.end() && isCurrent(found->second, home, job, preferred, submission)) {
         Entry& entry = found->second;
         entry.isShared = entry.isShared || !entry.submission.isSame(submission);
         // No attempt of the only submission was accepted, so the job is in no shard.
@@ -73,17 +70,35 @@
         located(ShardId(entry.shard), entry.isShared);
         return;
     }
+    if (m_clock.now() >= submission.validUntil) {
+        logOutdated(job, submission);
+        return;
+    }
     if (knowsAll(home, job) && !submission.isResent) {
         insert(*known, job, { preferred, submission, false, {} });
         located(preferred, false);
         return;
     }
-    const bool isSearched = known->searches.count(job) != 0;
+    const auto open = known->searches.find(job);
+    // A search that is overdue was open during a pause of this process, and its answers are of before the pause.
+    const bool isSearched
+        = open != known->searches.end() && m_clock.now() - open->second.startedAt < m_settings.askTimeout;
     known->searches[job].waiting.push_back({ preferred, submission, std::move(located) });
     if (!isSearched)
         search(home, job);
 }
 
+bool JobHomes::isCurrent(const Entry& entry, const ShardId& home, const JobId& job, const ShardId& preferred,
+    const Submission& submission) const
+{
+    const bool isOfSubmission = entry.submission.isSame(submission);
+    // Another home that has not found the job sends it to the preferred shard.
+    if (submission.isResent)
+        return isOfSubmission && entry.shard == preferred;
+    // The home that this one stands in for may have located the job for another submission since.
+    return isOfSubmission || homesOf(job).front() == home;
+}
+
 std::optional<ShardId> JobHomes::find(const ShardId& home, const JobId& job) const
 {
     const auto known = m_homes.find(home);
@@ -95,36 +110,52 @@
 
 void JobHomes::search(const ShardId& home, const JobId& job)
 {
-    m_homes.at(home).searches.at(job).unanswered = m_settings.shards.size();
-    m_timers.after(m_settings.askTimeout, [this, home, job] {
-        Home* const known = homeOf(home);
-        if (!known || known->searches.count(job) == 0)
+    const std::uint64_t number = ++m_lastSearch;
+    Search& started = m_homes.at(home).searches.at(job);
+    started.number = number;
+    started.startedAt = m_clock.now();
+    started.unanswered = m_settings.shards.size();
+    m_timers.after(m_settings.askTimeout, [this, home, job, number] {
+        if (!findSearch(home, job, number))
             return;
         m_hooks.log("job_location_unknown", job, "home " + home.value());
         finishSearch(home, job, Answer::Unknown, {});
     });
     for (const ShardId& shard : m_settings.shards) {
-        m_hooks.ask(shard, job, [this, home, job, shard](bool isKnown) { handleAnswer(home, job, shard, isKnown); });
+        m_hooks.ask(shard, job,
+            [this, home, job, number, shard](bool isKnown) { handleAnswer(home, job, number, shard, isKnown); });
     }
 }
 
-void JobHomes::handleAnswer(const ShardId& home, const JobId& job, const ShardId& asked, bool isKnown)
+JobHomes::Search* JobHomes::findSearch(const ShardId& home, const JobId& job, std::uint64_t number)
 {
     Home* const known = homeOf(home);
-    const auto search = known ? known->searches.find(job) : std::map<JobId, Search>::iterator();
-    if (!known || search == known->searches.end())
+    if (!known)
+        return nullptr;
+    const auto found = known->searches.find(job);
+    return found == known->searches.end() || found->second.number != number ? nullptr : &found->second;
+}
+
+void JobHomes::handleAnswer(
+    const ShardId& home, const JobId& job, std::uint64_t number, const ShardId& asked, bool isKnown)
+{
+    Search* const search = findSearch(home, job, number);
+    if (!search)
         return;
     if (isKnown)
         finishSearch(home, job, Answer::Found, asked);
-    else if (--search->second.unanswered == 0)
+    else if (--search->unanswered == 0)
         finishSearch(home, job, Answer::InNoShard, {});
 }
 
 void JobHomes::finishSearch(const ShardId& home, const JobId& job, Answer answer, const ShardId& shard)
 {
     Home& known = *homeOf(home);
-    const std::vector<Waiting> waiting = std::move(known.searches.at(job).waiting);
+    std::vector<Waiting> waiting = std::move(known.searches.at(job).waiting);
     known.searches.erase(job);
+    removeOutdated(job, waiting);
+    if (waiting.empty())
+        return;
     if (answer == Answer::Unknown && mayRunElsewhere(known, job, waiting)) {
         // The origin submits the job again.
         m_hooks.log("job_not_placed", job, "an earlier attempt may have started it in a shard that does not answer");
@@ -141,6 +172,22 @@
         waiting[i].located(location, isFound || i > 0);
 }
 
+void JobHomes::removeOutdated(const JobId& job, std::vector<Waiting>& waiting)
+{
+    const auto isValid = [now = m_clock.now()](const Waiting& entry) { return now < entry.submission.validUntil; };
+    const auto outdated = std::stable_partition(waiting.begin(), waiting.end(), isValid);
+    std::for_each(outdated, waiting.end(), [&](const Waiting& entry) { logOutdated(job, entry.submission); });
+    waiting.erase(outdated, waiting.end());
+}
+
+void JobHomes::logOutdated(const JobId& job, const Submission& submission)
+{
+    const auto late = std::chrono::duration_cast<std::chrono::milliseconds>(m_clock.now() - submission.validUntil);
+    m_hooks.log("submission_outdated", job,
+        "from " + submission.origin + ", not located " + std::to_string(late.count())
+            + " ms after the time of its repetition");
+}
+
 bool JobHomes::mayRunElsewhere(Home& home, const JobId& job, const std::vector<Waiting>& waiting)
 {
     const TimePoint now = m_clock.now();
--- a/modules/rattanroad_shards/entrance/JobHomes.h
+++ b/modules/rattanroad_shards/entrance/JobHomes.h
@@ -19,6 +19,10 @@
     not answer, the shard of the job stays unknown: the job goes to the shard that its origin prefers and keeps it.
     TaskRunner::Settings::maximumLeaseAfterSubmission then ensures that a run of which nobody can tell has ended. An
     attempt that follows an unanswered one of the same submission waits for this, as that one may just have started.
+
+    The origin repeats an attempt that is not answered, possibly through another home. A home therefore places no job on
+    an attempt after Submission::validUntil, as it otherwise would after a pause of its process: the job may be
+   elsewhere since.
 */
 class JobHomes {
 public:
@@ -44,6 +48,8 @@
         bool isLocated { false };
         /** An earlier attempt was not answered: it may have reached another home, and a shard of that one's choice. */
         bool isResent { false };
+        /** From this time on the origin may have made a further attempt through another home. */
+        TimePoint validUntil { TimePoint::max() };
 
         bool isSame(const Submission& other) const
         {
@@ -93,6 +99,9 @@
         Located located;
     };
     struct Search {
+        /** Tells the answers to this search from those to earlier ones for the same job. */
+        std::uint64_t number { 0 };
+        TimePoint startedAt {};
         std::vector<Waiting> waiting;
         std::size_t unanswered { 0 };
     };
@@ -108,8 +117,17 @@
 
     Home* homeOf(const ShardId& home);
     bool knowsAll(const ShardId& home, const JobId& job) const;
+    /** Returns whether the shard in an entry is that of a submission whatever other homes have done meanwhile. */
+    bool isCurrent(const Entry& entry, const ShardId& home, const JobId& job, const ShardId& preferred,
+        const Submission& submission) const;
+    /** Starts a search, or starts it again. */
     void search(const ShardId& home, const JobId& job);
-    void handleAnswer(const ShardId& home, const JobId& job, const ShardId& asked, bool isKnown);
+    /** Returns the search with this number unless it has ended, or null. */
+    Search* findSearch(const ShardId& home, const JobId& job, std::uint64_t number);
+    void handleAnswer(const ShardId& home, const JobId& job, std::uint64_t number, const ShardId& asked, bool isKnown);
+    /** Removes the attempts that are no longer valid. */
+    void removeOutdated(const JobId& job, std::vector<Waiting>& waiting);
+    void logOutdated(const JobId& job, const Submission& submission);
     enum class Answer {
         Found,
         InNoShard,
@@ -127,6 +145,7 @@
     const Clock& m_clock;
     Hooks m_hooks;
     std::map<ShardId, Home> m_homes;
+    std::uint64_t m_lastSearch { 0 };
 };
 
 }
--- a/scripts/check-mutations.sh
+++ b/scripts/check-mutations.sh
@@ -140,7 +140,11 @@
 guard attempt-in-two-shards entrance/JobHomes.cpp \
     'answer == Answer::Unknown && mayRunElsewhere(known, job, waiting)' 'false'
 guard outdated-stand-in entrance/JobHomes.cpp \
-    'homesOf(job).front() == home || found->second.submission.isSame(submission)' 'true'
+    'isOfSubmission || homesOf(job).front() == home;' 'true;'
+guard search-over-a-pause entrance/JobHomes.cpp '    removeOutdated(job, waiting);' ''
+guard answer-to-earlier-search entrance/JobHomes.cpp 'found->second.number != number' 'false'
+guard home-of-earlier-submission entrance/JobHomes.cpp 'return isOfSubmission && entry.shard == preferred;' \
+    'return isOfSubmission || homesOf(job).front() == home;'
 guard transfer-of-ended-job jobs/ShardDispatcher.cpp $'if (job.isBeingTransferred) {\n        if (!job.endDuring' \
     $'if (false) {\n        if (!job.endDuring'
 guard end-lost-in-transfer jobs/ShardDispatcher.cpp 'if (const auto end = std::exchange(job->endDuringTransfer, std::nullopt))' \
--- a/tests/shards/JobHomesTests.cpp
+++ b/tests/shards/JobHomesTests.cpp
@@ -4,6 +4,7 @@
 
 #include <catch2/catch.hpp>
 #include <ctime>
+#include <utility>
 
 using namespace rattanroad;
 using namespace rattanroad::shards;
@@ -41,8 +42,10 @@
     EventQueue queue { clock };
     std::vector<Question> questions;
     std::vector<Location> locations;
-    JobHomes homes { settings(), { [this](Duration delay, auto action) { queue.after(delay, std::move(action)); } },
-        clock, hooks() };
+    bool isPaused { false };
+    std::vector<std::function<void()>> overdueTimers;
+    JobHomes homes { settings(), { [this](Duration delay, auto action) { addTimer(delay, std::move(action)); } }, clock,
+        hooks() };
     const ShardId home { homes.homesOf(job).front() };
     const ShardId standIn { homes.homesOf(job)[1] };
 
@@ -61,10 +64,39 @@
         hooks.log = [](const char*, const JobId&, const std::string&) {};
         return hooks;
     }
+    void addTimer(Duration delay, std::function<void()> action)
+    {
+        queue.after(delay, [this, action = std::move(action)] {
+            if (isPaused)
+                overdueTimers.push_back(action);
+            else
+                action();
+        });
+    }
+    /** Pauses the process; its timers fire with runOverdueTimers(). */
+    void pauseFor(Duration duration)
+    {
+        isPaused = true;
+        queue.runUntil(clock.now() + duration);
+        isPaused = false;
+    }
+    void runOverdueTimers()
+    {
+        for (const auto& action : std::exchange(overdueTimers, {}))
+            action();
+    }
     static JobHomes::Submission from(const std::string& origin, bool wasDeclined = true)
     {
         return { origin, Incarnation(1), 1, wasDeclined };
     }
+    /** Returns an attempt of a submission that its origin repeats in @p repetition. */
+    JobHomes::Submission attempt(bool isResent, Duration repetition = 300ms) const
+    {
+        JobHomes::Submission submission = from("a", !isResent);
+        submission.isResent = isResent;
+        submission.validUntil = clock.now() + repetition;
+        return submission;
+    }
     void locate(const ShardId& at, const ShardId& preferred, const JobHomes::Submission& submission)
     {
         homes.locate(at, job, preferred, submission, [this](const ShardId& shard, bool isResent) {
@@ -225,6 +257,64 @@
     CHECK(locations.back() == Location { south, true });
 }
 
+// Guards against two shards that run a job at once: during the pause its origin has sent it through another home.
+TEST_CASE_METHOD(HomesFixture, "a home that is paused during a search does not place a job that was repeated meanwhile")
+{
+    homes.begin(standIn, true);
+    locate(standIn, north, attempt(false));
+    answer(north, false);
+    pauseFor(600ms);
+    SECTION("the timer of the search fires") { runOverdueTimers(); }
+    SECTION("the last answers arrive first")
+    {
+        answer(south, false);
+        answer(ShardId("west"), false);
+        runOverdueTimers();
+    }
+    SECTION("a later attempt arrives first")
+    {
+        questions.clear();
+        locate(standIn, north, attempt(true));
+        runOverdueTimers();
+        REQUIRE(questions.size() == 3);
+        CHECK(locations.empty());
+        answer(south, true);
+        CHECK(locations == std::vector<Location> { { south, true } });
+        return;
+    }
+    CHECK(locations.empty());
+    CHECK_FALSE(homes.find(standIn, job));
+}
+
+// Guards against a search that counts the answer of one holder twice and does not wait for that of another.
+TEST_CASE_METHOD(HomesFixture, "an answer to an earlier search for a job does not count in a later one")
+{
+    homes.begin(standIn, true);
+    locate(standIn, north, attempt(true));
+    const std::vector<Question> earlier = std::exchange(questions, {});
+    queue.runUntil(clock.now() + 300ms);
+    REQUIRE(locations.empty());
+    locate(standIn, north, attempt(true));
+    for (const Question& question : earlier)
+        question.answer(false);
+    CHECK(locations.empty());
+    answer(south, true);
+    CHECK(locations == std::vector<Location> { { south, true } });
+}
+
+// Guards against a home that relies on the shard of an earlier submission, while another home has located the job anew.
+TEST_CASE_METHOD(HomesFixture, "a home asks again where a job is when an earlier attempt may have gone to another home")
+{
+    homes.begin(home, true);
+    locate(home, north, from("b"));
+    REQUIRE(locations == std::vector<Location> { { north, false } });
+    locate(home, south, attempt(true));
+    REQUIRE(questions.size() == 3);
+    CHECK(locations.size() == 1);
+    answer(south, true);
+    CHECK(locations.back() == Location { south, true });
+}
+
 // A home knows a fifth of the jobs of five shards; control may take 3.3 % of a core.
 TEST_CASE_METHOD(HomesFixture, "a home is not slowed down by the jobs that it has forgotten")
 {
--- a/tests/shards/OverlapTests.cpp
+++ b/tests/shards/OverlapTests.cpp
@@ -165,6 +165,49 @@
     requireNoViolations(fleet);
 }
 
+// Guards against a home that was paused during a search and hands over a job that its origin has sent elsewhere since.
+TEST_CASE("a job that is submitted again while two holders are paused one after the other runs in one shard")
+{
+    EmulatedFleet::Settings settings;
+    settings.domains = { "north", "south", "west" };
+    settings.hostsPerDomain = 3;
+    settings.targetsPerDomain = 8;
+    EmulatedFleet fleet(settings);
+    fleet.startAll();
+    const HostId first = fleet.holderOf("north");
+    const HostId second = fleet.holderOf("south");
+    std::vector<HostId> entrances;
+    for (const HostId& host : fleet.hosts()) {
+        if (host.value().compare(0, 5, "north") == 0 && host != first && host != second)
+            entrances.push_back(host);
+    }
+    REQUIRE(entrances.size() >= 2);
+    const JobHomes& homes = fleet.node(first).entrance().homes();
+    const std::vector<ShardId> order { ShardId("north"), ShardId("south"), ShardId("west") };
+    int number = 0;
+    const auto nextJob = [&] {
+        while (homes.homesOf(JobId("job-" + std::to_string(++number))) != order) { }
+        return "job-" + std::to_string(number);
+    };
+    for (int i = 0; i < 20; ++i) {
+        EmulatedFleet::Call& call = fleet.submit(entrances[0], nextJob(), 1, 2s, true);
+        call.description.mutable_phases(0)->set_estimated_ms(500);
+        call.nextHost = entrances[1];
+        fleet.run(15ms);
+    }
+    // The callers turn to the other entrance from 2.8 s after the first submission on.
+    fleet.run(2000ms);
+    fleet.pause(first);
+    fleet.run(GENERATE(620ms, 650ms, 680ms));
+    fleet.pause(second);
+    fleet.run(100ms);
+    fleet.resume(first);
+    fleet.run(500ms);
+    fleet.resume(second);
+    fleet.run(5s);
+    requireNoViolations(fleet);
+}
+
 TEST_CASE("a start that arrives after its target has restarted does not run when the first stop to it is lost")
 {
     SmallFleet small(2);
