Read answers of the store for as long as their parts arrive

Cause: each call of the store ended after 450 ms, whatever the size of its answer, and was repeated with the same result. The records of a shard are read by calls with the same limit.

The new tests play answers in parts of 30 ms beyond a limit of 100 ms.

Change: the 450 ms limit the time to the head of an answer and each pause in its body; the whole call has 30 s. Large requests get time to be sent. Watches and the calls of the etcd client are treated alike. A silent store is noticed as early as before.

--- a/modules/rattanroad_network/http/HttpClient.cpp
+++ b/modules/rattanroad_network/http/HttpClient.cpp
@@ -63,6 +63,8 @@
         exchange.chunk = std::move(chunk);
         exchange.startedAt = m_loop.clock().now();
         exchange.timeout = request.timeout;
+        exchange.headTimeout = request.headTimeout;
+        exchange.stallTimeout = request.stallTimeout;
         exchange.head = serializeHead(address, request);
         exchange.body = std::move(request.body);
         m_exchanges.emplace(id.value(), std::move(owned));
@@ -109,7 +111,13 @@
         h2o_http1client_t* client { nullptr };
         TimerId timer;
         Duration timeout { 0 };
+        Duration headTimeout { 0 };
+        Duration stallTimeout { 0 };
         TimePoint startedAt;
+        /** Limit for the whole exchange. */
+        TimePoint deadline;
+        /** Limit for the next part of the answer, at most the deadline. */
+        TimePoint partDueAt;
         bool isConnecting { false };
         /** The end is decided; the callback is due. */
         bool isClosed { false };
@@ -134,8 +142,35 @@
     void setTimer(Exchange& exchange, Duration delay)
     {
         m_loop.cancelTimer(exchange.timer);
-        exchange.timer
-            = m_loop.addTimer(delay, [this, id = exchange.id] { cancel(ExchangeId(id), true, "timed out"); });
+        exchange.timer = m_loop.addTimer(delay, [this, id = exchange.id] { timerFired(id); });
+    }
+
+    /** Awaits the next part of an answer for at most @p limit; zero means up to the deadline. */
+    void awaitPart(Exchange& exchange, Duration limit)
+    {
+        const TimePoint now = m_loop.clock().now();
+        exchange.partDueAt = limit > Duration(0) ? std::min(now + limit, exchange.deadline) : exchange.deadline;
+        setTimer(exchange, exchange.partDueAt - now);
+    }
+
+    /** A part of the body has arrived. The timer that is set is kept and set again when it fires too early. */
+    void partReceived(Exchange& exchange)
+    {
+        if (exchange.stallTimeout > Duration(0))
+            exchange.partDueAt = std::min(m_loop.clock().now() + exchange.stallTimeout, exchange.deadline);
+    }
+
+    void timerFired(std::uint64_t id)
+    {
+        const auto found = m_exchanges.find(id);
+        if (found == m_exchanges.end() || found->second->isClosed)
+            return;
+        Exchange& exchange = *found->second;
+        const Duration rest = exchange.partDueAt - m_loop.clock().now();
+        if (!exchange.isConnecting && rest > Duration(0))
+            setTimer(exchange, rest);
+        else
+            cancel(ExchangeId(id), true, "timed out");
     }
 
     void end(Exchange& exchange, HttpEnding ending, std::string detail)
@@ -172,7 +207,8 @@
         }
         exchange.client = client;
         exchange.isConnecting = false;
-        exchange.owner->setTimer(exchange, exchange.timeout);
+        exchange.deadline = exchange.owner->m_loop.clock().now() + exchange.timeout;
+        exchange.owner->awaitPart(exchange, exchange.headTimeout);
         exchange.buffers[0] = h2o_iovec_init(exchange.head.data(), exchange.head.size());
         exchange.buffers[1] = h2o_iovec_init(exchange.body.data(), exchange.body.size());
         *buffers = exchange.buffers;
@@ -200,6 +236,7 @@
             exchange.owner->end(exchange, HttpEnding::Answered, "");
             return nullptr;
         }
+        exchange.owner->awaitPart(exchange, exchange.stallTimeout);
         return &Impl::bodyReceived;
     }
 
@@ -210,6 +247,7 @@
             exchange.owner->end(exchange, HttpEnding::SentNoAnswer, error);
             return -1;
         }
+        exchange.owner->partReceived(exchange);
         exchange.owner->takeBody(exchange, client->sock->input);
         h2o_buffer_consume(&client->sock->input, client->sock->input->size);
         if (error) {
--- a/modules/rattanroad_network/http/HttpTypes.h
+++ b/modules/rattanroad_network/http/HttpTypes.h
@@ -47,6 +47,11 @@
     std::string body;
     /** Limit for the whole exchange. */
     Duration timeout { std::chrono::seconds(10) };
+    /** Limit for the time from the connection to the head of the answer; zero means none but that of the exchange. */
+    Duration headTimeout { 0 };
+    /** Limit for the time in which no part of the body of the answer arrives; zero means none but that of the exchange.
+        For answers of any size, whose duration depends on the bandwidth. */
+    Duration stallTimeout { 0 };
 };
 
 /** How an exchange of HttpClient ended. */
--- a/modules/rattanroad_network/store/StoreClient.cpp
+++ b/modules/rattanroad_network/store/StoreClient.cpp
@@ -78,7 +78,7 @@
     {
         ++m_statistics.calls;
         HttpClientRequest request { "POST", path, { { "content-type", "application/json" } }, body.dump(),
-            m_settings.timeout };
+            m_settings.longestCall, m_settings.timeout, m_settings.timeout };
         m_http.send(m_settings.address, std::move(request),
             [this, isAlive = m_isAlive, callback = std::move(callback)](HttpResult&& result) {
                 if (!*isAlive)
--- a/modules/rattanroad_network/store/StoreClient.h
+++ b/modules/rattanroad_network/store/StoreClient.h
@@ -95,9 +95,12 @@
     struct Settings {
         /** "<IPv4 number>:<port>" */
         std::string address;
+        /** Limit for the time until a call is answered, and for a pause in its answer. */
         Duration timeout { std::chrono::seconds(2) };
         /** Called with the duration of each call, watches excepted. May be empty. */
         std::function<void(Duration)> callEnded;
+        /** Limit for a whole call except watches. */
+        Duration longestCall { std::chrono::seconds(30) };
     };
     struct Statistics {
         std::uint64_t calls { 0 };
--- a/tests/platform/StoreHttpClientTests.cpp
+++ b/tests/platform/StoreHttpClientTests.cpp
@@ -12,6 +12,12 @@
 /** The client of a store that answers each request with the same body. */
 class AnsweringStore {
 public:
+    /** @param timeout  limit of the client for the time until an answer and for a pause in one */
+    explicit AnsweringStore(std::chrono::milliseconds timeout = 5000ms)
+        : m_client(m_server.client(), settings(m_server.address(), timeout))
+    {
+    }
+    AnsweringServer& server() { return m_server; }
     void setBody(std::string body) { m_server.setBody(std::move(body)); }
     ReadReply read()
     {
@@ -30,10 +36,10 @@
             m_store.watch("prefix", KeyRevision(1), 100ms, std::move(callback));
         });
     }
-    TransactionReply transact()
+    TransactionReply transact(const KeyTransaction& transaction = {})
     {
-        return m_server.await<TransactionReply>([this](std::function<void(const TransactionReply&)> callback) {
-            m_store.transact({}, std::move(callback));
+        return m_server.await<TransactionReply>([&](std::function<void(const TransactionReply&)> callback) {
+            m_store.transact(transaction, std::move(callback));
         });
     }
     LeaseReply grantLease()
@@ -44,8 +50,17 @@
     }
 
 private:
+    static adapter::StoreHttpClient::Settings settings(const std::string& address, std::chrono::milliseconds timeout)
+    {
+        adapter::StoreHttpClient::Settings settings;
+        settings.address = address;
+        settings.timeout = timeout;
+        settings.watchTimeoutMargin = timeout;
+        return settings;
+    }
+
     AnsweringServer m_server;
-    adapter::StoreHttpClient m_client { m_server.client(), { m_server.address(), 5000ms, 5000ms, {} } };
+    adapter::StoreHttpClient m_client;
     KeyValueStore m_store { m_client.keyValueStore() };
 };
 
@@ -77,3 +92,35 @@
         REQUIRE(store.grantLease().status == StoreStatus::Done);
     }
 }
+
+// Guards against a host that never gets a large configuration or the records of a shard over a slow link.
+TEST_CASE("an answer of the store is read as long as its parts arrive")
+{
+    const std::string item = R"({"key":"op/config","value":"e30=","revision":57,"created":57,"lease":0})";
+    AnsweringStore store(100ms);
+    store.server().setPieces(10, 10, 30ms);
+    store.setBody(R"({"items":[)" + item + R"(],"hasMore":false,"atRev":60})");
+    CHECK(store.readPage().items.size() == 1);
+    store.setBody(item);
+    CHECK(store.read().items.size() == 1);
+    store.setBody(R"({"events":[)" + item + R"(],"atRev":60})");
+    CHECK(store.watch().changes.size() == 1);
+    SECTION("but not when no part arrives any more")
+    {
+        store.server().setPieces(10, 4, 30ms);
+        CHECK(store.readPage().status == StoreStatus::Unknown);
+        CHECK(store.watch().status == StoreStatus::Unknown);
+    }
+}
+
+// Guards against a batch of records that is sent again and again over a slow link, as its answer is never awaited.
+TEST_CASE("a large transaction has the time to be sent over a slow link")
+{
+    AnsweringStore store(100ms);
+    store.setBody(R"({"revision":58})");
+    store.server().setDelay(400ms);
+    CHECK(store.transact().status == StoreStatus::Unknown);
+    KeyTransaction large;
+    large.writes.push_back({ "job", std::string(30000, 'x'), StoreLeaseId(0) });
+    CHECK(store.transact(large).status == StoreStatus::Done);
+}
