Wait anew for a silent shard with each submission of a job

A caller that submits a best-effort job again within 30 s could have its tasks run in two shards: the new submission was placed although one of its attempts might just have started elsewhere.

Cause: a home that has not located a job remembers since when, by job. The wait for the runs of unanswered attempts, 1.25 s, counted from the first search for an earlier submission. Found by reading.

Change: the time is kept for each submission.

Result: "the wait for a shard that does not answer begins anew with each submission" fails without the change and passes. Not seen on real processes.

--- a/modules/rattanroad_shards/entrance/JobHomes.cpp
+++ b/modules/rattanroad_shards/entrance/JobHomes.cpp
@@ -161,7 +161,7 @@
         m_hooks.log("job_not_placed", job, "an earlier attempt may have started it in a shard that does not answer");
         return;
     }
-    known.unknownSince.erase(job);
+    known.unlocated.erase(job);
     const bool isFound = answer == Answer::Found;
     const auto earlier = answer == Answer::Unknown ? known.entries.find(job) : known.entries.end();
     const ShardId location = isFound     ? shard
@@ -191,12 +191,25 @@
 bool JobHomes::mayRunElsewhere(Home& home, const JobId& job, const std::vector<Waiting>& waiting)
 {
     const TimePoint now = m_clock.now();
-    for (auto entry = home.unknownSince.begin(); entry != home.unknownSince.end();)
-        entry = now - entry->second >= m_settings.retention ? home.unknownSince.erase(entry) : std::next(entry);
-    const bool isAnyResent
-        = std::any_of(waiting.begin(), waiting.end(), [](const Waiting& entry) { return entry.submission.isResent; });
-    // The attempts through other homes were sent before the first one that came here.
-    return isAnyResent && now - home.unknownSince.emplace(job, now).first->second < m_settings.maximumRunAfterAttempt;
+    for (auto entry = home.unlocated.begin(); entry != home.unlocated.end();)
+        entry
+            = now - entry->second.back().since >= m_settings.retention ? home.unlocated.erase(entry) : std::next(entry);
+    // The attempts of a submission through other homes were sent before the first one that came here.
+    return std::any_of(waiting.begin(), waiting.end(), [&](const Waiting& entry) {
+        return entry.submission.isResent
+            && now - unlocatedSince(home, job, entry.submission) < m_settings.maximumRunAfterAttempt;
+    });
+}
+
+TimePoint JobHomes::unlocatedSince(Home& home, const JobId& job, const Submission& submission)
+{
+    std::vector<Unlocated>& unlocated = home.unlocated[job];
+    const auto found = std::find_if(unlocated.begin(), unlocated.end(),
+        [&submission](const Unlocated& entry) { return entry.submission.isSame(submission); });
+    if (found != unlocated.end())
+        return found->since;
+    unlocated.push_back({ submission, m_clock.now() });
+    return m_clock.now();
 }
 
 void JobHomes::insert(Home& home, const JobId& job, Entry entry)
--- a/modules/rattanroad_shards/entrance/JobHomes.h
+++ b/modules/rattanroad_shards/entrance/JobHomes.h
@@ -105,14 +105,20 @@
         std::vector<Waiting> waiting;
         std::size_t unanswered { 0 };
     };
+    /** A submission whose job may be in a shard that does not answer. */
+    struct Unlocated {
+        Submission submission;
+        /** When its first search had no result. */
+        TimePoint since;
+    };
     struct Home {
         /** From this time on the home knows all jobs that it needs to know. */
         TimePoint completeFrom;
         std::map<JobId, Entry> entries;
         std::deque<std::pair<TimePoint, JobId>> insertionOrder;
         std::map<JobId, Search> searches;
-        /** When a search for a job that another home may have located first had no result. */
-        std::map<JobId, TimePoint> unknownSince;
+        /** Submissions of which another home may have located the job, and whose searches had no result. */
+        std::map<JobId, std::vector<Unlocated>> unlocated;
     };
 
     Home* homeOf(const ShardId& home);
@@ -138,6 +144,8 @@
     /** Returns whether an earlier attempt of a waiting submission may have brought the job to a shard that has not
         answered, and may run there still. */
     bool mayRunElsewhere(Home& home, const JobId& job, const std::vector<Waiting>& waiting);
+    /** Returns when the first search for a submission had no result, which is now if it had none before. */
+    TimePoint unlocatedSince(Home& home, const JobId& job, const Submission& submission);
     void insert(Home& home, const JobId& job, Entry entry);
 
     Settings m_settings;
--- a/scripts/check-mutations.sh
+++ b/scripts/check-mutations.sh
@@ -145,6 +145,7 @@
 guard answer-to-earlier-search entrance/JobHomes.cpp 'found->second.number != number' 'false'
 guard home-of-earlier-submission entrance/JobHomes.cpp 'return isOfSubmission && entry.shard == preferred;' \
     'return isOfSubmission || homesOf(job).front() == home;'
+guard wait-of-earlier-submission entrance/JobHomes.cpp 'return entry.submission.isSame(submission);' 'return true;'
 guard transfer-of-ended-job jobs/ShardDispatcher.cpp $'if (job.isBeingTransferred) {\n        if (!job.endDuring' \
     $'if (false) {\n        if (!job.endDuring'
 guard end-lost-in-transfer jobs/ShardDispatcher.cpp 'if (const auto end = std::exchange(job->endDuringTransfer, std::nullopt))' \
--- a/tests/shards/JobHomesTests.cpp
+++ b/tests/shards/JobHomesTests.cpp
@@ -243,6 +243,19 @@
     }
 }
 
+// Guards against a second run beside one that an attempt of the new submission has just started through another home.
+TEST_CASE_METHOD(HomesFixture, "the wait for a shard that does not answer begins anew with each submission")
+{
+    homes.begin(standIn, true);
+    locate(standIn, north, attempt(true));
+    queue.runUntil(clock.now() + JobHomes::Settings().maximumRunAfterAttempt + 300ms);
+    JobHomes::Submission later = attempt(true);
+    later.number = 2;
+    locate(standIn, north, later);
+    queue.runUntil(clock.now() + 100ms);
+    CHECK(locations.empty());
+}
+
 // Guards against a stand-in that sends a job to the shard of an earlier submission, while its home has located it anew.
 TEST_CASE_METHOD(HomesFixture, "a stand-in asks again where a job is when it is submitted again")
 {
