Find no job in a shard that has stopped it

Callers could see a best-effort job run in two shards: the search for a job that was submitted again ended in the shard where an earlier submission had been cancelled, while the shard that ran it did not answer.

Cause: a holder answered that it knew the job, whatever its state. It remembers cancelled jobs for minutes.

Change: the holder of a shard tells whether it has the job, is stopping runs of it, or has nothing left of it. The second counts only if no other shard has the job and none that may have it is silent.

--- a/modules/rattanroad_shards/entrance/HolderRequests.cpp
+++ b/modules/rattanroad_shards/entrance/HolderRequests.cpp
@@ -11,6 +11,13 @@
     constexpr std::uint64_t questionFlag = std::uint64_t { 1 } << 63U;
     /** Answers that are later than this are not waited for. */
     constexpr std::chrono::seconds questionLifetime { 5 };
+
+    JobHomes::Presence presenceOf(const std::optional<JobState>& state)
+    {
+        if (!state)
+            return JobHomes::Presence::None;
+        return *state == JobState::Cancelled ? JobHomes::Presence::Stopping : JobHomes::Presence::Present;
+    }
 }
 
 HolderRequests::HolderRequests(
@@ -27,9 +34,8 @@
 JobHomes::Hooks HolderRequests::homeHooks()
 {
     JobHomes::Hooks hooks;
-    hooks.ask = [this](const ShardId& shard, const JobId& job, const std::function<void(bool)>& answered) {
-        ask(shard, job, answered);
-    };
+    hooks.ask = [this](const ShardId& shard, const JobId& job,
+                    const std::function<void(JobHomes::Presence)>& answered) { ask(shard, job, answered); };
     hooks.log = m_hooks.log;
     return hooks;
 }
@@ -146,7 +152,9 @@
     for (const ShardId& shard : m_loads.shards()) {
         ShardDispatcher* const local
             = asked.empty() || shard.value() == asked ? m_hooks.localDispatcher(shard) : nullptr;
-        const std::optional<JobState> state = local ? local->state(job) : std::nullopt;
+        const std::optional<JobState> state = !local ? std::nullopt
+            : asked.empty()                          ? local->state(job)
+                                                     : local->stateUnlessStopped(job);
         if (!state)
             continue;
         if (isCancel)
@@ -179,10 +187,11 @@
     m_hooks.send(*address, message);
 }
 
-void HolderRequests::ask(const ShardId& shard, const JobId& job, const std::function<void(bool isKnown)>& answered)
+void HolderRequests::ask(
+    const ShardId& shard, const JobId& job, const std::function<void(JobHomes::Presence)>& answered)
 {
     if (ShardDispatcher* const local = m_hooks.localDispatcher(shard)) {
-        answered(local->state(job).has_value());
+        answered(presenceOf(local->stateUnlessStopped(job)));
         return;
     }
     const std::string* const address = m_loads.holderAddress(shard);
@@ -208,7 +217,7 @@
         return true;
     const auto answered = std::move(question->second.answered);
     m_questions.erase(question);
-    answered(reply.known());
+    answered(presenceOf(reply.known() ? std::optional<JobState>(static_cast<JobState>(reply.state())) : std::nullopt));
     return true;
 }
 
--- a/modules/rattanroad_shards/entrance/HolderRequests.h
+++ b/modules/rattanroad_shards/entrance/HolderRequests.h
@@ -60,12 +60,12 @@
         const protocol::ShardSubmit& submission, SubmitVerdict verdict, std::chrono::milliseconds retryAfter);
     /** Passes the cancellation of a job on to the holder of the shard that its home has found for it. */
     void passOnCancel(const protocol::ShardCancel& cancel);
-    void ask(const ShardId& shard, const JobId& job, const std::function<void(bool isKnown)>& answered);
+    void ask(const ShardId& shard, const JobId& job, const std::function<void(JobHomes::Presence)>& answered);
     JobHomes::Hooks homeHooks();
 
     struct Question {
         TimePoint askedAt;
-        std::function<void(bool isKnown)> answered;
+        std::function<void(JobHomes::Presence)> answered;
     };
 
     Settings m_settings;
--- a/modules/rattanroad_shards/entrance/JobHomes.cpp
+++ b/modules/rattanroad_shards/entrance/JobHomes.cpp
@@ -115,6 +115,7 @@
     started.number = number;
     started.startedAt = m_clock.now();
     started.unanswered = m_settings.shards.size();
+    started.stoppingIn.reset();
     m_timers.after(m_settings.askTimeout, [this, home, job, number] {
         if (!findSearch(home, job, number))
             return;
@@ -123,7 +124,7 @@
     });
     for (const ShardId& shard : m_settings.shards) {
         m_hooks.ask(shard, job,
-            [this, home, job, number, shard](bool isKnown) { handleAnswer(home, job, number, shard, isKnown); });
+            [this, home, job, number, shard](Presence presence) { handleAnswer(home, job, number, shard, presence); });
     }
 }
 
@@ -137,14 +138,18 @@
 }
 
 void JobHomes::handleAnswer(
-    const ShardId& home, const JobId& job, std::uint64_t number, const ShardId& asked, bool isKnown)
+    const ShardId& home, const JobId& job, std::uint64_t number, const ShardId& asked, Presence presence)
 {
     Search* const search = findSearch(home, job, number);
     if (!search)
         return;
-    if (isKnown)
+    if (presence == Presence::Present) {
         finishSearch(home, job, Answer::Found, asked);
-    else if (--search->unanswered == 0)
+        return;
+    }
+    if (presence == Presence::Stopping)
+        search->stoppingIn = asked;
+    if (--search->unanswered == 0)
         finishSearch(home, job, Answer::InNoShard, {});
 }
 
@@ -152,6 +157,7 @@
 {
     Home& known = *homeOf(home);
     std::vector<Waiting> waiting = std::move(known.searches.at(job).waiting);
+    const std::optional<ShardId> stoppingIn = known.searches.at(job).stoppingIn;
     known.searches.erase(job);
     removeOutdated(job, waiting);
     if (waiting.empty())
@@ -162,12 +168,15 @@
         return;
     }
     known.unlocated.erase(job);
-    const bool isFound = answer == Answer::Found;
+    // What is left of an earlier submission ends before tasks of the job start there again.
+    const std::optional<ShardId> foundIn = answer == Answer::Found ? std::optional<ShardId>(shard) : stoppingIn;
+    const bool isFound = foundIn.has_value();
     const auto earlier = answer == Answer::Unknown ? known.entries.find(job) : known.entries.end();
-    const ShardId location = isFound     ? shard
+    const ShardId location = isFound     ? *foundIn
         : earlier != known.entries.end() ? earlier->second.shard
                                          : waiting.front().preferred;
-    insert(known, job, { location, waiting.front().submission, answer != Answer::InNoShard || waiting.size() > 1, {} });
+    insert(known, job,
+        { location, waiting.front().submission, isFound || answer == Answer::Unknown || waiting.size() > 1, {} });
     for (std::size_t i = 0; i < waiting.size(); ++i)
         waiting[i].located(location, isFound || i > 0);
 }
--- a/modules/rattanroad_shards/entrance/JobHomes.h
+++ b/modules/rattanroad_shards/entrance/JobHomes.h
@@ -56,12 +56,17 @@
             return origin == other.origin && incarnation == other.incarnation && number == other.number;
         }
     };
+    /** What the holder of a shard knows of a job. */
+    enum class Presence {
+        None, ///< The shard has nothing of the job.
+        Stopping, ///< The job was cancelled there, and runs of it may be left.
+        Present, ///< The job is open there, or has ended with a result.
+    };
     /** Receives the shard of a job, and whether another submission may have brought it there. */
     using Located = std::function<void(const ShardId&, bool mayBeSubmittedBefore)>;
     struct Hooks {
-        /** Asks the holder of a shard whether it has a job. Calls back at most once, and never when it does not answer.
-         */
-        std::function<void(const ShardId&, const JobId&, std::function<void(bool isKnown)>)> ask;
+        /** Asks the holder of a shard for a job. Calls back at most once, and never when it does not answer. */
+        std::function<void(const ShardId&, const JobId&, std::function<void(Presence)>)> ask;
         std::function<void(const char* event, const JobId&, const std::string& detail)> log;
     };
 
@@ -104,6 +109,8 @@
         TimePoint startedAt {};
         std::vector<Waiting> waiting;
         std::size_t unanswered { 0 };
+        /** Shard in which the job is being stopped. It may have been sent elsewhere since. */
+        std::optional<ShardId> stoppingIn;
     };
     /** A submission whose job may be in a shard that does not answer. */
     struct Unlocated {
@@ -130,7 +137,8 @@
     void search(const ShardId& home, const JobId& job);
     /** Returns the search with this number unless it has ended, or null. */
     Search* findSearch(const ShardId& home, const JobId& job, std::uint64_t number);
-    void handleAnswer(const ShardId& home, const JobId& job, std::uint64_t number, const ShardId& asked, bool isKnown);
+    void handleAnswer(
+        const ShardId& home, const JobId& job, std::uint64_t number, const ShardId& asked, Presence presence);
     /** Removes the attempts that are no longer valid. */
     void removeOutdated(const JobId& job, std::vector<Waiting>& waiting);
     void logOutdated(const JobId& job, const Submission& submission);
@@ -139,7 +147,7 @@
         InNoShard,
         Unknown,
     };
-    /** Ends a search. @p shard is that in which the job was found. */
+    /** Ends a search. @p shard is that in which the job is present. */
     void finishSearch(const ShardId& home, const JobId& job, Answer answer, const ShardId& shard);
     /** Returns whether an earlier attempt of a waiting submission may have brought the job to a shard that has not
         answered, and may run there still. */
--- a/modules/rattanroad_shards/jobs/ShardDispatcher.cpp
+++ b/modules/rattanroad_shards/jobs/ShardDispatcher.cpp
@@ -606,6 +606,13 @@
     return job->shownState();
 }
 
+std::optional<JobState> ShardDispatcher::stateUnlessStopped(const JobId& id) const
+{
+    const std::optional<JobState> shown = state(id);
+    const bool isStopped = shown == JobState::Cancelled && !m_runner.mayHaveRun(*m_jobs.find(id));
+    return isStopped ? std::nullopt : shown;
+}
+
 void ShardDispatcher::cancel(const JobId& id, const StateReply& reply)
 {
     ShardJob* const found = m_jobs.find(id);
--- a/modules/rattanroad_shards/jobs/ShardDispatcher.h
+++ b/modules/rattanroad_shards/jobs/ShardDispatcher.h
@@ -136,6 +136,8 @@
     /** Returns the state of an accepted job that callers are shown, or nothing when there is none with this id in
         memory. */
     std::optional<JobState> state(const JobId& job) const;
+    /** Returns the same, but nothing for a job that was cancelled and cannot have a run any more. */
+    std::optional<JobState> stateUnlessStopped(const JobId& job) const;
     /** Cancels a job. Calls @p reply when its end is shown, or at once when the job is unknown or its end is shown
         already. */
     void cancel(const JobId& job, const StateReply& reply);
--- a/scripts/check-mutations.sh
+++ b/scripts/check-mutations.sh
@@ -146,6 +146,9 @@
 guard home-of-earlier-submission entrance/JobHomes.cpp 'return isOfSubmission && entry.shard == preferred;' \
     'return isOfSubmission || homesOf(job).front() == home;'
 guard wait-of-earlier-submission entrance/JobHomes.cpp 'return entry.submission.isSame(submission);' 'return true;'
+guard found-where-stopped jobs/ShardDispatcher.cpp 'return isStopped ? std::nullopt : shown;' 'return shown;'
+guard stopping-counts-as-present entrance/JobHomes.cpp 'if (presence == Presence::Present)' \
+    'if (presence != Presence::None)'
 guard transfer-of-ended-job jobs/ShardDispatcher.cpp $'if (job.isBeingTransferred) {\n        if (!job.endDuring' \
     $'if (false) {\n        if (!job.endDuring'
 guard end-lost-in-transfer jobs/ShardDispatcher.cpp 'if (const auto end = std::exchange(job->endDuringTransfer, std::nullopt))' \
--- a/tests/shards/JobHomesTests.cpp
+++ b/tests/shards/JobHomesTests.cpp
@@ -23,7 +23,7 @@
 struct HomesFixture {
     struct Question {
         ShardId shard;
-        std::function<void(bool)> answer;
+        std::function<void(JobHomes::Presence)> answer;
     };
     struct Location {
         ShardId shard;
@@ -58,7 +58,7 @@
     JobHomes::Hooks hooks()
     {
         JobHomes::Hooks hooks;
-        hooks.ask = [this](const ShardId& shard, const JobId&, std::function<void(bool)> answer) {
+        hooks.ask = [this](const ShardId& shard, const JobId&, std::function<void(JobHomes::Presence)> answer) {
             questions.push_back({ shard, std::move(answer) });
         };
         hooks.log = [](const char*, const JobId&, const std::string&) {};
@@ -103,13 +103,17 @@
             locations.push_back({ shard, isResent });
         });
     }
-    void answer(const ShardId& shard, bool isKnown)
+    void answer(const ShardId& shard, JobHomes::Presence presence)
     {
         for (const Question& question : std::vector<Question>(questions)) {
             if (question.shard == shard)
-                question.answer(isKnown);
+                question.answer(presence);
         }
     }
+    void answer(const ShardId& shard, bool isKnown)
+    {
+        answer(shard, isKnown ? JobHomes::Presence::Present : JobHomes::Presence::None);
+    }
 };
 
 }
@@ -256,6 +260,41 @@
     CHECK(locations.empty());
 }
 
+// Guards against a search that ends with what is left of an earlier submission, while another shard runs the job.
+TEST_CASE_METHOD(HomesFixture, "a shard that is stopping a job counts only when the others do not have the job")
+{
+    homes.begin(standIn, true);
+    SECTION("another one has it")
+    {
+        locate(standIn, north, attempt(true));
+        answer(north, JobHomes::Presence::Stopping);
+        answer(south, true);
+        CHECK(locations == std::vector<Location> { { south, true } });
+    }
+    SECTION("the others do not have it")
+    {
+        locate(standIn, north, attempt(true));
+        answer(south, JobHomes::Presence::Stopping);
+        answer(north, false);
+        answer(ShardId("west"), false);
+        CHECK(locations == std::vector<Location> { { south, true } });
+    }
+    SECTION("another one does not answer, and may have an earlier attempt")
+    {
+        locate(standIn, north, attempt(true));
+        answer(south, JobHomes::Presence::Stopping);
+        queue.runUntil(clock.now() + 100ms);
+        CHECK(locations.empty());
+    }
+    SECTION("another one does not answer")
+    {
+        locate(standIn, north, attempt(false));
+        answer(south, JobHomes::Presence::Stopping);
+        queue.runUntil(clock.now() + 100ms);
+        CHECK(locations == std::vector<Location> { { south, true } });
+    }
+}
+
 // Guards against a stand-in that sends a job to the shard of an earlier submission, while its home has located it anew.
 TEST_CASE_METHOD(HomesFixture, "a stand-in asks again where a job is when it is submitted again")
 {
@@ -309,7 +348,7 @@
     REQUIRE(locations.empty());
     locate(standIn, north, attempt(true));
     for (const Question& question : earlier)
-        question.answer(false);
+        question.answer(JobHomes::Presence::None);
     CHECK(locations.empty());
     answer(south, true);
     CHECK(locations == std::vector<Location> { { south, true } });
