Continue the transfers of a holding that is continued

Cause: a holder that gives its shard up forgot its transfers, since the next holder finds them in the store. When the same holder continues its holding it reads no records, and its jobs stay marked as being transferred, which only the transfer ends.

Change: JobTransfers keeps its transfers over the end of a holding, and a holding that continues it writes or notifies again, on the condition of the same revision as before. Any other holding starts without transfers.

--- a/modules/rattanroad_shards/evacuation/JobTransfers.cpp
+++ b/modules/rattanroad_shards/evacuation/JobTransfers.cpp
@@ -15,11 +15,29 @@
 {
 }
 
+void JobTransfers::begin(FencingToken token, bool isContinued)
+{
+    ++m_epoch;
+    m_token = token;
+    if (!isContinued) {
+        m_transfers.clear();
+        return;
+    }
+    // Deferred, as an acknowledgement ends a transfer.
+    for (const auto& entry : m_transfers) {
+        after(Duration(0), [this, job = entry.first, isWritten = entry.second.isWritten] {
+            if (isWritten)
+                notify(job);
+            else
+                write(job);
+        });
+    }
+}
+
 void JobTransfers::end()
 {
     ++m_epoch;
     m_token.reset();
-    m_transfers.clear();
 }
 
 JobTransfers::Transfer* JobTransfers::find(const JobId& job)
@@ -38,7 +56,7 @@
 
 void JobTransfers::start(const JobId& job, const ShardId& to, const std::string& record, KeyRevision revision)
 {
-    if (m_transfers.emplace(job, Transfer { to, record, revision }).second)
+    if (m_transfers.emplace(job, Transfer { to, record, revision, false }).second)
         write(job);
 }
 
@@ -102,13 +120,15 @@
 
 void JobTransfers::written(const JobId& job)
 {
-    m_hooks.moved(job, find(job)->to);
+    Transfer& transfer = *find(job);
+    transfer.isWritten = true;
+    m_hooks.moved(job, transfer.to);
     notify(job);
 }
 
 void JobTransfers::notifyAgain(const JobId& job, const ShardId& to)
 {
-    if (m_transfers.emplace(job, Transfer { to, "", KeyRevision(0) }).second)
+    if (m_transfers.emplace(job, Transfer { to, "", KeyRevision(0), true }).second)
         notify(job);
 }
 
--- a/modules/rattanroad_shards/evacuation/JobTransfers.h
+++ b/modules/rattanroad_shards/evacuation/JobTransfers.h
@@ -42,9 +42,12 @@
     JobTransfers(const JobTransfers&) = delete;
     JobTransfers& operator=(const JobTransfers&) = delete;
 
-    /** Starts to write under @p token. */
-    void begin(FencingToken token) { m_token = token; }
-    /** Forgets all transfers: the next holder finds those whose record was written. */
+    /** Starts to write under @p token. The transfers of an earlier holding go on if this one continues it. Otherwise
+        they are forgotten, and those whose record was written are found in the store. */
+    void begin(FencingToken token, bool isContinued);
+    /** Uses a higher token of the same holding from now on. */
+    void raiseToken(FencingToken token) { m_token = token; }
+    /** Writes and notifies no more until the next begin(). */
     void end();
     bool canStart() const { return m_token && m_transfers.size() < m_settings.maximumActive; }
     /** Writes a record that names another shard in place of the one with this revision. */
@@ -59,6 +62,7 @@
         ShardId to;
         std::string record;
         KeyRevision revision;
+        bool isWritten { false };
     };
     Transfer* find(const JobId& job);
     void write(const JobId& job);
--- a/modules/rattanroad_shards/jobs/ShardDispatcher.cpp
+++ b/modules/rattanroad_shards/jobs/ShardDispatcher.cpp
@@ -37,7 +37,7 @@
     m_targetListAwaitedSince = m_clock.now();
     m_targets.requireListSince(*m_targetListAwaitedSince);
     m_writer.begin(holding.token, holding.isContinued && m_isLoaded);
-    m_transfers.begin(holding.token);
+    m_transfers.begin(holding.token, holding.isContinued && m_isLoaded);
     if (holding.isContinued && m_isLoaded) {
         m_targets.setToken(holding.token);
         m_runner.begin(holding.generation);
@@ -62,7 +62,7 @@
         return;
     m_holding->token = token;
     m_writer.begin(token, true);
-    m_transfers.begin(token);
+    m_transfers.raiseToken(token);
     m_targets.raiseToken(token);
 }
 
--- a/scripts/check-mutations.sh
+++ b/scripts/check-mutations.sh
@@ -134,7 +134,7 @@
 guard transfer-with-run jobs/ShardDispatcher.cpp 'isLasting && !m_runner.mayHaveRun(job)' 'isLasting'
 guard transfer-notice-once evacuation/JobTransfers.cpp \
     'after(m_settings.noticeInterval, [this, job] { notify(job); });' ''
-guard transfer-with-earlier-token jobs/ShardDispatcher.cpp 'm_transfers.begin(token);' ''
+guard transfer-with-earlier-token jobs/ShardDispatcher.cpp 'm_transfers.raiseToken(token);' ''
 guard transfer-forgotten jobs/ShardDispatcher.cpp 'm_transfers.notifyAgain(id, ShardId(record.shard()));' ';'
 guard transfer-of-submission jobs/ShardDispatcher.cpp 'if (job && !job->isAccepted)' 'if (false)'
 guard attempt-in-two-shards entrance/JobHomes.cpp \
@@ -149,6 +149,7 @@
 guard found-where-stopped jobs/ShardDispatcher.cpp 'return isStopped ? std::nullopt : shown;' 'return shown;'
 guard stopping-counts-as-present entrance/JobHomes.cpp 'if (presence == Presence::Present)' \
     'if (presence != Presence::None)'
+guard transfer-forgotten-by-continuation evacuation/JobTransfers.cpp 'if (!isContinued) {' 'if (true) {'
 guard transfer-of-ended-job jobs/ShardDispatcher.cpp $'if (job.isBeingTransferred) {\n        if (!job.endDuring' \
     $'if (false) {\n        if (!job.endDuring'
 guard end-lost-in-transfer jobs/ShardDispatcher.cpp 'if (const auto end = std::exchange(job->endDuringTransfer, std::nullopt))' \
--- a/tests/shards/JobTransferTests.cpp
+++ b/tests/shards/JobTransferTests.cpp
@@ -283,3 +283,20 @@
         requireNoViolations(fleet);
     }
 }
+
+// Guards against a job that stays half transferred for good: a holding that was continued had forgotten its transfers.
+TEST_CASE("a transfer is completed when its holder gets the shard back after an outage of the store")
+{
+    const Duration outage = GENERATE(1s, 4s, 8s, 12s, 16s, 30s);
+    const Duration start = GENERATE(2300ms, 2500ms, 2600ms);
+    TransferFleet transfer;
+    EmulatedFleet& fleet = transfer.fleet();
+    transfer.removeTarget();
+    fleet.run(start);
+    for (const HostId& host : fleet.hosts())
+        fleet.store().faults.refusedHosts.insert(host);
+    fleet.run(outage);
+    fleet.store().faults.refusedHosts.clear();
+    INFO("outage of " << std::chrono::duration_cast<std::chrono::milliseconds>(outage).count() << " ms");
+    transfer.requireDone(takeoverTime);
+}
