--- a/modules/rattanroad_shards/entrance/HolderRequests.cpp
+++ b/modules/rattanroad_shards/entrance/HolderRequests.cpp
@@ -152,9 +152,9 @@
     for (const ShardId& shard : m_loads.shards()) {
         ShardDispatcher* const local
             = asked.empty() || shard.value() == asked ? m_hooks.localDispatcher(shard) : nullptr;
-        const std::optional<JobState> state = !local ? std::nullopt
-            : asked.empty()                          ? local->state(job)
-                                                     : local->stateUnlessStopped(job);
+        std::optional<JobState> state;
+        if (local)
+            state = asked.empty() ? local->state(job) : local->stateUnlessStopped(job);
         if (!state)
             continue;
         if (isCancel)
--- a/modules/rattanroad_shards/entrance/JobHomes.h
+++ b/modules/rattanroad_shards/entrance/JobHomes.h
@@ -20,9 +20,9 @@
     TaskRunner::Settings::maximumLeaseAfterSubmission then ensures that a run of which nobody can tell has ended. An
     attempt that follows an unanswered one of the same submission waits for this, as that one may just have started.
 
-    The origin repeats an attempt that is not answered, possibly through another home. A home therefore places no job on
-    an attempt after Submission::validUntil, as it otherwise would after a pause of its process: the job may be
-   elsewhere since.
+    The origin repeats an attempt that is not answered, possibly through another home. A home therefore places no job
+    on an attempt after Submission::validUntil, as it otherwise would after a pause of its process: the job may have
+    been placed by the other home.
 */
 class JobHomes {
 public:
@@ -130,7 +130,7 @@
 
     Home* homeOf(const ShardId& home);
     bool knowsAll(const ShardId& home, const JobId& job) const;
-    /** Returns whether the shard in an entry is that of a submission whatever other homes have done meanwhile. */
+    /** Returns whether an entry holds for a submission, whatever other homes may have located meanwhile. */
     bool isCurrent(const Entry& entry, const ShardId& home, const JobId& job, const ShardId& preferred,
         const Submission& submission) const;
     /** Starts a search, or starts it again. */
