--- a/modules/rattanroad_shards/entrance/JobHomes.cpp
+++ b/modules/rattanroad_shards/entrance/JobHomes.cpp
@@ -92,7 +92,8 @@
     const Submission& submission) const
 {
     const bool isOfSubmission = entry.submission.isSame(submission);
-    // Another home that has not found the job sends it to the preferred shard.
+    // An earlier attempt may have gone through another home, which sends a job that it does not find to the preferred
+    // shard.
     if (submission.isResent)
         return isOfSubmission && entry.shard == preferred;
     // The home that this one stands in for may have located the job for another submission since.
