Hand a job over with the time since it was certainly submitted

Callers could see the tasks of a best-effort job run in two shards after two pauses: a job that was handed over twice started 0.6 s after its origin had been killed, and ran until its caller had submitted it again.

Cause: the second handover told the silence of the origin from the arrival of the first, which had been under way while its receiver was paused.

Change: a handover tells the time since the last submission of which the holder is certain, as its own limits for leases and starts do.

--- a/modules/rattanroad_shards/jobs/JobCodec.cpp
+++ b/modules/rattanroad_shards/jobs/JobCodec.cpp
@@ -123,7 +123,8 @@
         return static_cast<std::uint32_t>(std::chrono::duration_cast<std::chrono::milliseconds>(now - time).count());
     };
     handed.set_waited_ms(millisecondsSince(job.receivedAt));
-    handed.set_silent_ms(millisecondsSince(job.lastSubmittedAt));
+    // The handover that brought the job here may have been under way for a while, and its origin silent since before.
+    handed.set_silent_ms(millisecondsSince(job.certainlySubmittedAt));
     handed.set_entrance(job.originAddress);
     if (job.isEndUnstored())
         handed.set_final_state(static_cast<std::uint32_t>(job.state));
--- a/tests/shards/OverlappingFaultTests.cpp
+++ b/tests/shards/OverlappingFaultTests.cpp
@@ -385,7 +385,7 @@
 
 // Seeds that have test cases of their own, by settings.
 const std::set<std::uint64_t> failingSeeds { 10, 47, 515, 708 };
-const std::set<std::uint64_t> failingSeedsOfThreeDomains { 14, 31, 67, 255, 634, 1019 };
+const std::set<std::uint64_t> failingSeedsOfThreeDomains { 14, 31, 67, 255, 634, 727, 1019 };
 // Seeds with a start that a restarted target carries out late, at first or at present.
 const std::set<std::uint64_t> seedsOfLateStarts { 66, 81, 698, 855 };
 
