--- a/scripts/check-mutations.sh
+++ b/scripts/check-mutations.sh
@@ -86,7 +86,8 @@
 guard second-run jobs/TaskRunner.cpp 'if (m_targets.hasRun(id))' 'if (false)'
 guard attempt-again jobs/TaskRunner.cpp 'std::max(first, task.attempt + 1)' 'std::max(first, task.attempt)'
 guard job-moves entrance/JobHomes.cpp 'const auto found = known->entries.find(job);' 'const auto found = known->entries.end();'
-guard home-unasked entrance/JobHomes.cpp 'if (knowsAll(home, job)) {' 'if (true) {'
+guard home-unasked entrance/JobHomes.cpp 'if (knowsAll(home, job) && !submission.isResent) {' \
+    'if (!submission.isResent) {'
 guard unknown-as-new entrance/JobHomes.cpp 'finishSearch(home, job, Answer::Unknown, {});' 'finishSearch(home, job, Answer::InNoShard, {});'
 guard paused-origin entrance/JobEntrance.cpp 'm_clock.now() - due >= m_settings.lateRepetition' 'false'
 guard located-job-moves entrance/JobHomes.cpp 'if (submission.isLocated) {' 'if (false) {'
@@ -114,7 +115,7 @@
 guard earlier-acknowledgement targets/TargetSession.cpp 'm_wasPollAnswered ? m_completions.acknowledged() : 0' 'm_completions.acknowledged()'
 guard failure-counted-again jobs/TaskRunner.cpp \
     'if (std::find(task.failedRuns.begin(), task.failedRuns.end(), run) != task.failedRuns.end()) {' 'if (false) {'
-guard evacuated-shard-chosen entrance/ShardLoads.cpp ' || isEvacuated(shard))' ')'
+guard evacuated-shard-chosen entrance/ShardLoads.cpp ' || isEvacuated(shard) ||' ' ||'
 guard evacuated-shard-starts jobs/TaskRunner.cpp 'if (!areStartsAllowed || !maySchedule())' 'if (!maySchedule())'
 guard evacuation-age evacuation/EvacuationTable.cpp 'm_readUntil + share(m_settings.latestStartShare))' 'TimePoint::max())'
 guard evacuation-unread evacuation/EvacuationTable.cpp 'isStoreLost || now - m_readUntil < limit' 'true'
