Start no job on a submission that was under way for too long

Callers could see a best-effort job run in two shards although no host was frozen: a submission that a home had passed on arrived 0.32 s after it was sent and started the job, which another home had placed elsewhere.

Evidence: the new test holds the messages of two homes back.

Change: a shard starts or reopens no job on a submission that its origin may have repeated. It still takes one for a job that it has.

The test of the pauses shares its fleet.

--- a/modules/rattanroad_shards/entrance/HolderRequests.cpp
+++ b/modules/rattanroad_shards/entrance/HolderRequests.cpp
@@ -107,6 +107,13 @@
 void HolderRequests::submitHere(ShardDispatcher& dispatcher, const protocol::ShardSubmit& submission)
 {
     const std::chrono::milliseconds age = ageOf(submission);
+    // Another home may not have found the job here and sent it to another shard since.
+    const bool isOutdated = m_clock.now() >= validUntil(submission);
+    if (isOutdated && presenceOf(dispatcher.state(JobId(submission.job().id()))) != JobHomes::Presence::Present) {
+        m_hooks.log("submission_outdated", JobId(submission.job().id()),
+            "from " + submission.origin() + ", " + std::to_string(age.count()) + " ms old");
+        return;
+    }
     protocol::ShardSubmit answered = submission;
     answered.clear_job();
     dispatcher.submit(submission.job(), std::chrono::milliseconds(submission.waited_ms()) + age, submission.resent(),
--- a/modules/rattanroad_shards/entrance/HolderRequests.h
+++ b/modules/rattanroad_shards/entrance/HolderRequests.h
@@ -50,6 +50,7 @@
     /** Finds the shard of a job whose home this host holds, and passes the submission on to its holder. */
     void locate(const protocol::ShardSubmit& submission);
     void passOn(protocol::ShardSubmit submission);
+    /** Hands a submission to the holder of its shard on this host, unless it is outdated and would start the job. */
     void submitHere(ShardDispatcher& dispatcher, const protocol::ShardSubmit& submission);
     /** Returns the time since a submission was sent to this host, and the duration of the fastest message more. */
     std::chrono::milliseconds ageOf(const protocol::ShardSubmit& submission) const;
--- a/tests/shards/OverlapTests.cpp
+++ b/tests/shards/OverlapTests.cpp
@@ -59,6 +59,59 @@
     HostId m_restarted;
 };
 
+/** A fleet of three failure domains with jobs whose callers got no answer in time and submit them to another host from
+    now on for 0.3 s and longer. All jobs have the same homes.
+*/
+class ResubmittingFleet {
+public:
+    ResubmittingFleet()
+        : m_fleet(settings())
+    {
+        m_fleet.startAll();
+        std::vector<HostId> entrances;
+        for (const HostId& host : m_fleet.hosts()) {
+            if (host.value().compare(0, 5, "north") == 0 && host != home(0) && host != home(1))
+                entrances.push_back(host);
+        }
+        REQUIRE(entrances.size() >= 2);
+        for (int i = 0; i < 20; ++i) {
+            EmulatedFleet::Call& call = m_fleet.submit(entrances[0], nextJob(), 1, 2s, true);
+            call.description.mutable_phases(0)->set_estimated_ms(500);
+            call.nextHost = entrances[1];
+            m_fleet.run(15ms);
+        }
+        // The callers wait for 1.5 s and submit their jobs again 1.3 s later.
+        m_fleet.run(2000ms);
+    }
+
+    EmulatedFleet& fleet() { return m_fleet; }
+    /** Returns the holder of a home of the jobs, which come in this order. */
+    HostId home(std::size_t index) { return m_fleet.holderOf(m_homes.at(index)); }
+
+private:
+    static EmulatedFleet::Settings settings()
+    {
+        EmulatedFleet::Settings settings;
+        settings.domains = { "north", "south", "west" };
+        settings.hostsPerDomain = 3;
+        settings.targetsPerDomain = 8;
+        return settings;
+    }
+    std::string nextJob()
+    {
+        const JobHomes& homes = m_fleet.node(home(0)).entrance().homes();
+        const std::vector<ShardId> order { m_homes.begin(), m_homes.end() };
+        do {
+            ++m_number;
+        } while (homes.homesOf(JobId("job-" + std::to_string(m_number))) != order);
+        return "job-" + std::to_string(m_number);
+    }
+
+    const std::vector<std::string> m_homes { "north", "south", "west" };
+    EmulatedFleet m_fleet;
+    int m_number { 0 };
+};
+
 /** A fleet of one failure domain with few targets, on one of which a job runs. */
 class SmallFleet {
 public:
@@ -168,35 +221,10 @@
 // Guards against a home that was paused during a search and hands over a job that its origin has sent elsewhere since.
 TEST_CASE("a job that is submitted again while two holders are paused one after the other runs in one shard")
 {
-    EmulatedFleet::Settings settings;
-    settings.domains = { "north", "south", "west" };
-    settings.hostsPerDomain = 3;
-    settings.targetsPerDomain = 8;
-    EmulatedFleet fleet(settings);
-    fleet.startAll();
-    const HostId first = fleet.holderOf("north");
-    const HostId second = fleet.holderOf("south");
-    std::vector<HostId> entrances;
-    for (const HostId& host : fleet.hosts()) {
-        if (host.value().compare(0, 5, "north") == 0 && host != first && host != second)
-            entrances.push_back(host);
-    }
-    REQUIRE(entrances.size() >= 2);
-    const JobHomes& homes = fleet.node(first).entrance().homes();
-    const std::vector<ShardId> order { ShardId("north"), ShardId("south"), ShardId("west") };
-    int number = 0;
-    const auto nextJob = [&] {
-        while (homes.homesOf(JobId("job-" + std::to_string(++number))) != order) { }
-        return "job-" + std::to_string(number);
-    };
-    for (int i = 0; i < 20; ++i) {
-        EmulatedFleet::Call& call = fleet.submit(entrances[0], nextJob(), 1, 2s, true);
-        call.description.mutable_phases(0)->set_estimated_ms(500);
-        call.nextHost = entrances[1];
-        fleet.run(15ms);
-    }
-    // The callers turn to the other entrance from 2.8 s after the first submission on.
-    fleet.run(2000ms);
+    ResubmittingFleet resubmitting;
+    EmulatedFleet& fleet = resubmitting.fleet();
+    const HostId first = resubmitting.home(0);
+    const HostId second = resubmitting.home(1);
     fleet.pause(first);
     fleet.run(GENERATE(620ms, 650ms, 680ms));
     fleet.pause(second);
@@ -208,6 +236,27 @@
     requireNoViolations(fleet);
 }
 
+// Guards against a holder that starts a job on a submission which was under way for so long that its origin has sent
+// the job elsewhere.
+TEST_CASE("a job that is submitted again while the messages of its homes are late runs in one shard")
+{
+    ResubmittingFleet resubmitting;
+    EmulatedFleet& fleet = resubmitting.fleet();
+    fleet.run(GENERATE(0ms, 450ms));
+    fleet.holdMessages(resubmitting.home(0));
+    const Duration released = GENERATE(300ms, 400ms, 500ms, 600ms, 700ms, 800ms, 900ms);
+    const Duration secondHeld = GENERATE(0ms, 200ms, 400ms, 600ms);
+    fleet.run(std::min(released, secondHeld));
+    if (secondHeld > 0ms)
+        fleet.holdMessages(resubmitting.home(1));
+    fleet.run(released - std::min(released, secondHeld));
+    fleet.releaseMessages(resubmitting.home(0));
+    fleet.run(GENERATE(10ms, 300ms));
+    fleet.releaseMessages(resubmitting.home(1));
+    fleet.run(6s);
+    requireNoViolations(fleet);
+}
+
 TEST_CASE("a start that arrives after its target has restarted does not run when the first stop to it is lost")
 {
     SmallFleet small(2);
