Tell a cancelled job without runs from one that is being stopped

A search for a best-effort job ended in a shard where nothing was left of it: the tasks of a cancelled job stay placed when their runs have ended, and counted as runs. So told 'stopping' for minutes. Only targets and earlier holders tell now whether a cancelled job may have runs.

--- a/modules/rattanroad_shards/jobs/TaskRunner.cpp
+++ b/modules/rattanroad_shards/jobs/TaskRunner.cpp
@@ -567,7 +567,9 @@
     for (std::size_t phase = 0; phase < job.phases.size(); ++phase) {
         for (std::uint32_t index = 0; index < job.phases[phase].size(); ++index) {
             const ShardTask& task = job.phases[phase][index];
-            const bool isPossible = task.state == ShardTask::State::Placed || task.mayHaveEarlierRun
+            // The tasks of a job that was cancelled stay placed when their runs have ended.
+            const bool isPlaced = task.state == ShardTask::State::Placed && !hasEnded(job.state);
+            const bool isPossible = isPlaced || task.mayHaveEarlierRun
                 || m_targets.hasRun({ job.id, static_cast<std::uint32_t>(phase), index });
             if (isPossible)
                 return true;
