--- a/scripts/check-mutations.sh
+++ b/scripts/check-mutations.sh
@@ -153,6 +153,7 @@
 guard transfer-forgotten-by-continuation evacuation/JobTransfers.cpp 'if (!isContinued) {' 'if (true) {'
 guard silence-of-second-handover jobs/JobCodec.cpp 'millisecondsSince(job.certainlySubmittedAt)' \
     'millisecondsSince(job.lastSubmittedAt)'
+guard late-submission-starts entrance/HolderRequests.cpp 'isOutdated && presenceOf' 'false && presenceOf'
 guard transfer-of-ended-job jobs/ShardDispatcher.cpp $'if (job.isBeingTransferred) {\n        if (!job.endDuring' \
     $'if (false) {\n        if (!job.endDuring'
 guard end-lost-in-transfer jobs/ShardDispatcher.cpp 'if (const auto end = std::exchange(job->endDuringTransfer, std::nullopt))' \
--- a/tests/platform/StoreHttpClientTests.cpp
+++ b/tests/platform/StoreHttpClientTests.cpp
@@ -124,3 +124,17 @@
     large.writes.push_back({ "job", std::string(30000, 'x'), StoreLeaseId(0) });
     CHECK(store.transact(large).status == StoreStatus::Done);
 }
+
+// Guards against a lost store that is noticed later because large answers have more time.
+TEST_CASE("a store that answers nothing is noticed within the limit of each call")
+{
+    AnsweringStore store(100ms);
+    store.server().setDelay(5s);
+    const auto startedAt = std::chrono::steady_clock::now();
+    CHECK(store.read().status == StoreStatus::Unknown);
+    CHECK(store.readPage().status == StoreStatus::Unknown);
+    CHECK(store.transact().status == StoreStatus::Unknown);
+    CHECK(store.grantLease().status == StoreStatus::Unknown);
+    CHECK(store.watch().status == StoreStatus::Unknown);
+    CHECK(std::chrono::steady_clock::now() - startedAt < 2s);
+}
