--- a/modules/rattanroad_network/http/HttpClient.cpp
+++ b/modules/rattanroad_network/http/HttpClient.cpp
@@ -153,7 +153,7 @@
         setTimer(exchange, exchange.partDueAt - now);
     }
 
-    /** A part of the body has arrived. The timer that is set is kept and set again when it fires too early. */
+    /** Extends the limit after a part of the body. A timer that fires before the new limit is set again. */
     void partReceived(Exchange& exchange)
     {
         if (exchange.stallTimeout > Duration(0))
--- a/modules/rattanroad_shards/entrance/HolderRequests.h
+++ b/modules/rattanroad_shards/entrance/HolderRequests.h
@@ -52,10 +52,11 @@
     void passOn(protocol::ShardSubmit submission);
     /** Hands a submission to the holder of its shard on this host, unless it is outdated and would start the job. */
     void submitHere(ShardDispatcher& dispatcher, const protocol::ShardSubmit& submission);
-    /** Returns the time since a submission was sent to this host, and the duration of the fastest message more. */
+    /** Returns the time since a submission was sent to this host. It is too long by the time that the fastest message
+        takes, and never too short. */
     std::chrono::milliseconds ageOf(const protocol::ShardSubmit& submission) const;
-    /** Returns until when the origin of a submission has not repeated it through another home, which may find another
-        shard for the job. The submission of a job whose origin knows its shard is always valid. */
+    /** Returns the time from which the origin of a submission may have repeated it through another home, which may have
+        chosen another shard. A job whose origin knows its shard stays there, so its submissions are always valid. */
     TimePoint validUntil(const protocol::ShardSubmit& submission) const;
     void replyToSubmission(
         const protocol::ShardSubmit& submission, SubmitVerdict verdict, std::chrono::milliseconds retryAfter);
--- a/modules/rattanroad_shards/entrance/JobHomes.cpp
+++ b/modules/rattanroad_shards/entrance/JobHomes.cpp
@@ -80,7 +80,7 @@
         return;
     }
     const auto open = known->searches.find(job);
-    // A search that is overdue was open during a pause of this process, and its answers are of before the pause.
+    // A search that is overdue was open during a pause of this process. Its answers may be older than this attempt.
     const bool isSearched
         = open != known->searches.end() && m_clock.now() - open->second.startedAt < m_settings.askTimeout;
     known->searches[job].waiting.push_back({ preferred, submission, std::move(located) });
@@ -169,7 +169,7 @@
         return;
     }
     known.unlocated.erase(job);
-    // What is left of an earlier submission ends before tasks of the job start there again.
+    // Where runs of the job are being stopped, its tasks start again only after these have ended.
     const std::optional<ShardId> foundIn = answer == Answer::Found ? std::optional<ShardId>(shard) : stoppingIn;
     const bool isFound = foundIn.has_value();
     const auto earlier = answer == Answer::Unknown ? known.entries.find(job) : known.entries.end();
