--- a/modules/rattanroad_shards/entrance/HolderRequests.h
+++ b/modules/rattanroad_shards/entrance/HolderRequests.h
@@ -53,7 +53,7 @@
     /** Hands a submission to the holder of its shard on this host, unless it is outdated and would start the job. */
     void submitHere(ShardDispatcher& dispatcher, const protocol::ShardSubmit& submission);
     /** Returns the time since a submission was sent to this host. It is too long by the time that the fastest message
-        takes, and never too short. */
+        takes. A submission without the clock of its receiver counts from its arrival. */
     std::chrono::milliseconds ageOf(const protocol::ShardSubmit& submission) const;
     /** Returns the time from which the origin of a submission may have repeated it through another home, which may have
         chosen another shard. A job whose origin knows its shard stays there, so its submissions are always valid. */
